--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/EndpointState.java
@@ -0,0 +1,18 @@
+package org.knapweedcleat.core.config;
+
+/** Whether an endpoint takes new work. */
+public enum EndpointState {
+  /** Takes new work. */
+  ACTIVE,
+  /** Finishes what it has and takes nothing new. */
+  LEAVING;
+
+  /**
+   * Tells whether new work may be placed.
+   *
+   * @return true for an active endpoint
+   */
+  public boolean takesNewWork() {
+    return this == ACTIVE;
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/package-info.java
@@ -0,0 +1,2 @@
+/** The published document: what operators declare, checked and immutable. */
+package org.knapweedcleat.core.config;
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/id/Ids.java
@@ -0,0 +1,16 @@
+package org.knapweedcleat.core.id;
+
+import java.util.Objects;
+
+/** Checks that the value types of this package share. */
+final class Ids {
+
+  private Ids() {}
+
+  static void requireName(String value, String kind) {
+    Objects.requireNonNull(value, kind);
+    if (value.isBlank()) {
+      throw new IllegalArgumentException(kind + " id is blank");
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/gate/package-info.java
@@ -0,0 +1,2 @@
+/** The decisions that serving a request asks of this or another instance. */
+package org.knapweedcleat.router.gate;
