--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/audit/package-info.java
@@ -0,0 +1,2 @@
+/** The trail of changes that operators can read. */
+package org.knapweedcleat.core.audit;
