Decide liveness from heartbeats and the platform's lagging list

Cause: duties (scheduler, home) and shares of rates need to know who lives, who may still be at work, and who runs again.

Change: a sans-IO membership slice. Liveness rests on heartbeats alone, so a lagging list neither revives an ended run nor hides one that is heard. The list adds instances that may be at work unheard.

Ruled out: gossip of suspicion (SWIM), which sends less but tells of others' revisions later and has more states.

--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/membership/KnownInstance.java
@@ -0,0 +1,95 @@
+package org.knapweedcleat.core.membership;
+
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.InstanceId;
+import org.knapweedcleat.core.id.Revision;
+
+/** What is known of one other instance. */
+final class KnownInstance {
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
+  private final InstanceId id;
+  private ListedInstance listing;
+  private Heartbeat lastHeartbeat;
+  private boolean listedNow;
+  private long listedAtMillis = NEVER;
+  private long heardAtMillis = NEVER;
+
+  private KnownInstance(InstanceId id) {
+    this.id = id;
+  }
+
+  static KnownInstance of(InstanceId id) {
+    return new KnownInstance(id);
+  }
+
+  void listed(long nowMillis, ListedInstance instance) {
+    listing = instance;
+    listedNow = true;
+    listedAtMillis = nowMillis;
+  }
+
+  void unlisted() {
+    listedNow = false;
+  }
+
+  /** Takes a heartbeat unless it comes from a run that a newer one has replaced. */
+  boolean heard(long nowMillis, Heartbeat heartbeat) {
+    if (lastHeartbeat != null && startNumber(heartbeat) < startNumber(lastHeartbeat)) {
+      return false;
+    }
+    lastHeartbeat = heartbeat;
+    heardAtMillis = nowMillis;
+    return true;
+  }
+
+  boolean isHeardSince(long sinceMillis) {
+    return heardAtMillis >= sinceMillis;
+  }
+
+  /** An instance may be at work while it is listed, and some time after it was heard or listed. */
+  boolean isPossibleSince(long sinceMillis) {
+    return listedNow || heardAtMillis >= sinceMillis || listedAtMillis >= sinceMillis;
+  }
+
+  boolean isIn(FailureDomainId domain) {
+    return domain.equals(domain());
+  }
+
+  /** The own word on leaving counts as well as the platform's, whichever is first. */
+  Member member() {
+    Member sender = lastHeartbeat.sender();
+    boolean leaving = sender.leaving() || listedNow && listing.leaving();
+    return new Member(
+        sender.incarnation(), sender.domain(), sender.host(), sender.peerPort(), leaving);
+  }
+
+  Revision revision() {
+    return lastHeartbeat == null ? Revision.NONE : lastHeartbeat.revision();
+  }
+
+  Revision domainRevision() {
+    return lastHeartbeat == null ? Revision.NONE : lastHeartbeat.domainRevision();
+  }
+
+  InstanceId id() {
+    return id;
+  }
+
+  FailureDomainId domain() {
+    return lastHeartbeat == null ? listing.domain() : lastHeartbeat.sender().domain();
+  }
+
+  MembershipAction.Send send(Heartbeat heartbeat) {
+    if (listedNow || lastHeartbeat == null) {
+      return new MembershipAction.Send(id, listing.host(), listing.peerPort(), heartbeat);
+    }
+    Member sender = lastHeartbeat.sender();
+    return new MembershipAction.Send(id, sender.host(), sender.peerPort(), heartbeat);
+  }
+
+  private static long startNumber(Heartbeat heartbeat) {
+    return heartbeat.sender().incarnation().startNumber();
+  }
+}
