Read and check the published document and an instance's settings

Cause: nothing turned an operator's text into the records that the slices share, and a wrong value has to be named with its place before it is applied. Change: FleetDocumentParser and InstanceSettingsParser read INI with Commons Configuration and give either the value or all faults at once, in the order of their lines. Each key is described once (DocumentKeys, InstanceKeys: type, range, unit, default, meaning); checks and messages come from that. LineIndex finds the lines, which the library does not keep, and repetitions, which it merges. Ruled out: own INI parsing (quotes, continued lines and inline comments are the library's), the library's lookup by key (it interpolates values and treats dots in keys as paths).

--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/CheckedSection.java
@@ -0,0 +1,67 @@
+package org.knapweedcleat.core.config;
+
+import io.vavr.Tuple;
+import io.vavr.collection.LinkedHashMap;
+import io.vavr.collection.Map;
+import io.vavr.control.Option;
+import java.util.function.Function;
+
+/** A section whose keys and values are all allowed. */
+final class CheckedSection {
+
+  private final String fileName;
+  private final IniSection section;
+
+  private CheckedSection(String fileName, IniSection section) {
+    this.fileName = fileName;
+    this.section = section;
+  }
+
+  static CheckedSection of(String fileName, IniSection section) {
+    return new CheckedSection(fileName, section);
+  }
+
+  SectionKind kind() {
+    return section.kind();
+  }
+
+  IniSection source() {
+    return section;
+  }
+
+  String name() {
+    return section.name();
+  }
+
+  /** Returns a value; the section was checked, so it can be read. */
+  <T> T get(SettingKey<T> key) {
+    String text = section.entries().get(key.name()).map(IniEntry::text).getOrElse(fallback(key));
+    return key.rule().read(text).get();
+  }
+
+  /** Returns the values of a family of keys by the name that follows the family's. */
+  <K, T> Map<K, T> family(SettingKey<T> family, Function<String, K> key) {
+    return LinkedHashMap.ofEntries(
+        section
+            .entries()
+            .filterKeys(family::describes)
+            .map(
+                entry ->
+                    Tuple.of(
+                        key.apply(entry._1.substring(family.name().length())),
+                        family.rule().read(entry._2.text()).get())));
+  }
+
+  /** Returns a fault of a value of this section that only shows together with others. */
+  ConfigFault fault(FaultKind kind, SettingKey<?> key, String allowed) {
+    Option<IniEntry> entry = section.entries().get(key.name());
+    int line = entry.map(IniEntry::line).getOrElse(section.line());
+    String found = entry.map(IniEntry::text).getOrElse(() -> key.fallback().getOrElse(""));
+    String shown = kind() == SectionKind.KEY ? ConfigFault.HIDDEN : found;
+    return new ConfigFault(kind, fileName, line, section.header(), key.name(), shown, allowed);
+  }
+
+  private static String fallback(SettingKey<?> key) {
+    return key.fallback().getOrElse("");
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/InstanceKeys.java
@@ -0,0 +1,161 @@
+package org.knapweedcleat.core.config;
+
+import static org.knapweedcleat.core.config.SettingKey.optional;
+import static org.knapweedcleat.core.config.SettingKey.required;
+
+import io.vavr.collection.List;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.InstanceId;
+
+/** The keys of an instance's own settings. */
+public final class InstanceKeys {
+
+  private static final int HOUR_MILLIS = 3_600_000;
+  private static final String MILLIS = "milliseconds";
+  private static final String BYTES = "bytes";
+
+  static final SettingKey<InstanceId> ID =
+      required(
+          SectionKind.INSTANCE,
+          "id",
+          ValueRules.name().as(InstanceId::of),
+          "",
+          "the instance's name, the same as in the platform's list");
+  static final SettingKey<FailureDomainId> DOMAIN =
+      required(
+          SectionKind.INSTANCE,
+          "domain",
+          ValueRules.name().as(FailureDomainId::of),
+          "",
+          "the failure domain it stands in");
+  static final SettingKey<String> HOST =
+      required(
+          SectionKind.INSTANCE, "host", ValueRules.ipNumber(), "", "the IP number it listens on");
+  static final SettingKey<Integer> CALLER_PORT =
+      optional(SectionKind.INSTANCE, "callerPort", ValueRules.port(), "", "8080", "for callers");
+  static final SettingKey<Integer> OPERATOR_PORT =
+      optional(
+          SectionKind.INSTANCE,
+          "operatorPort",
+          ValueRules.port(),
+          "",
+          "8081",
+          "for operators; has to be reachable by operators only");
+  static final SettingKey<Integer> PEER_PORT =
+      optional(
+          SectionKind.INSTANCE, "peerPort", ValueRules.port(), "", "8082", "for other instances");
+
+  static final SettingKey<String> PLATFORM_HOST =
+      required(
+          SectionKind.PLATFORM,
+          "host",
+          ValueRules.ipNumber(),
+          "",
+          "the IP number of the configuration service");
+  static final SettingKey<Integer> PLATFORM_PORT =
+      required(
+          SectionKind.PLATFORM,
+          "port",
+          ValueRules.port(),
+          "",
+          "the TCP port of the configuration service");
+  static final SettingKey<String> PLATFORM_DOCUMENT =
+      optional(
+          SectionKind.PLATFORM,
+          "document",
+          ValueRules.name(),
+          "",
+          "fleet",
+          "the name of the value that holds the published document");
+  static final SettingKey<Integer> PLATFORM_WAIT =
+      optional(
+          SectionKind.PLATFORM,
+          "watchWaitMillis",
+          ValueRules.whole(100, 600_000),
+          MILLIS,
+          "30000",
+          "how long one watch waits for something newer");
+
+  static final SettingKey<Integer> MAX_BODY =
+      optional(
+          SectionKind.LIMITS,
+          "maxBodyBytes",
+          ValueRules.whole(1_024, 1_073_741_824),
+          BYTES,
+          "1048576",
+          "the longest body of a caller's request");
+  static final SettingKey<Integer> MAX_HEADER =
+      optional(
+          SectionKind.LIMITS,
+          "maxHeaderBytes",
+          ValueRules.whole(1_024, 1_048_576),
+          BYTES,
+          "16384",
+          "the longest headers of a caller's request");
+  static final SettingKey<Integer> MAX_IN_FLIGHT =
+      optional(
+          SectionKind.LIMITS,
+          "maxInFlight",
+          ValueRules.whole(1, 1_000_000),
+          "requests",
+          "20000",
+          "how many requests the instance holds at once");
+  static final SettingKey<Integer> DRAIN_TIMEOUT =
+      optional(
+          SectionKind.LIMITS,
+          "drainTimeoutMillis",
+          ValueRules.whole(0, HOUR_MILLIS),
+          MILLIS,
+          "300000",
+          "how long a planned stop waits for running requests");
+
+  static final SettingKey<Integer> HEARTBEAT =
+      optional(
+          SectionKind.PEERS,
+          "heartbeatMillis",
+          ValueRules.whole(10, 60_000),
+          MILLIS,
+          "250",
+          "the time between heartbeats");
+  static final SettingKey<Integer> HEARTBEAT_TIMEOUT =
+      optional(
+          SectionKind.PEERS,
+          "heartbeatTimeoutMillis",
+          ValueRules.whole(20, 600_000),
+          MILLIS,
+          "1000",
+          "an instance that was silent this long counts as gone");
+  static final SettingKey<Integer> LEASE =
+      optional(
+          SectionKind.PEERS,
+          "leaseMillis",
+          ValueRules.whole(20, 600_000),
+          MILLIS,
+          "2000",
+          "how long a share of a client account's rate is lent");
+  static final SettingKey<Integer> LIST_LAG =
+      optional(
+          SectionKind.PEERS,
+          "listLagMillis",
+          ValueRules.whole(0, 600_000),
+          MILLIS,
+          "5000",
+          "how late the platform's list of instances can be");
+
+  private static final List<SettingKey<?>> ALL =
+      List.<SettingKey<?>>of(ID, DOMAIN, HOST, CALLER_PORT, OPERATOR_PORT, PEER_PORT)
+          .appendAll(List.of(PLATFORM_HOST, PLATFORM_PORT, PLATFORM_DOCUMENT, PLATFORM_WAIT))
+          .appendAll(List.of(MAX_BODY, MAX_HEADER, MAX_IN_FLIGHT, DRAIN_TIMEOUT))
+          .appendAll(List.of(HEARTBEAT, HEARTBEAT_TIMEOUT, LEASE, LIST_LAG));
+
+  private InstanceKeys() {}
+
+  /**
+   * Lists every key of an instance's settings.
+   *
+   * @return the keys, those of a section together
+   */
+  public static List<SettingKey<?>> all() {
+    return ALL;
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/LineIndex.java
@@ -0,0 +1,74 @@
+package org.knapweedcleat.core.config;
+
+import io.vavr.collection.List;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/** Knows on which line of an INI text each section and key stands, which the library does not. */
+final class LineIndex {
+
+  private static final Pattern SPACE = Pattern.compile("\\s+");
+
+  private final Map<Place, Integer> lines = new HashMap<>();
+  private final java.util.List<Place> repeated = new ArrayList<>();
+  private String header = "";
+
+  private LineIndex() {}
+
+  static LineIndex of(String text) {
+    LineIndex index = new LineIndex();
+    int number = 0;
+    for (String line : text.lines().toList()) {
+      number++;
+      index.add(line.trim(), number);
+    }
+    return index;
+  }
+
+  /** Returns a header with single spaces, so that two writings of one section are the same. */
+  static String normalise(String header) {
+    return SPACE.matcher(header.trim()).replaceAll(" ");
+  }
+
+  int lineOf(String section) {
+    return lines.getOrDefault(new Place(section, "", 0), 0);
+  }
+
+  int lineOf(String section, String key) {
+    return lines.getOrDefault(new Place(section, key, 0), lineOf(section));
+  }
+
+  List<Place> repeated() {
+    return List.ofAll(repeated);
+  }
+
+  private void add(String line, int number) {
+    if (line.isEmpty() || line.startsWith("#") || line.startsWith(";")) {
+      return;
+    }
+    if (line.startsWith("[") && line.endsWith("]")) {
+      header = normalise(line.substring(1, line.length() - 1));
+      put("", number);
+      return;
+    }
+    int separator = line.indexOf('=');
+    put(separator < 0 ? line : line.substring(0, separator).trim(), number);
+  }
+
+  private void put(String key, int number) {
+    if (lines.putIfAbsent(new Place(header, key, 0), number) != null) {
+      repeated.add(new Place(header, key, number));
+    }
+  }
+
+  /**
+   * A section or a key in a section.
+   *
+   * @param section the header
+   * @param key the key, empty for the section itself
+   * @param line the line of a repetition, otherwise 0
+   */
+  record Place(String section, String key, int line) {}
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SectionChecker.java
@@ -0,0 +1,120 @@
+package org.knapweedcleat.core.config;
+
+import io.vavr.collection.List;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+
+/** Checks the keys and values of one section at a time against their descriptions. */
+final class SectionChecker {
+
+  private final String fileName;
+  private final List<SettingKey<?>> keys;
+  private final IniContent content;
+
+  private SectionChecker(String fileName, List<SettingKey<?>> keys, IniContent content) {
+    this.fileName = fileName;
+    this.keys = keys;
+    this.content = content;
+  }
+
+  static SectionChecker of(String fileName, List<SettingKey<?>> keys, IniContent content) {
+    return new SectionChecker(fileName, keys, content);
+  }
+
+  Either<List<ConfigFault>, CheckedSection> check(IniSection section) {
+    List<SettingKey<?>> known = keys.filter(key -> key.section() == section.kind());
+    List<ConfigFault> faults =
+        section
+            .entries()
+            .toList()
+            .flatMap(entry -> checkEntry(section, known, entry._1, entry._2))
+            .appendAll(missing(section, known))
+            .appendAll(unresolvedNames(section));
+    return faults.isEmpty()
+        ? Either.right(CheckedSection.of(fileName, section))
+        : Either.left(faults);
+  }
+
+  private Option<ConfigFault> checkEntry(
+      IniSection section, List<SettingKey<?>> known, String name, IniEntry entry) {
+    Option<SettingKey<?>> described = known.find(key -> key.describes(name));
+    if (described.isEmpty()) {
+      return Option.some(unknownKey(section, known, name, entry));
+    }
+    SettingKey<?> key = described.get();
+    if (key.rule().read(entry.text()).isEmpty()) {
+      return Option.some(badValue(section, key, name, entry));
+    }
+    return unresolved(section, key, name, entry);
+  }
+
+  private ConfigFault unknownKey(
+      IniSection section, List<SettingKey<?>> known, String name, IniEntry entry) {
+    List<String> names = known.map(SettingKey::name);
+    boolean mayBeSecret = section.kind() == SectionKind.KEY;
+    boolean hideName = mayBeSecret && NearestName.of(name, names).isEmpty();
+    return fault(
+        FaultKind.UNKNOWN_KEY,
+        section,
+        entry.line(),
+        hideName ? ConfigFault.HIDDEN : name,
+        mayBeSecret ? ConfigFault.HIDDEN : entry.text(),
+        NearestName.hint(name, names) + "keys here are " + names.mkString(", "));
+  }
+
+  private ConfigFault badValue(IniSection section, SettingKey<?> key, String name, IniEntry entry) {
+    // Whoever writes a key where its digest belongs must not find it in a log.
+    String found = section.kind() == SectionKind.KEY ? ConfigFault.HIDDEN : entry.text();
+    return fault(FaultKind.BAD_VALUE, section, entry.line(), name, found, key.allowed());
+  }
+
+  private Option<ConfigFault> unresolved(
+      IniSection section, SettingKey<?> key, String name, IniEntry entry) {
+    if (key.isFamily()) {
+      String suffix = name.substring(key.name().length());
+      return undeclared(section, SectionKind.DOMAIN, suffix, entry.line(), name);
+    }
+    return key.refersTo()
+        .flatMap(target -> undeclared(section, target, entry.text(), entry.line(), name));
+  }
+
+  private List<ConfigFault> unresolvedNames(IniSection section) {
+    if (section.kind() != SectionKind.LINK) {
+      return List.empty();
+    }
+    return section
+        .names()
+        .flatMap(name -> undeclared(section, SectionKind.REGION, name, section.line(), ""));
+  }
+
+  private Option<ConfigFault> undeclared(
+      IniSection section, SectionKind target, String found, int line, String key) {
+    List<String> declared = content.names(target);
+    if (declared.contains(found)) {
+      return Option.none();
+    }
+    String allowed =
+        NearestName.hint(found, declared)
+            + "the name of a "
+            + target.form()
+            + " section of this file";
+    boolean hide = section.kind() == SectionKind.KEY && NearestName.of(found, declared).isEmpty();
+    String shown = hide ? ConfigFault.HIDDEN : found;
+    return Option.some(fault(FaultKind.UNRESOLVED_REFERENCE, section, line, key, shown, allowed));
+  }
+
+  private List<ConfigFault> missing(IniSection section, List<SettingKey<?>> known) {
+    return known
+        .filter(key -> key.fallback().isEmpty())
+        .reject(key -> section.entries().containsKey(key.name()))
+        .map(
+            key ->
+                fault(
+                    FaultKind.MISSING_KEY, section, section.line(), key.name(), "", key.allowed()));
+  }
+
+  private ConfigFault fault(
+      FaultKind kind, IniSection section, int line, String key, String found, String allowed) {
+    return new ConfigFault(kind, fileName, line, section.header(), key, found, allowed);
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SectionKind.java
@@ -0,0 +1,109 @@
+package org.knapweedcleat.core.config;
+
+import io.vavr.collection.List;
+import io.vavr.control.Option;
+
+/** The kinds of sections that settings consist of. */
+public enum SectionKind {
+  /** The deployment. */
+  DEPLOYMENT(SettingsFile.DOCUMENT, "deployment", 1, "names the deployment; exactly one"),
+  /** A region. */
+  REGION(SettingsFile.DOCUMENT, "region", 1, "a region, which holds failure domains"),
+  /** A failure domain. */
+  DOMAIN(SettingsFile.DOCUMENT, "domain", 1, "a failure domain"),
+  /** A link between two regions. */
+  LINK(SettingsFile.DOCUMENT, "link", 2, "the link between two regions, the same each way"),
+  /** A pool of endpoints. */
+  POOL(SettingsFile.DOCUMENT, "pool", 1, "endpoints that do the same work"),
+  /** A service. */
+  SERVICE(SettingsFile.DOCUMENT, "service", 1, "a service with its latency targets"),
+  /** A route from callers to a service. */
+  ROUTE(SettingsFile.DOCUMENT, "route", 1, "an HTTP method and path that lead to a service"),
+  /** A client account. */
+  ACCOUNT(SettingsFile.DOCUMENT, "account", 1, "a client account with its rate and burst"),
+  /** A key of a client account. */
+  KEY(SettingsFile.DOCUMENT, "key", 1, "a key, by its digest; the name is not secret"),
+  /** An endpoint. */
+  ENDPOINT(SettingsFile.DOCUMENT, "endpoint", 1, "a model engine or a plain service"),
+  /** The instance itself. */
+  INSTANCE(SettingsFile.INSTANCE, "instance", 0, "the instance's name and addresses"),
+  /** The platform's configuration service. */
+  PLATFORM(SettingsFile.INSTANCE, "platform", 0, "where the published document is read"),
+  /** The limits of the instance. */
+  LIMITS(SettingsFile.INSTANCE, "limits", 0, "how much the instance accepts"),
+  /** The other instances. */
+  PEERS(SettingsFile.INSTANCE, "peers", 0, "timing between instances");
+
+  private final SettingsFile file;
+  private final String word;
+  private final int names;
+  private final String meaning;
+
+  SectionKind(SettingsFile file, String word, int names, String meaning) {
+    this.file = file;
+    this.word = word;
+    this.names = names;
+    this.meaning = meaning;
+  }
+
+  /**
+   * Finds a kind by its word.
+   *
+   * @param file the file that the section stands in
+   * @param word the first word of the section's header
+   * @return the kind, if the file has one of that word
+   */
+  public static Option<SectionKind> find(SettingsFile file, String word) {
+    return in(file).find(kind -> kind.word.equals(word));
+  }
+
+  /**
+   * Lists the kinds that a file may hold.
+   *
+   * @param file the file
+   * @return the kinds in the order of declaration
+   */
+  public static List<SectionKind> in(SettingsFile file) {
+    return List.of(values()).filter(kind -> kind.file == file);
+  }
+
+  /**
+   * Returns the first word of the header.
+   *
+   * @return the word
+   */
+  public String word() {
+    return word;
+  }
+
+  /**
+   * Returns how many names follow the word.
+   *
+   * @return 0 to 2
+   */
+  public int names() {
+    return names;
+  }
+
+  /**
+   * Returns what the section describes.
+   *
+   * @return a phrase for operators
+   */
+  public String meaning() {
+    return meaning;
+  }
+
+  /**
+   * Returns the form of the header.
+   *
+   * @return such as {@code [pool NAME]}
+   */
+  public String form() {
+    return switch (names) {
+      case 0 -> "[" + word + "]";
+      case 1 -> "[" + word + " NAME]";
+      default -> "[" + word + " REGION REGION]";
+    };
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SettingsFile.java
@@ -0,0 +1,9 @@
+package org.knapweedcleat.core.config;
+
+/** The two kinds of settings. */
+public enum SettingsFile {
+  /** The document that is published for the whole deployment. */
+  DOCUMENT,
+  /** What one instance is told about itself. */
+  INSTANCE
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ValueRules.java
@@ -0,0 +1,110 @@
+package org.knapweedcleat.core.config;
+
+import io.vavr.collection.List;
+import io.vavr.control.Option;
+import io.vavr.control.Try;
+import java.net.InetAddress;
+import java.util.Locale;
+import java.util.regex.Pattern;
+import org.knapweedcleat.core.account.KeyDigest;
+
+/** The rules that keys share. */
+final class ValueRules {
+
+  private static final int MAX_PORT = 65_535;
+  private static final Pattern WHOLE = Pattern.compile("[0-9]{1,18}");
+  private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,62}");
+  private static final Pattern WORD = Pattern.compile("[A-Za-z0-9._/:-]{0,200}");
+  private static final Pattern PATH = Pattern.compile("/[A-Za-z0-9._~/-]{0,200}");
+  private static final Pattern IP4 =
+      Pattern.compile("((25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])(\\.(?!$)|$)){4}");
+  private static final Pattern IP6 = Pattern.compile("[0-9a-fA-F]*:[0-9a-fA-F:.]+");
+  private static final List<String> METHODS = List.of("GET", "POST", "PUT", "PATCH", "DELETE");
+
+  private ValueRules() {}
+
+  static ValueRule<Integer> whole(int lowest, int highest) {
+    return wholeLong(lowest, highest).as(Long::intValue);
+  }
+
+  static ValueRule<Long> wholeLong(long lowest, long highest) {
+    return ValueRule.of(
+        "a whole number from " + lowest + " to " + highest,
+        text ->
+            Option.of(text)
+                .filter(digits -> WHOLE.matcher(digits).matches())
+                .map(Long::parseLong)
+                .filter(number -> number >= lowest && number <= highest));
+  }
+
+  static ValueRule<Integer> port() {
+    return whole(1, MAX_PORT);
+  }
+
+  static ValueRule<String> name() {
+    return matching(
+        "a name of 1 to 63 letters, digits, dots, hyphens and underscores, the first a letter or"
+            + " digit",
+        NAME);
+  }
+
+  static ValueRule<String> modelName() {
+    return matching("at most 200 letters, digits and the signs . _ / : -", WORD);
+  }
+
+  static ValueRule<String> path() {
+    return matching("a path that begins with a slash, without a query", PATH);
+  }
+
+  static ValueRule<String> method() {
+    return ValueRule.of("one of " + METHODS.mkString(", "), text -> METHODS.find(text::equals));
+  }
+
+  static ValueRule<String> ipNumber() {
+    return ValueRule.of(
+        "an IP number such as 127.0.0.1, no host name",
+        text -> Option.of(text).filter(ValueRules::isIpNumber));
+  }
+
+  static ValueRule<Boolean> yesNo() {
+    return ValueRule.of(
+        "yes or no",
+        text ->
+            switch (text) {
+              case "yes" -> Option.some(true);
+              case "no" -> Option.some(false);
+              default -> Option.none();
+            });
+  }
+
+  static <E extends Enum<E>> ValueRule<E> oneOf(Class<E> type) {
+    List<E> values = List.of(type.getEnumConstants());
+    return ValueRule.of(
+        values.map(ValueRules::word).mkString(" or "),
+        text -> values.find(value -> word(value).equals(text)));
+  }
+
+  static ValueRule<KeyDigest> digest() {
+    return ValueRule.of(
+        "the 64 hexadecimal digits that `knapweedcleat key` prints",
+        text -> Try.of(() -> KeyDigest.of(text)).toOption());
+  }
+
+  /** Returns the word by which settings name a constant. */
+  static String word(Enum<?> value) {
+    return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+
+  private static ValueRule<String> matching(String allowed, Pattern pattern) {
+    return ValueRule.of(
+        allowed, text -> Option.of(text).filter(word -> pattern.matcher(word).matches()));
+  }
+
+  private static boolean isIpNumber(String text) {
+    if (IP4.matcher(text).matches()) {
+      return true;
+    }
+    // A text with a colon is never looked up by name.
+    return IP6.matcher(text).matches() && Try.of(() -> InetAddress.getByName(text)).isSuccess();
+  }
+}
