--- /dev/null
+++ b/knapweedcleat-standins/src/main/java/org/knapweedcleat/standins/fault/Pairs.java
@@ -0,0 +1,70 @@
+package org.knapweedcleat.standins.fault;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Reads options of the form {@code id=e1,host=127.0.0.1,port=9000}. */
+public final class Pairs {
+
+  private final Map<String, String> values;
+
+  private Pairs(Map<String, String> values) {
+    this.values = values;
+  }
+
+  /**
+   * Reads an option.
+   *
+   * @param text the option's value
+   * @return the pairs
+   * @throws IllegalArgumentException if a part has no equals sign
+   */
+  public static Pairs parse(String text) {
+    Map<String, String> values = new HashMap<>();
+    for (String part : text.split(",")) {
+      int equals = part.indexOf('=');
+      if (equals < 1) {
+        throw new IllegalArgumentException("expected key=value, found " + part);
+      }
+      values.put(part.substring(0, equals), part.substring(equals + 1));
+    }
+    return new Pairs(values);
+  }
+
+  /**
+   * Returns a text.
+   *
+   * @param key the key
+   * @return its value
+   * @throws IllegalArgumentException if it is missing
+   */
+  public String text(String key) {
+    String value = values.get(key);
+    if (value == null) {
+      throw new IllegalArgumentException("missing " + key + " in " + values);
+    }
+    return value;
+  }
+
+  /**
+   * Returns a whole number.
+   *
+   * @param key the key
+   * @return its value
+   * @throws IllegalArgumentException if it is missing or no number
+   */
+  public int number(String key) {
+    return Integer.parseInt(text(key));
+  }
+
+  /**
+   * Returns a whole number that may be missing.
+   *
+   * @param key the key
+   * @param fallback the value when it is missing
+   * @return the value
+   */
+  public int number(String key, int fallback) {
+    return values.containsKey(key) ? number(key) : fallback;
+  }
+}
--- /dev/null
+++ b/knapweedcleat-standins/src/main/java/org/knapweedcleat/standins/fault/package-info.java
@@ -0,0 +1,2 @@
+/** Faults that a test orders, what the stand-ins share, and how they answer. */
+package org.knapweedcleat.standins.fault;
