--- /dev/null
+++ b/knapweedcleat-standins/src/main/java/org/knapweedcleat/standins/plain/package-info.java
@@ -0,0 +1,2 @@
+/** A plain service that echoes calls and counts each. */
+package org.knapweedcleat.standins.plain;
--- /dev/null
+++ b/knapweedcleat-standins/src/main/java/org/knapweedcleat/standins/weights/package-info.java
@@ -0,0 +1,2 @@
+/** The weight store, whose rate is limited. */
+package org.knapweedcleat.standins.weights;
