--- /dev/null
+++ b/knapweedcleat-standins/src/main/java/org/knapweedcleat/standins/engine/KvStore.java
@@ -0,0 +1,87 @@
+package org.knapweedcleat.standins.engine;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** The results of prefills, evicted when nobody fetches them in time. */
+final class KvStore {
+
+  private static final int TOKENS_PER_PIECE = 1_000;
+
+  private final Vertx vertx;
+  private final EngineSettings settings;
+  private final EngineCounts counts;
+  private final Map<String, Entry> entries = new HashMap<>();
+  private long lastNumber;
+
+  private KvStore(Vertx vertx, EngineSettings settings, EngineCounts counts) {
+    this.vertx = vertx;
+    this.settings = settings;
+    this.counts = counts;
+  }
+
+  static KvStore of(Vertx vertx, EngineSettings settings, EngineCounts counts) {
+    return new KvStore(vertx, settings, counts);
+  }
+
+  /** Keeps a result and returns its handle. */
+  String put(PrefillJob job, int computedTokens) {
+    lastNumber++;
+    String handle = settings.id() + "-" + lastNumber;
+    long seed = TokenText.seed(job.call().prompt());
+    entries.put(handle, new Entry(job.request(), seed, job.promptTokens(), computedTokens));
+    vertx.setTimer(settings.evictMillis(), id -> waste(handle));
+    return handle;
+  }
+
+  /** Takes a result out: its bytes begin with the seed of the output. */
+  Optional<Buffer> take(String handle) {
+    return Optional.ofNullable(entries.remove(handle))
+        .map(
+            entry ->
+                Buffer.buffer()
+                    .appendLong(entry.seed())
+                    .appendBytes(new byte[kvBytes(entry.promptTokens())]));
+  }
+
+  int kvBytes(int promptTokens) {
+    return promptTokens * settings.kvBytesPerToken();
+  }
+
+  boolean cancel(String request) {
+    List<String> handles =
+        entries.entrySet().stream()
+            .filter(entry -> entry.getValue().request().equals(request))
+            .map(Map.Entry::getKey)
+            .toList();
+    handles.forEach(this::waste);
+    return !handles.isEmpty();
+  }
+
+  void clear() {
+    entries.clear();
+  }
+
+  int usedPieces() {
+    return entries.values().stream()
+        .mapToInt(entry -> (entry.promptTokens() + TOKENS_PER_PIECE - 1) / TOKENS_PER_PIECE)
+        .sum();
+  }
+
+  List<String> requests() {
+    return entries.values().stream().map(Entry::request).toList();
+  }
+
+  private void waste(String handle) {
+    Entry entry = entries.remove(handle);
+    if (entry != null) {
+      counts.wasted(entry.computedTokens());
+    }
+  }
+
+  private record Entry(String request, long seed, int promptTokens, int computedTokens) {}
+}
--- /dev/null
+++ b/knapweedcleat-standins/src/main/java/org/knapweedcleat/standins/engine/PrefillQueue.java
@@ -0,0 +1,129 @@
+package org.knapweedcleat.standins.engine;
+
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import org.knapweedcleat.standins.fault.Answers;
+
+/** Prefills one prompt after the other, the highest priority first. */
+final class PrefillQueue {
+
+  private static final int MILLIS_PER_SECOND = 1_000;
+  private static final int MAX_QUEUED_TOKENS = 200_000;
+  private static final int CANCELLED_STATUS = 410;
+
+  private final Vertx vertx;
+  private final EngineSettings settings;
+  private final PrefixCache cache;
+  private final BiConsumer<PrefillJob, Integer> onDone;
+  private final List<PrefillJob> waiting = new ArrayList<>();
+  private Optional<PrefillJob> running = Optional.empty();
+  private long stalledUntilMillis;
+  private int slowFactor = 1;
+
+  private PrefillQueue(
+      Vertx vertx,
+      EngineSettings settings,
+      PrefixCache cache,
+      BiConsumer<PrefillJob, Integer> onDone) {
+    this.vertx = vertx;
+    this.settings = settings;
+    this.cache = cache;
+    this.onDone = onDone;
+  }
+
+  static PrefillQueue of(
+      Vertx vertx,
+      EngineSettings settings,
+      PrefixCache cache,
+      BiConsumer<PrefillJob, Integer> onDone) {
+    return new PrefillQueue(vertx, settings, cache, onDone);
+  }
+
+  /** Queues a prefill; false when the queue is full. */
+  boolean add(PrefillJob job) {
+    if (queuedTokens() > MAX_QUEUED_TOKENS) {
+      return false;
+    }
+    waiting.add(job);
+    startNext();
+    return true;
+  }
+
+  boolean cancel(String request) {
+    List<PrefillJob> chosen =
+        waiting.stream().filter(job -> job.request().equals(request)).toList();
+    waiting.removeAll(chosen);
+    chosen.forEach(job -> Answers.error(job.context(), CANCELLED_STATUS, "CANCELLED"));
+    boolean stopped = running.filter(job -> job.request().equals(request)).isPresent();
+    if (stopped) {
+      Answers.error(running.get().context(), CANCELLED_STATUS, "CANCELLED");
+      running = Optional.empty();
+      startNext();
+    }
+    return stopped || !chosen.isEmpty();
+  }
+
+  void clear() {
+    waiting.forEach(job -> job.context().request().connection().close());
+    running.ifPresent(job -> job.context().request().connection().close());
+    waiting.clear();
+    running = Optional.empty();
+  }
+
+  void stall(long millis) {
+    stalledUntilMillis = System.currentTimeMillis() + millis;
+  }
+
+  void slow(int factor) {
+    slowFactor = factor;
+  }
+
+  int queuedTokens() {
+    int queued = waiting.stream().mapToInt(PrefillJob::promptTokens).sum();
+    return queued + running.map(PrefillJob::promptTokens).orElse(0);
+  }
+
+  List<String> requests() {
+    List<String> requests = new ArrayList<>(waiting.stream().map(PrefillJob::request).toList());
+    running.ifPresent(job -> requests.add(job.request()));
+    return requests;
+  }
+
+  private void startNext() {
+    if (running.isPresent() || waiting.isEmpty()) {
+      return;
+    }
+    PrefillJob job =
+        waiting.stream().max(Comparator.comparingInt(PrefillJob::priority)).orElseThrow();
+    waiting.remove(job);
+    running = Optional.of(job);
+    int computedTokens = computedTokens(job);
+    long millis = (long) computedTokens * MILLIS_PER_SECOND / settings.prefillTokensPerSecond();
+    long stall = Math.max(0, stalledUntilMillis - System.currentTimeMillis());
+    vertx.setTimer(Math.max(1, millis * slowFactor + stall), id -> finish(job, computedTokens));
+  }
+
+  /** Each prefix hash stands for an equal part of the prompt. */
+  private int computedTokens(PrefillJob job) {
+    List<Long> hashes = job.call().hashes();
+    if (hashes.isEmpty()) {
+      return job.promptTokens();
+    }
+    int missing = hashes.size() - cache.leadingHits(hashes);
+    return (int) Math.max(1, (long) job.promptTokens() * missing / hashes.size());
+  }
+
+  private void finish(PrefillJob job, int computedTokens) {
+    if (running.filter(present -> present == job).isEmpty()) {
+      return;
+    }
+    running = Optional.empty();
+    cache.store(job.call().hashes(), System.currentTimeMillis() + settings.cacheLagMillis());
+    onDone.accept(job, computedTokens);
+    startNext();
+  }
+}
--- /dev/null
+++ b/knapweedcleat-standins/src/main/java/org/knapweedcleat/standins/engine/TokenText.java
@@ -0,0 +1,74 @@
+package org.knapweedcleat.standins.engine;
+
+import java.util.List;
+
+/** The engine's output, which depends only on the prompt and the position. */
+public final class TokenText {
+
+  private static final int CHARS_PER_TOKEN = 4;
+  private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+  private static final long FNV_PRIME = 0x100000001b3L;
+  private static final long MIX = 0x9e3779b97f4a7c15L;
+  private static final List<String> WORDS =
+      List.of(
+          "breath horn valley slow reed calm peak low note warm lip bell echo long soft hill"
+              .concat(" morning scale jar lid brine week return even clear count ledger home")
+              .concat(" line rest open hold")
+              .split(" "));
+
+  private TokenText() {}
+
+  /**
+   * Returns a prompt's seed.
+   *
+   * @param prompt the prompt
+   * @return what its output is made from
+   */
+  public static long seed(String prompt) {
+    long hash = FNV_OFFSET;
+    for (int i = 0; i < prompt.length(); i++) {
+      hash = (hash ^ prompt.charAt(i)) * FNV_PRIME;
+    }
+    return hash;
+  }
+
+  /**
+   * Returns the text of a token.
+   *
+   * @param seed the prompt's seed
+   * @param position the position in the answer, from 0
+   * @return the token with a blank after it
+   */
+  public static String at(long seed, int position) {
+    long mixed = (seed + position) * MIX;
+    mixed ^= mixed >>> 29;
+    int index = (int) Long.remainderUnsigned(mixed * MIX >>> 7, WORDS.size());
+    return WORDS.get(index) + " ";
+  }
+
+  /**
+   * Returns a whole answer.
+   *
+   * @param prompt the prompt
+   * @param tokens its length in tokens
+   * @return the text
+   */
+  public static String answer(String prompt, int tokens) {
+    long seed = seed(prompt);
+    StringBuilder text = new StringBuilder();
+    for (int position = 0; position < tokens; position++) {
+      text.append(at(seed, position));
+    }
+    return text.toString();
+  }
+
+  /**
+   * Counts a prompt's tokens.
+   *
+   * @param prompt the prompt
+   * @return at least 1
+   */
+  public static int promptTokens(String prompt) {
+    return Math.max(1, (prompt.length() + CHARS_PER_TOKEN - 1) / CHARS_PER_TOKEN);
+  }
+}
