--- /dev/null
+++ b/knapweedcleat-standins/src/main/java/org/knapweedcleat/standins/load/LoadCommand.java
@@ -0,0 +1,106 @@
+package org.knapweedcleat.standins.load;
+
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.json.Json;
+import io.vertx.core.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.kohsuke.args4j.Option;
+
+/** Sends requests at a rate over the callers' ports of several instances and prints the totals. */
+public final class LoadCommand implements Runnable {
+
+  private static final long MILLIS_PER_SECOND = 1_000;
+
+  @Option(name = "--target", required = true, metaVar = "IP:PORT")
+  private List<String> targets = new ArrayList<>();
+
+  @Option(name = "--path", required = true, metaVar = "PATH")
+  private String path;
+
+  @Option(name = "--key", required = true, metaVar = "KEY")
+  private List<String> keys = new ArrayList<>();
+
+  @Option(name = "--requests", metaVar = "N")
+  private int requests = 100;
+
+  @Option(name = "--per-second", metaVar = "N")
+  private int perSecond = 20;
+
+  @Option(name = "--max-in-flight", metaVar = "N")
+  private int maxInFlight = 100;
+
+  @Option(name = "--prompt-chars", metaVar = "N")
+  private int promptChars = 400;
+
+  @Option(name = "--max-tokens", metaVar = "N")
+  private int maxTokens = 32;
+
+  @Option(name = "--seed", metaVar = "N")
+  private long seed = 1;
+
+  private final LoadReport report = LoadReport.create();
+  private final Promise<Void> done = Promise.promise();
+  private int started;
+  private int inFlight;
+
+  @Override
+  public void run() {
+    Vertx vertx = Vertx.vertx();
+    vertx.runOnContext(
+        context -> {
+          StreamClient client = StreamClient.of(vertx);
+          UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+          long gapMillis = Math.max(1, MILLIS_PER_SECOND / perSecond);
+          vertx.setPeriodic(1, gapMillis, timer -> tick(vertx, client, random, timer));
+        });
+    done.future().await();
+    System.out.println(Json.encodePrettily(report.totals()));
+    vertx.close().await();
+  }
+
+  private void tick(Vertx vertx, StreamClient client, UniformRandomProvider random, long timer) {
+    int number = started++;
+    if (started == requests) {
+      vertx.cancelTimer(timer);
+    }
+    if (inFlight >= maxInFlight) {
+      report.skip();
+      finishIfLast();
+      return;
+    }
+    inFlight++;
+    SocketAddress target = address(targets.get(number % targets.size()));
+    String key = keys.get(number % keys.size());
+    StreamRequest request =
+        StreamRequest.of(path, key, prompt(number, random.nextLong()), maxTokens);
+    long sentNanos = System.nanoTime();
+    client.send(target, request, event -> {}).onSuccess(answer -> finish(answer, sentNanos));
+  }
+
+  private void finish(StreamedAnswer answer, long sentNanos) {
+    inFlight--;
+    report.add(answer, sentNanos);
+    finishIfLast();
+  }
+
+  private void finishIfLast() {
+    if (report.finished() == requests) {
+      done.tryComplete();
+    }
+  }
+
+  private String prompt(int number, long random) {
+    String start = "practice log " + number + " " + Long.toHexString(random) + " ";
+    return start + "x".repeat(Math.max(0, promptChars - start.length()));
+  }
+
+  private static SocketAddress address(String target) {
+    int colon = target.lastIndexOf(':');
+    return SocketAddress.inetSocketAddress(
+        Integer.parseInt(target.substring(colon + 1)), target.substring(0, colon));
+  }
+}
--- /dev/null
+++ b/knapweedcleat-standins/src/main/java/org/knapweedcleat/standins/load/LoadReport.java
@@ -0,0 +1,98 @@
+package org.knapweedcleat.standins.load;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+
+/** Adds up what became of a load. */
+final class LoadReport {
+
+  private static final int DIGITS = 3;
+  private static final double MICROS_PER_MILLI = 1_000.0;
+
+  private final Histogram firstTokenMicros = new Histogram(DIGITS);
+  private final Histogram tokenGapMicros = new Histogram(DIGITS);
+  private final Map<String, Integer> errors = new TreeMap<>();
+  private int sent;
+  private int whole;
+  private int wrong;
+  private int cut;
+  private int skipped;
+
+  private LoadReport() {}
+
+  static LoadReport create() {
+    return new LoadReport();
+  }
+
+  void skip() {
+    skipped++;
+  }
+
+  void add(StreamedAnswer answer, long sentNanos) {
+    sent++;
+    recordTimes(answer.tokenNanos(), sentNanos);
+    if (answer.isWhole()) {
+      whole++;
+    } else if (answer.wrongTokens() > 0) {
+      wrong++;
+    } else if (answer.error() != null) {
+      errors.merge(answer.error().error(), 1, Integer::sum);
+    } else {
+      cut++;
+    }
+  }
+
+  int finished() {
+    return sent + skipped;
+  }
+
+  Totals totals() {
+    return new Totals(
+        sent,
+        whole,
+        wrong,
+        cut,
+        skipped,
+        errors,
+        Percentiles.of(firstTokenMicros),
+        Percentiles.of(tokenGapMicros));
+  }
+
+  private void recordTimes(List<Long> tokenNanos, long sentNanos) {
+    if (tokenNanos.isEmpty()) {
+      return;
+    }
+    firstTokenMicros.recordValue(micros(tokenNanos.get(0) - sentNanos));
+    for (int i = 1; i < tokenNanos.size(); i++) {
+      tokenGapMicros.recordValue(micros(tokenNanos.get(i) - tokenNanos.get(i - 1)));
+    }
+  }
+
+  private static long micros(long nanos) {
+    return TimeUnit.NANOSECONDS.toMicros(nanos);
+  }
+
+  record Totals(
+      int sent,
+      int whole,
+      int wrong,
+      int cut,
+      int skipped,
+      Map<String, Integer> errors,
+      Percentiles firstTokenMillis,
+      Percentiles tokenGapMillis) {}
+
+  record Percentiles(double p50, double p95, double p99, double max) {
+
+    static Percentiles of(Histogram micros) {
+      return new Percentiles(at(micros, 50), at(micros, 95), at(micros, 99), at(micros, 100));
+    }
+
+    private static double at(Histogram micros, double percentile) {
+      return micros.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-standins/src/main/java/org/knapweedcleat/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the outside systems, for tests and the demo; not shipped. */
+package org.knapweedcleat.standins;
