--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/FairQueue.java
@@ -0,0 +1,171 @@
+package org.knapweedcleat.core.schedule;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableSet;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import org.knapweedcleat.core.id.AccountId;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.ServiceId;
+
+/**
+ * Waiting requests, a queue for each client account, served by virtual token counters.
+ *
+ * <p>Each account has a counter of the priced tokens it was served, divided by its weight. In a
+ * lane the account with the least counter is served next. An account that comes back after a pause
+ * starts from the floor, which is the counter of the account served last, so that it cannot save up
+ * a claim.
+ */
+final class FairQueue {
+
+  private final Map<AccountId, AccountQueue> accounts = new HashMap<>();
+  private final NavigableSet<AccountQueue> active = new TreeSet<>(AccountQueue.LEAST_SERVED);
+  private final TreeMap<QueueLane, NavigableSet<AccountQueue>> lanes = new TreeMap<>();
+  private final Map<AttemptKey, Waiting> waitingByKey = new LinkedHashMap<>();
+  private final Map<ServiceId, Integer> sizes = new HashMap<>();
+  private double floor;
+
+  private FairQueue() {}
+
+  static FairQueue create() {
+    return new FairQueue();
+  }
+
+  int size() {
+    return waitingByKey.size();
+  }
+
+  int size(ServiceId service) {
+    return sizes.getOrDefault(service, 0);
+  }
+
+  int size(AccountId account) {
+    AccountQueue queue = accounts.get(account);
+    return queue == null ? 0 : queue.size();
+  }
+
+  Collection<Waiting> waiting() {
+    return waitingByKey.values();
+  }
+
+  Waiting get(AttemptKey key) {
+    return waitingByKey.get(key);
+  }
+
+  void add(Waiting waiting) {
+    AccountQueue queue = accounts.computeIfAbsent(waiting.account(), AccountQueue::of);
+    change(
+        queue,
+        account -> {
+          if (account.size() == 0) {
+            account.raiseTo(floor);
+          }
+          account.add(waiting);
+        });
+    waitingByKey.put(waiting.key(), waiting);
+    sizes.merge(waiting.service().id(), 1, Integer::sum);
+  }
+
+  void remove(Waiting waiting) {
+    if (waitingByKey.remove(waiting.key()) == null) {
+      return;
+    }
+    change(accounts.get(waiting.account()), account -> account.remove(waiting));
+    sizes.merge(waiting.service().id(), -1, Integer::sum);
+  }
+
+  /** Removes a request that is served now and charges its account. */
+  void serve(Waiting waiting, double pricedTokens) {
+    AccountQueue queue = accounts.get(waiting.account());
+    floor = Math.max(floor, queue.served());
+    remove(waiting);
+    charge(waiting.account(), pricedTokens);
+  }
+
+  /** Corrects what an account was charged; an account without a queue may have been forgotten. */
+  void charge(AccountId account, double pricedTokens) {
+    AccountQueue queue = accounts.get(account);
+    if (queue != null) {
+      change(queue, changed -> changed.charge(pricedTokens));
+    }
+  }
+
+  /** Lists the lanes that have waiting requests, the first to be served first. */
+  List<QueueLane> lanes() {
+    return List.copyOf(lanes.keySet());
+  }
+
+  /** Returns the request to be served next in a lane, or null. */
+  Waiting head(QueueLane lane) {
+    NavigableSet<AccountQueue> queues = lanes.get(lane);
+    return queues == null ? null : queues.first().first(lane);
+  }
+
+  List<Waiting> ownedBy(IncarnationId owner) {
+    return waitingByKey.values().stream()
+        .filter(waiting -> waiting.request().owner().equals(owner))
+        .toList();
+  }
+
+  /** Sums what is likely to be served before a new request of an account. */
+  QueuedWork ahead(AccountId account, int weight) {
+    AccountQueue own = accounts.get(account);
+    long ownTokens = own == null ? 0 : own.promptTokens();
+    long ownPieces = own == null ? 0 : own.pieces();
+    double requests = own == null ? 0 : own.size();
+    double served = own == null ? floor : Math.max(floor, own.served());
+    double tokens = ownTokens;
+    double pieces = ownPieces;
+    for (AccountQueue other : active) {
+      if (other != own) {
+        double share = (double) other.weight() / weight;
+        double lead = Math.max(0, served - other.served()) * other.weight();
+        tokens += Math.min(other.promptTokens(), (ownTokens + 1_000) * share + lead);
+        pieces += Math.min(other.pieces(), (ownPieces + 1) * share + lead / 1_000);
+        requests += other.size();
+      }
+    }
+    return new QueuedWork(requests, tokens, pieces);
+  }
+
+  /** Forgets accounts that would start from the floor anyway. */
+  void prune() {
+    accounts.values().removeIf(queue -> queue.size() == 0 && queue.served() <= floor);
+  }
+
+  private void change(AccountQueue queue, Consumer<AccountQueue> change) {
+    unlink(queue);
+    change.accept(queue);
+    link(queue);
+  }
+
+  private void unlink(AccountQueue queue) {
+    active.remove(queue);
+    lanes.values().forEach(queues -> queues.remove(queue));
+    lanes.values().removeIf(NavigableSet::isEmpty);
+  }
+
+  private void link(AccountQueue queue) {
+    if (queue.size() == 0) {
+      return;
+    }
+    active.add(queue);
+    for (QueueLane lane : queue.lanes()) {
+      lanes.computeIfAbsent(lane, key -> new TreeSet<>(AccountQueue.LEAST_SERVED)).add(queue);
+    }
+  }
+
+  /**
+   * Work that waits.
+   *
+   * @param requests how many requests
+   * @param promptTokens prompt tokens to be read
+   * @param pieces engine memory to be reserved
+   */
+  record QueuedWork(double requests, double promptTokens, double pieces) {}
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/LeavingCheck.java
@@ -0,0 +1,34 @@
+package org.knapweedcleat.core.schedule;
+
+import org.knapweedcleat.core.config.EndpointSpec;
+import org.knapweedcleat.core.config.FleetDocument;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.invariant.Invariant;
+import org.knapweedcleat.core.invariant.InvariantMonitor;
+
+/** Checks against the document itself that a plan uses no endpoint that is leaving. */
+final class LeavingCheck {
+
+  private final InvariantMonitor monitor;
+
+  private LeavingCheck(InvariantMonitor monitor) {
+    this.monitor = monitor;
+  }
+
+  static LeavingCheck of(InvariantMonitor monitor) {
+    return new LeavingCheck(monitor);
+  }
+
+  void check(FleetDocument document, PlacementPlan plan) {
+    checkEndpoint(document, plan.runner());
+    if (plan.prefill() != null) {
+      checkEndpoint(document, plan.prefill());
+    }
+  }
+
+  private void checkEndpoint(FleetDocument document, EndpointId endpoint) {
+    EndpointSpec spec = document.endpoints().get(endpoint);
+    boolean takesNewWork = spec != null && spec.state().takesNewWork();
+    monitor.check(takesNewWork, Invariant.NO_WORK_FOR_LEAVING, endpoint);
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/LinearFit.java
@@ -0,0 +1,56 @@
+package org.knapweedcleat.core.schedule;
+
+/** A straight line through observations that fade with age; the slope is never negative. */
+final class LinearFit {
+
+  private static final double PRIOR_WEIGHT = 2;
+
+  private final double fade;
+  private double weight;
+  private double sumX;
+  private double sumY;
+  private double sumXx;
+  private double sumXy;
+
+  private LinearFit(double fade) {
+    this.fade = fade;
+  }
+
+  /** Returns a fit that starts as the line through two points. */
+  static LinearFit through(double base, double slope, double x1, double x2, double learning) {
+    LinearFit fit = new LinearFit(1 - learning);
+    fit.add(x1, base + slope * x1, PRIOR_WEIGHT);
+    fit.add(x2, base + slope * x2, PRIOR_WEIGHT);
+    return fit;
+  }
+
+  void observe(double x, double y) {
+    weight *= fade;
+    sumX *= fade;
+    sumY *= fade;
+    sumXx *= fade;
+    sumXy *= fade;
+    add(x, y, 1);
+  }
+
+  double predict(double x) {
+    double slope = slope();
+    return (sumY - slope * sumX) / weight + slope * x;
+  }
+
+  private double slope() {
+    double spread = sumXx - sumX * sumX / weight;
+    if (spread < 1) {
+      return 0;
+    }
+    return Math.max(0, (sumXy - sumX * sumY / weight) / spread);
+  }
+
+  private void add(double x, double y, double times) {
+    weight += times;
+    sumX += times * x;
+    sumY += times * y;
+    sumXx += times * x * x;
+    sumXy += times * x * y;
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/QueueLane.java
@@ -0,0 +1,20 @@
+package org.knapweedcleat.core.schedule;
+
+import java.util.Comparator;
+
+/**
+ * A class of waiting requests; the least lane is served first.
+ *
+ * @param withinRate whether the requests are inside their account's rate
+ * @param priority the priority of their service
+ */
+record QueueLane(boolean withinRate, int priority) implements Comparable<QueueLane> {
+
+  private static final Comparator<QueueLane> ORDER =
+      Comparator.comparing(QueueLane::withinRate).thenComparingInt(QueueLane::priority).reversed();
+
+  @Override
+  public int compareTo(QueueLane other) {
+    return ORDER.compare(this, other);
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/SchedulePolicy.java
@@ -0,0 +1,90 @@
+package org.knapweedcleat.core.schedule;
+
+/**
+ * Settings of a {@link PoolScheduler}: what it assumes of engines until it has learnt better, and
+ * how careful it is.
+ *
+ * @param prefillTokensPerSecond the assumed prefill rate of an endpoint, over 0
+ * @param decodeGapBaseMillis the assumed time between tokens of a batch of none
+ * @param decodeGapPerRequestMillis what each request of the batch is assumed to add to the gap
+ * @param transferTokensPerSecond the assumed rate at which KV cache is transferred, over 0
+ * @param learningWeight the weight of one observation in a moving average, in (0, 1]
+ * @param outputTokenPrice the price of an output token in prompt tokens
+ * @param withinTargetQuantile the share of requests whose first token shall come as estimated
+ * @param prefillAheadMillis how much work may wait at a prefill endpoint
+ * @param warmUpMillis how long a new scheduler waits for an endpoint's first report, and keeps half
+ *     of the free memory unused
+ * @param reportLagMillis how old a load report may be
+ * @param orphanGraceMillis how long unclaimed memory is left alone
+ * @param decisionMemoryMillis how long a decision is remembered after its request has ended
+ * @param silentPlacementMillis how long a placement may go without progress before it is forgotten
+ * @param failureBackoffMillis how long an endpoint gets no work after a failure; doubles each time
+ * @param maxFailureBackoffMillis the longest such time
+ * @param minRetryAfterMillis the shortest time a refused caller is told to stay away
+ * @param maxRetryAfterMillis the longest such time
+ * @param plainConcurrency how many calls a plain endpoint gets at once
+ * @param prefixCapacity how many hashes of prompt prefixes are remembered
+ * @param prefixBlockTokens the assumed length of the block of a prompt that one hash covers
+ * @param queueShare the part of the free queue places that one account of weight 1 may fill, as a
+ *     multiple
+ */
+public record SchedulePolicy(
+    double prefillTokensPerSecond,
+    double decodeGapBaseMillis,
+    double decodeGapPerRequestMillis,
+    double transferTokensPerSecond,
+    double learningWeight,
+    double outputTokenPrice,
+    double withinTargetQuantile,
+    int prefillAheadMillis,
+    int warmUpMillis,
+    int reportLagMillis,
+    int orphanGraceMillis,
+    int decisionMemoryMillis,
+    int silentPlacementMillis,
+    int failureBackoffMillis,
+    int maxFailureBackoffMillis,
+    int minRetryAfterMillis,
+    int maxRetryAfterMillis,
+    int plainConcurrency,
+    int prefixCapacity,
+    int prefixBlockTokens,
+    double queueShare) {
+
+  /** Checks the ranges. */
+  public SchedulePolicy {
+    requirePositive(prefillTokensPerSecond, "prefillTokensPerSecond");
+    requirePositive(transferTokensPerSecond, "transferTokensPerSecond");
+    requirePositive(learningWeight, "learningWeight");
+    requirePositive(queueShare, "queueShare");
+    requirePositive(plainConcurrency, "plainConcurrency");
+    requirePositive(prefixBlockTokens, "prefixBlockTokens");
+  }
+
+  /**
+   * Returns the settings for engines of which nothing is known.
+   *
+   * @return the settings
+   */
+  public static SchedulePolicy standard() {
+    return new SchedulePolicy(
+        8_000, 15, 1, 50_000, 0.1, 20, 0.95, 120, 1_000, 1_000, 3_000, 30_000, 120_000, 1_000,
+        30_000, 100, 60_000, 32, 20_000, 128, 2);
+  }
+
+  /**
+   * Keeps a time for a refused caller within the limits.
+   *
+   * @param millis the wanted time
+   * @return the time within the limits
+   */
+  public long clampRetryAfter(double millis) {
+    return Math.round(Math.max(minRetryAfterMillis, Math.min(maxRetryAfterMillis, millis)));
+  }
+
+  private static void requirePositive(double value, String name) {
+    if (!(value > 0)) {
+      throw new IllegalArgumentException(name + " must be over 0");
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/Waiting.java
@@ -0,0 +1,44 @@
+package org.knapweedcleat.core.schedule;
+
+import org.knapweedcleat.core.config.ServiceSpec;
+import org.knapweedcleat.core.id.AccountId;
+
+/**
+ * A request that waits for its placement.
+ *
+ * @param request the request
+ * @param service its service
+ * @param weight the weight of its client account
+ * @param pieces the engine memory it needs
+ * @param submittedMillis when it was submitted
+ * @param latestStartMillis when it has to be placed at the latest to meet its deadline
+ * @param estimateMillis the time to its first token, as estimated at submission
+ */
+record Waiting(
+    PlacementRequest request,
+    ServiceSpec service,
+    int weight,
+    int pieces,
+    long submittedMillis,
+    long latestStartMillis,
+    double estimateMillis) {
+
+  private static final int TOKENS_PER_PIECE = 1_000;
+
+  static int piecesOf(PlacementRequest request) {
+    int tokens = request.promptTokens() + request.maxOutputTokens();
+    return (tokens + TOKENS_PER_PIECE - 1) / TOKENS_PER_PIECE;
+  }
+
+  AttemptKey key() {
+    return AttemptKey.of(request);
+  }
+
+  AccountId account() {
+    return request.account();
+  }
+
+  QueueLane lane() {
+    return new QueueLane(request.withinRate(), service.priority());
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/schedule/OrphanSweepTest.java
@@ -0,0 +1,80 @@
+package org.knapweedcleat.core.schedule;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.RequestId;
+import org.knapweedcleat.core.schedule.OrphanSweep.Expectation;
+import org.knapweedcleat.core.schedule.ScheduleAction.CancelOrphan;
+
+class OrphanSweepTest {
+
+  private static final long GRACE = 1_000;
+  private static final EndpointId ENDPOINT = TestFleet.decode(1);
+  private static final IncarnationId OWNER = TestFleet.incarnation(1);
+  private static final RequestId REQUEST = RequestId.of("request");
+  private static final CancelOrphan CANCEL = new CancelOrphan(ENDPOINT, REQUEST);
+
+  private final OrphanSweep sweep = OrphanSweep.of(GRACE);
+
+  @Test
+  void cancelsUnclaimedRequestAfterGraceAndAgainUntilItIsGone() {
+    assertThat(sweepAt(0), empty());
+    assertThat(sweepAt(GRACE - 1), empty());
+    assertThat(sweepAt(GRACE), contains(CANCEL));
+    assertThat(sweepAt(GRACE + 1), empty());
+    assertThat(sweepAt(2 * GRACE), contains(CANCEL));
+  }
+
+  @Test
+  void leavesClaimedRequestAlone() {
+    sweep.claims(OWNER, List.of(REQUEST));
+    assertThat(sweepAt(0), empty());
+    assertThat(sweepAt(10 * GRACE), empty());
+  }
+
+  @Test
+  void startsGraceAnewAfterClaim() {
+    assertThat(sweepAt(0), empty());
+    sweep.claims(OWNER, List.of(REQUEST));
+    assertThat(sweepAt(GRACE), empty());
+    sweep.claims(OWNER, List.of());
+    assertThat(sweepAt(GRACE + 1), empty());
+    assertThat(sweepAt(2 * GRACE + 1), contains(CANCEL));
+  }
+
+  @Test
+  void cancelsAtOnceWhatOnlyEndedIncarnationClaimed() {
+    sweep.claims(OWNER, List.of(REQUEST));
+    sweep.incarnationEnded(1, OWNER);
+    assertThat(sweepAt(2), contains(CANCEL));
+  }
+
+  @Test
+  void keepsWhatAnotherIncarnationTookOver() {
+    sweep.claims(OWNER, List.of(REQUEST));
+    sweep.claims(TestFleet.incarnation(2), List.of(REQUEST));
+    sweep.incarnationEnded(1, OWNER);
+    assertThat(sweepAt(10 * GRACE), empty());
+  }
+
+  @Test
+  void cancelsWhatWasPlacedElsewhereAlthoughItsOwnerLives() {
+    sweep.claims(OWNER, List.of(REQUEST));
+    assertThat(sweepAt(0, Expectation.ELSEWHERE), empty());
+    assertThat(sweepAt(GRACE, Expectation.ELSEWHERE), contains(CANCEL));
+  }
+
+  private List<ScheduleAction> sweepAt(long now) {
+    return sweepAt(now, Expectation.UNKNOWN);
+  }
+
+  private List<ScheduleAction> sweepAt(long now, Expectation expectation) {
+    return sweep.sweep(now, ENDPOINT, List.of(REQUEST), (endpoint, request) -> expectation);
+  }
+}
