Bring placement questions to the scheduler of their pool

Cause: the scheduler of a pool runs on one instance of a failure domain, and every instance needs its decisions. Each instance tells what it still serves.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PlacementRequest.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PlacementRequest.java
@@ -38,4 +38,24 @@
   public PlacementRequest {
     prefixHashes = List.copyOf(prefixHashes);
   }
+
+  /**
+   * Returns the same question with another time left.
+   *
+   * @param millis the time left until the caller's deadline
+   * @return the question
+   */
+  public PlacementRequest withRemainingMillis(long millis) {
+    return new PlacementRequest(
+        request,
+        attempt,
+        owner,
+        service,
+        account,
+        withinRate,
+        promptTokens,
+        maxOutputTokens,
+        prefixHashes,
+        millis);
+  }
 }
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/AttemptId.java
@@ -0,0 +1,27 @@
+package org.knapweedcleat.router.placement;
+
+import org.knapweedcleat.core.id.RequestId;
+import org.knapweedcleat.core.schedule.PlacementDecision;
+import org.knapweedcleat.core.schedule.PlacementProgress;
+import org.knapweedcleat.core.schedule.PlacementRequest;
+
+/**
+ * Names one placement of a request.
+ *
+ * @param request the request
+ * @param attempt counts its placements, from 1
+ */
+record AttemptId(RequestId request, int attempt) {
+
+  static AttemptId of(PlacementRequest request) {
+    return new AttemptId(request.request(), request.attempt());
+  }
+
+  static AttemptId of(PlacementDecision decision) {
+    return new AttemptId(decision.request(), decision.attempt());
+  }
+
+  static AttemptId of(PlacementProgress progress) {
+    return new AttemptId(progress.request(), progress.attempt());
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/LocalSchedulers.java
@@ -0,0 +1,245 @@
+package org.knapweedcleat.router.placement;
+
+import com.codahale.metrics.MetricFilter;
+import com.codahale.metrics.MetricRegistry;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import org.knapweedcleat.core.config.FleetDocument;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.PoolId;
+import org.knapweedcleat.core.id.ServiceId;
+import org.knapweedcleat.core.invariant.InvariantMonitor;
+import org.knapweedcleat.core.schedule.CacheHint;
+import org.knapweedcleat.core.schedule.EndpointLoad;
+import org.knapweedcleat.core.schedule.PlacementDecision;
+import org.knapweedcleat.core.schedule.PlacementProgress;
+import org.knapweedcleat.core.schedule.PlacementRequest;
+import org.knapweedcleat.core.schedule.PoolScheduler;
+import org.knapweedcleat.core.schedule.RefusalReason;
+import org.knapweedcleat.core.schedule.RunningClaims;
+import org.knapweedcleat.core.schedule.ScheduleAction;
+import org.knapweedcleat.core.schedule.SchedulePolicy;
+
+/** The schedulers that this instance runs, one a pool, for its own failure domain. */
+public final class LocalSchedulers {
+
+  private static final long NO_SERVICE_RETRY_MILLIS = 1000;
+
+  private final FailureDomainId domain;
+  private final SchedulePolicy policy;
+  private final InvariantMonitor monitor;
+  private final MetricRegistry metrics;
+  private final LongSupplier nowMillis;
+  private final OrphanCanceller canceller;
+  private final Map<PoolId, PoolScheduler> schedulers = new HashMap<>();
+  private final Map<AttemptId, List<UniEmitter<? super PlacementDecision>>> waiting =
+      new HashMap<>();
+  private FleetDocument document;
+
+  private LocalSchedulers(
+      FailureDomainId domain,
+      SchedulePolicy policy,
+      InvariantMonitor monitor,
+      MetricRegistry metrics,
+      LongSupplier nowMillis,
+      OrphanCanceller canceller) {
+    this.domain = Objects.requireNonNull(domain, "domain");
+    this.policy = Objects.requireNonNull(policy, "policy");
+    this.monitor = Objects.requireNonNull(monitor, "monitor");
+    this.metrics = Objects.requireNonNull(metrics, "metrics");
+    this.nowMillis = Objects.requireNonNull(nowMillis, "nowMillis");
+    this.canceller = Objects.requireNonNull(canceller, "canceller");
+  }
+
+  /**
+   * Returns an instance's schedulers, none of which has state yet.
+   *
+   * @param domain the failure domain
+   * @param policy how the schedulers decide
+   * @param monitor counts violations of invariants
+   * @param metrics where the schedulers' counters are registered
+   * @param nowMillis the monotonic clock
+   * @param canceller cancels orphans
+   * @return the schedulers
+   */
+  public static LocalSchedulers of(
+      FailureDomainId domain,
+      SchedulePolicy policy,
+      InvariantMonitor monitor,
+      MetricRegistry metrics,
+      LongSupplier nowMillis,
+      OrphanCanceller canceller) {
+    return new LocalSchedulers(domain, policy, monitor, metrics, nowMillis, canceller);
+  }
+
+  /**
+   * Takes over a document; schedulers of pools that are gone are dropped.
+   *
+   * @param newDocument the document in force
+   */
+  public void configure(FleetDocument newDocument) {
+    document = newDocument;
+    schedulers.keySet().retainAll(newDocument.pools().keySet());
+    each(scheduler -> scheduler.configure(nowMillis.getAsLong(), newDocument));
+  }
+
+  /**
+   * Submits a request.
+   *
+   * @param request the question
+   * @return the decision, as soon as there is one
+   */
+  public Uni<PlacementDecision> submit(PlacementRequest request) {
+    Optional<PoolId> pool = poolOf(request.service());
+    if (pool.isEmpty()) {
+      return Uni.createFrom().item(refuse(request, NO_SERVICE_RETRY_MILLIS));
+    }
+    return Uni.createFrom().emitter(emitter -> submitTo(pool.get(), request, emitter));
+  }
+
+  /**
+   * Counts the placements of a pool that are not over.
+   *
+   * @param pool the pool
+   * @return the count
+   */
+  public int placements(PoolId pool) {
+    PoolScheduler scheduler = schedulers.get(pool);
+    return scheduler == null ? 0 : scheduler.placements();
+  }
+
+  /**
+   * Finds the pool that does a service's work.
+   *
+   * @param service the service
+   * @return the pool, if the service is declared
+   */
+  public Optional<PoolId> poolOf(ServiceId service) {
+    return Optional.ofNullable(document)
+        .map(known -> known.services().get(service))
+        .map(spec -> spec.pool());
+  }
+
+  /**
+   * Takes note of how far a placement has come.
+   *
+   * @param progress the stage reached
+   */
+  public void progress(PlacementProgress progress) {
+    each(scheduler -> scheduler.progress(nowMillis.getAsLong(), progress));
+  }
+
+  /**
+   * Takes note of a load report.
+   *
+   * @param pool the pool that the endpoint belongs to
+   * @param load the report
+   */
+  public void report(PoolId pool, EndpointLoad load) {
+    run(scheduler(pool).report(nowMillis.getAsLong(), load));
+  }
+
+  /**
+   * Takes note of a cache event.
+   *
+   * @param pool the pool that the endpoint belongs to
+   * @param hint the event
+   */
+  public void cacheHint(PoolId pool, CacheHint hint) {
+    scheduler(pool).cacheHint(hint);
+  }
+
+  /**
+   * Takes note that an endpoint does not answer.
+   *
+   * @param pool the pool that the endpoint belongs to
+   * @param endpoint the endpoint
+   */
+  public void endpointFailed(PoolId pool, EndpointId endpoint) {
+    run(scheduler(pool).endpointFailed(nowMillis.getAsLong(), endpoint));
+  }
+
+  /**
+   * Takes note of what an incarnation still serves.
+   *
+   * @param owner the incarnation
+   * @param claims its requests
+   */
+  public void claims(IncarnationId owner, RunningClaims claims) {
+    each(scheduler -> scheduler.claims(nowMillis.getAsLong(), owner, claims.running()));
+  }
+
+  /**
+   * Takes note that an incarnation is over.
+   *
+   * @param owner the incarnation
+   */
+  public void incarnationEnded(IncarnationId owner) {
+    each(scheduler -> scheduler.incarnationEnded(nowMillis.getAsLong(), owner));
+  }
+
+  /** Lets time pass. */
+  public void tick() {
+    each(scheduler -> scheduler.tick(nowMillis.getAsLong()));
+  }
+
+  private void submitTo(
+      PoolId pool, PlacementRequest request, UniEmitter<? super PlacementDecision> emitter) {
+    waiting.computeIfAbsent(AttemptId.of(request), id -> new ArrayList<>()).add(emitter);
+    run(scheduler(pool).submit(nowMillis.getAsLong(), request));
+  }
+
+  private PoolScheduler scheduler(PoolId pool) {
+    return schedulers.computeIfAbsent(pool, this::newScheduler);
+  }
+
+  private PoolScheduler newScheduler(PoolId pool) {
+    PoolScheduler scheduler = PoolScheduler.of(pool, domain, policy, monitor);
+    String prefix = "schedule." + pool;
+    metrics.removeMatching(MetricFilter.startsWith(prefix + "."));
+    metrics.registerAll(prefix, scheduler.counters());
+    if (document != null) {
+      scheduler.configure(nowMillis.getAsLong(), document);
+    }
+    return scheduler;
+  }
+
+  private void each(Function<PoolScheduler, List<ScheduleAction>> step) {
+    List<ScheduleAction> actions = new ArrayList<>();
+    schedulers.values().forEach(scheduler -> actions.addAll(step.apply(scheduler)));
+    run(actions);
+  }
+
+  private void run(Collection<ScheduleAction> actions) {
+    for (ScheduleAction action : actions) {
+      if (action instanceof ScheduleAction.Decide decide) {
+        decide(decide.decision());
+      } else if (action instanceof ScheduleAction.CancelOrphan orphan) {
+        canceller.cancelOrphan(orphan.endpoint(), orphan.request());
+      }
+    }
+  }
+
+  private void decide(PlacementDecision decision) {
+    List<UniEmitter<? super PlacementDecision>> emitters = waiting.remove(AttemptId.of(decision));
+    if (emitters != null) {
+      emitters.forEach(emitter -> emitter.complete(decision));
+    }
+  }
+
+  private static PlacementDecision refuse(PlacementRequest request, long retryAfterMillis) {
+    return new PlacementDecision.Refused(
+        request.request(), request.attempt(), RefusalReason.NO_ENDPOINT, retryAfterMillis);
+  }
+}
