--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/transfer/PrefixHashes.java
@@ -0,0 +1,55 @@
+package org.knapweedcleat.core.transfer;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Hashes the leading blocks of a prompt, so that equal beginnings have equal hashes. */
+public final class PrefixHashes {
+
+  /** The words that one hash covers. */
+  public static final int BLOCK_WORDS = 64;
+
+  private static final int MAX_HASHES = 256;
+  private static final long OFFSET = 0xcbf29ce484222325L;
+  private static final long PRIME = 0x100000001b3L;
+
+  private PrefixHashes() {}
+
+  /**
+   * Splits a prompt into words.
+   *
+   * @param prompt the prompt
+   * @return its words, separated by white space
+   */
+  public static List<String> words(String prompt) {
+    String stripped = prompt.strip();
+    return stripped.isEmpty() ? List.of() : List.of(stripped.split("\\s+"));
+  }
+
+  /**
+   * Returns the chained hashes of the whole blocks that a prompt begins with.
+   *
+   * @param words the prompt's words
+   * @return one hash a block, shortest prefix first
+   */
+  public static List<Long> of(List<String> words) {
+    List<Long> hashes = new ArrayList<>();
+    long hash = OFFSET;
+    int blocks = Math.min(words.size() / BLOCK_WORDS, MAX_HASHES);
+    for (int block = 0; block < blocks; block++) {
+      for (String word : words.subList(block * BLOCK_WORDS, (block + 1) * BLOCK_WORDS)) {
+        hash = extend(hash, word);
+      }
+      hashes.add(hash);
+    }
+    return List.copyOf(hashes);
+  }
+
+  private static long extend(long start, String word) {
+    long hash = start;
+    for (int i = 0; i < word.length(); i++) {
+      hash = (hash ^ word.charAt(i)) * PRIME;
+    }
+    return (hash ^ ' ') * PRIME;
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/AnswerHead.java
@@ -0,0 +1,23 @@
+package org.knapweedcleat.router.caller;
+
+import io.vertx.core.json.JsonObject;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.InstanceId;
+import org.knapweedcleat.core.id.RequestId;
+
+/** What a caller is told before the first token. */
+record AnswerHead(
+    RequestId request,
+    InstanceId instance,
+    EndpointId prefill,
+    EndpointId decode,
+    String continuation) {
+
+  JsonObject json() {
+    return new JsonObject()
+        .put("request", request.value())
+        .put("instance", instance.value())
+        .put("prefill", prefill.value())
+        .put("decode", decode.value());
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/ErrorAnswers.java
@@ -0,0 +1,34 @@
+package org.knapweedcleat.router.caller;
+
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonObject;
+import org.knapweedcleat.core.attempt.CallerFailure;
+
+/** Writes error answers. */
+final class ErrorAnswers {
+
+  static final String REQUEST_ID = "X-Request-Id";
+
+  private static final long MILLIS_PER_SECOND = 1_000;
+
+  private ErrorAnswers() {}
+
+  static JsonObject json(CallerFailure failure) {
+    return new JsonObject()
+        .put("error", failure.error().name())
+        .put("ran", failure.ran().word())
+        .put("retryAfterMillis", failure.retryAfterMillis())
+        .put("message", failure.message());
+  }
+
+  static void write(HttpServerResponse response, CallerFailure failure) {
+    if (response.ended() || response.closed() || response.headWritten()) {
+      return;
+    }
+    long seconds = (failure.retryAfterMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+    response.setStatusCode(failure.error().httpStatus());
+    response.putHeader("Content-Type", "application/json");
+    response.putHeader("Retry-After", Long.toString(seconds));
+    response.end(json(failure).toBuffer());
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/PlainRun.java
@@ -0,0 +1,203 @@
+package org.knapweedcleat.router.caller;
+
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Promise;
+import java.util.List;
+import java.util.Optional;
+import org.knapweedcleat.core.attempt.CallFailure;
+import org.knapweedcleat.core.attempt.CallerError;
+import org.knapweedcleat.core.attempt.CallerFailure;
+import org.knapweedcleat.core.attempt.GiveUpCause;
+import org.knapweedcleat.core.attempt.PlainAction;
+import org.knapweedcleat.core.attempt.PlainAttempt;
+import org.knapweedcleat.core.attempt.PlainEvent;
+import org.knapweedcleat.core.attempt.PlainPlan;
+import org.knapweedcleat.core.attempt.Ran;
+import org.knapweedcleat.core.attempt.RunRecord;
+import org.knapweedcleat.core.config.CallSafety;
+import org.knapweedcleat.core.config.EndpointSpec;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.RequestId;
+import org.knapweedcleat.core.once.CallOutcome;
+import org.knapweedcleat.core.once.PlainAnswer;
+import org.knapweedcleat.router.endpoint.EndpointCall;
+import org.knapweedcleat.router.endpoint.EndpointReply;
+import org.knapweedcleat.router.gate.CheckedKey;
+import org.knapweedcleat.router.gate.LimitOutcome;
+import org.knapweedcleat.router.vertx.Unis;
+
+/** Carries out what a {@link PlainAttempt} wants done. */
+final class PlainRun implements RunningCall {
+
+  private static final long COST_TOKENS = 1;
+  private static final long LATE_ANSWER_MILLIS = 60_000;
+
+  private final Serving serving;
+  private final Admitted admitted;
+  private final PlainInput input;
+  private final PlainPlan plan;
+  private final PlainAttempt attempt;
+  private final RunRecord record = RunRecord.create();
+  private final Promise<CallOutcome> told = Promise.promise();
+  private final Promise<CallOutcome> outcome = Promise.promise();
+
+  private CallOutcome lastAnswer;
+  private long deadlineTimer;
+  private boolean begun;
+
+  private PlainRun(Serving serving, Admitted admitted, PlainInput input, long deadlineMillis) {
+    this.serving = serving;
+    this.admitted = admitted;
+    this.input = input;
+    this.plan =
+        new PlainPlan(
+            serving.nextRequest(),
+            serving.context().incarnation(),
+            admitted.service().id(),
+            admitted.account(),
+            admitted.route().safety(),
+            deadlineMillis);
+    this.attempt =
+        PlainAttempt.of(plan, serving.budget(), serving.context().monitor(), serving.now());
+  }
+
+  static PlainRun of(Serving serving, Admitted admitted, PlainInput input, long deadlineMillis) {
+    return new PlainRun(serving, admitted, input, deadlineMillis);
+  }
+
+  @Override
+  public RequestId id() {
+    return plan.request();
+  }
+
+  @Override
+  public Optional<CheckedKey> key() {
+    return admitted.key();
+  }
+
+  @Override
+  public void giveUp(GiveUpCause cause) {
+    if (begun) {
+      feed(new PlainEvent.GivenUp(cause));
+    } else {
+      fail(CallerFailure.truthful(cause.error(), Ran.NO, 0, cause.message()));
+    }
+  }
+
+  /** What the caller is told; it comes before {@link #outcome} when the request is given up. */
+  Future<CallOutcome> told() {
+    return told.future();
+  }
+
+  /** What became of the call. */
+  Future<CallOutcome> outcome() {
+    return outcome.future();
+  }
+
+  void start() {
+    serving.running().add(this);
+    deadlineTimer =
+        serving.vertx().setTimer(plan.deadlineMillis(), id -> giveUp(GiveUpCause.DEADLINE));
+    if (key().isEmpty()) {
+      begin();
+      return;
+    }
+    Unis.toFuture(
+            serving.context().limitGate().acquire(plan.account(), COST_TOKENS), serving.loop())
+        .onSuccess(this::onLimit)
+        .onFailure(failure -> onLimit(new LimitOutcome.Denied(plan.deadlineMillis())));
+  }
+
+  private void onLimit(LimitOutcome limit) {
+    boolean over = outcome.future().isComplete();
+    if (limit instanceof LimitOutcome.Granted granted) {
+      if (over) {
+        serving.context().limitGate().refund(plan.account(), granted.tokens());
+      } else {
+        begin();
+      }
+    } else if (limit instanceof LimitOutcome.Denied denied && !over) {
+      String message = "the client account is over its rate";
+      fail(CallerFailure.notRun(CallerError.OVER_RATE, denied.retryAfterMillis(), message));
+    }
+  }
+
+  private void begin() {
+    begun = true;
+    perform(attempt.start(serving.now()));
+  }
+
+  private void feed(PlainEvent event) {
+    perform(attempt.on(serving.now(), event));
+  }
+
+  private void perform(List<PlainAction> actions) {
+    actions.forEach(this::perform);
+  }
+
+  private void perform(PlainAction action) {
+    if (action instanceof PlainAction.Place place) {
+      Unis.toFuture(serving.context().placements().place(place.request()), serving.loop())
+          .onSuccess(decision -> feed(new PlainEvent.Decided(decision)));
+    } else if (action instanceof PlainAction.Report report) {
+      serving.context().placements().report(report.progress());
+    } else if (action instanceof PlainAction.Call call) {
+      call(call.attempt(), call.endpoint());
+    } else if (action instanceof PlainAction.TellCaller tell) {
+      told.tryComplete(new CallOutcome.Failed(tell.failure()));
+    } else if (action instanceof PlainAction.Answer) {
+      finish(lastAnswer);
+    } else if (action instanceof PlainAction.Fail fail) {
+      fail(fail.failure());
+    }
+  }
+
+  private void call(int which, EndpointId id) {
+    Optional<EndpointSpec> endpoint = serving.endpointForNewWork(id);
+    if (endpoint.isEmpty() || !serving.keyStillWorks(this, plan.account())) {
+      feed(new PlainEvent.Failed(which, CallFailure.NOT_SENT));
+      return;
+    }
+    boolean once = plan.safety() == CallSafety.AT_MOST_ONCE;
+    EndpointCall call = endpointCall(endpoint.get(), once);
+    Future<Either<CallFailure, EndpointReply>> result =
+        once ? serving.endpoints().sendAlone(call, record) : serving.endpoints().send(call, record);
+    result.onSuccess(done -> onResult(which, id, done));
+  }
+
+  private EndpointCall endpointCall(EndpointSpec endpoint, boolean once) {
+    MultiMap headers = input.headers(id().value(), admitted.service().priority());
+    long timeout = once ? plan.deadlineMillis() + LATE_ANSWER_MILLIS : plan.deadlineMillis();
+    return new EndpointCall(endpoint, input.method(), input.uri(), headers, input.body(), timeout);
+  }
+
+  private void onResult(int which, EndpointId endpoint, Either<CallFailure, EndpointReply> done) {
+    if (done.isLeft()) {
+      feed(new PlainEvent.Failed(which, done.getLeft()));
+      return;
+    }
+    EndpointReply reply = done.get();
+    lastAnswer =
+        new CallOutcome.Answered(
+            new PlainAnswer(
+                id(), endpoint, reply.status(), reply.contentType(), reply.body().getBytes()));
+    feed(new PlainEvent.Answered(which));
+  }
+
+  private void fail(CallerFailure failure) {
+    serving.checkFailure(failure, record, id());
+    if (failure.ran() == Ran.NO && begun && key().isPresent()) {
+      serving.context().limitGate().refund(plan.account(), COST_TOKENS);
+    }
+    finish(new CallOutcome.Failed(failure));
+  }
+
+  private void finish(CallOutcome result) {
+    serving.vertx().cancelTimer(deadlineTimer);
+    serving.running().remove(this);
+    outcome.tryComplete(result);
+    told.tryComplete(result);
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Serving.java
@@ -0,0 +1,137 @@
+package org.knapweedcleat.router.caller;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import java.util.Locale;
+import java.util.Optional;
+import org.knapweedcleat.core.attempt.AttemptBudget;
+import org.knapweedcleat.core.attempt.CallerFailure;
+import org.knapweedcleat.core.attempt.CancelLedger;
+import org.knapweedcleat.core.attempt.Ran;
+import org.knapweedcleat.core.attempt.RunRecord;
+import org.knapweedcleat.core.config.EndpointSpec;
+import org.knapweedcleat.core.id.AccountId;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.RequestId;
+import org.knapweedcleat.core.invariant.Invariant;
+import org.knapweedcleat.router.endpoint.CancelSender;
+import org.knapweedcleat.router.endpoint.EndpointClient;
+import org.knapweedcleat.router.endpoint.EngineClient;
+import org.knapweedcleat.router.gate.CheckedKey;
+
+/** What all requests of an instance share; used on its event loop only. */
+final class Serving {
+
+  private static final int RETRY_PERCENT = 20;
+  private static final int RETRY_BURST = 50;
+
+  private final Vertx vertx;
+  private final Context loop;
+  private final CallerContext context;
+  private final EndpointClient endpoints;
+  private final EngineClient engines;
+  private final CancelSender cancels;
+  private final AttemptBudget budget = AttemptBudget.of(RETRY_PERCENT, RETRY_BURST);
+  private final RunningCalls running = RunningCalls.create();
+  private long lastRequest;
+
+  private Serving(Vertx vertx, Context loop, CallerContext context) {
+    this.vertx = vertx;
+    this.loop = loop;
+    this.context = context;
+    this.endpoints = EndpointClient.create(vertx);
+    this.engines = EngineClient.of(vertx, endpoints);
+    this.cancels =
+        CancelSender.of(
+            vertx,
+            engines,
+            CancelLedger.of(context.monitor()),
+            this::endpoint,
+            context.nowMillis(),
+            context.random());
+  }
+
+  static Serving of(Vertx vertx, Context loop, CallerContext context) {
+    return new Serving(vertx, loop, context);
+  }
+
+  Vertx vertx() {
+    return vertx;
+  }
+
+  Context loop() {
+    return loop;
+  }
+
+  CallerContext context() {
+    return context;
+  }
+
+  EndpointClient endpoints() {
+    return endpoints;
+  }
+
+  EngineClient engines() {
+    return engines;
+  }
+
+  CancelSender cancels() {
+    return cancels;
+  }
+
+  AttemptBudget budget() {
+    return budget;
+  }
+
+  RunningCalls running() {
+    return running;
+  }
+
+  long now() {
+    return context.nowMillis().getAsLong();
+  }
+
+  void count(String name) {
+    context.metrics().counter(MetricRegistry.name("caller", name)).inc();
+  }
+
+  /** Returns an id that no request of another incarnation has, as incarnations differ. */
+  RequestId nextRequest() {
+    lastRequest++;
+    return RequestId.of(context.incarnation() + "-" + lastRequest);
+  }
+
+  Optional<EndpointSpec> endpoint(EndpointId id) {
+    return context.fleet().current().map(snapshot -> snapshot.document().endpoints().get(id));
+  }
+
+  Optional<EndpointSpec> endpointForNewWork(EndpointId id) {
+    return endpoint(id).filter(endpoint -> endpoint.state().takesNewWork());
+  }
+
+  /** Counts an error answer and checks that "not run" is said only if no byte left. */
+  void checkFailure(CallerFailure failure, RunRecord record, RequestId request) {
+    count("error." + failure.error().name().toLowerCase(Locale.ROOT));
+    boolean truthful = failure.ran() != Ran.NO || record.isClean();
+    context.monitor().check(truthful, Invariant.NOT_RUN_IS_TRUE, request);
+  }
+
+  /** Checks, before bytes leave, that the key of a request still stands for its account. */
+  boolean keyStillWorks(RunningCall call, AccountId account) {
+    boolean works =
+        call.key()
+            .map(key -> stillStandsFor(key, account))
+            .orElse(account.equals(Admitted.OPEN_ACCOUNT));
+    return context.monitor().check(works, Invariant.KEY_MATCHES_ACCOUNT, call.id());
+  }
+
+  private boolean stillStandsFor(CheckedKey key, AccountId account) {
+    return context
+        .keys()
+        .find(key.digest())
+        .map(CheckedKey::account)
+        .filter(account::equals)
+        .isPresent();
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/SplitBody.java
@@ -0,0 +1,44 @@
+package org.knapweedcleat.router.caller;
+
+import io.vavr.control.Either;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonObject;
+import org.knapweedcleat.core.attempt.CallerError;
+import org.knapweedcleat.core.attempt.CallerFailure;
+
+/** The body of a split request. */
+record SplitBody(String prompt, int maxTokens, boolean stream) {
+
+  private static final int MAX_TOKENS = 1_000_000;
+
+  static Either<CallerFailure, SplitBody> parse(Buffer body) {
+    if (body == null) {
+      return malformed("the body is missing");
+    }
+    try {
+      return read(new JsonObject(body));
+    } catch (DecodeException | ClassCastException e) {
+      return malformed("the body is not a JSON object");
+    }
+  }
+
+  private static Either<CallerFailure, SplitBody> read(JsonObject json) {
+    if (!(json.getValue("prompt") instanceof String prompt) || prompt.isBlank()) {
+      return malformed("\"prompt\" has to be a text that is not blank");
+    }
+    if (!(json.getValue("maxTokens") instanceof Integer maxTokens)
+        || maxTokens < 1
+        || maxTokens > MAX_TOKENS) {
+      return malformed("\"maxTokens\" has to be a whole number from 1 to " + MAX_TOKENS);
+    }
+    if (!(json.getValue("stream", false) instanceof Boolean stream)) {
+      return malformed("\"stream\" has to be true or false");
+    }
+    return Either.right(new SplitBody(prompt, maxTokens, stream));
+  }
+
+  private static Either<CallerFailure, SplitBody> malformed(String message) {
+    return Either.left(CallerFailure.notRun(CallerError.MALFORMED, 0, message));
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/SplitCall.java
@@ -0,0 +1,336 @@
+package org.knapweedcleat.router.caller;
+
+import io.vavr.control.Either;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import org.knapweedcleat.core.attempt.AnswerToken;
+import org.knapweedcleat.core.attempt.CallFailure;
+import org.knapweedcleat.core.attempt.CallerError;
+import org.knapweedcleat.core.attempt.CallerFailure;
+import org.knapweedcleat.core.attempt.Continuation;
+import org.knapweedcleat.core.attempt.GiveUpCause;
+import org.knapweedcleat.core.attempt.Ran;
+import org.knapweedcleat.core.attempt.RunRecord;
+import org.knapweedcleat.core.attempt.SplitAction;
+import org.knapweedcleat.core.attempt.SplitAttempt;
+import org.knapweedcleat.core.attempt.SplitEvent;
+import org.knapweedcleat.core.config.EndpointSpec;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.RequestId;
+import org.knapweedcleat.router.endpoint.DecodeListener;
+import org.knapweedcleat.router.endpoint.DecodeStream;
+import org.knapweedcleat.router.endpoint.EngineCallContext;
+import org.knapweedcleat.router.gate.CheckedKey;
+import org.knapweedcleat.router.gate.LimitOutcome;
+import org.knapweedcleat.router.vertx.Unis;
+
+/** Carries out what a {@link SplitAttempt} wants done. */
+final class SplitCall implements RunningCall {
+
+  private final Serving serving;
+  private final SplitInput input;
+  private final SplitAnswer answer;
+  private final SplitAttempt attempt;
+  private final RunRecord record = RunRecord.create();
+  private final EngineCallContext calls;
+  private final Deque<SplitEvent> events = new ArrayDeque<>();
+  private final long startedMillis;
+
+  private Optional<DecodeStream> decoding = Optional.empty();
+  private long deadlineTimer;
+  private long grantedTokens;
+  private boolean admitted;
+  private boolean over;
+  private boolean performing;
+
+  private SplitCall(Serving serving, SplitInput input, SplitAnswer answer) {
+    this.serving = serving;
+    this.input = input;
+    this.answer = answer;
+    this.startedMillis = serving.now();
+    this.attempt =
+        SplitAttempt.of(input.plan(), serving.budget(), serving.context().monitor(), startedMillis);
+    int priority = input.admitted().service().priority();
+    this.calls = new EngineCallContext(input.plan().request(), priority, record);
+  }
+
+  static SplitCall of(Serving serving, SplitInput input, SplitAnswer answer) {
+    return new SplitCall(serving, input, answer);
+  }
+
+  @Override
+  public RequestId id() {
+    return input.plan().request();
+  }
+
+  @Override
+  public Optional<CheckedKey> key() {
+    return input.admitted().key();
+  }
+
+  @Override
+  public void giveUp(GiveUpCause cause) {
+    if (admitted) {
+      feed(new SplitEvent.GivenUp(cause));
+    } else if (!over) {
+      fail(CallerFailure.truthful(cause.error(), Ran.NO, 0, cause.message()));
+    }
+  }
+
+  /** Takes the tokens and then begins; nothing leaves for an endpoint before. */
+  void start() {
+    serving.running().add(this);
+    long deadline = input.plan().deadlineMillis();
+    deadlineTimer = serving.vertx().setTimer(deadline, id -> giveUp(GiveUpCause.DEADLINE));
+    if (key().isEmpty()) {
+      begin();
+      return;
+    }
+    long tokens = input.costTokens();
+    Unis.toFuture(
+            serving.context().limitGate().acquire(input.admitted().account(), tokens),
+            serving.loop())
+        .onSuccess(this::onLimit)
+        .onFailure(failure -> onLimit(new LimitOutcome.Denied(deadline)));
+  }
+
+  private void onLimit(LimitOutcome outcome) {
+    if (outcome instanceof LimitOutcome.Granted granted) {
+      grantedTokens = granted.tokens();
+      if (over) {
+        refund();
+      } else {
+        begin();
+      }
+    } else if (outcome instanceof LimitOutcome.Denied denied && !over) {
+      String message = "the client account is over its rate";
+      fail(CallerFailure.notRun(CallerError.OVER_RATE, denied.retryAfterMillis(), message));
+    }
+  }
+
+  private void begin() {
+    admitted = true;
+    perform(attempt.start(serving.now()));
+  }
+
+  private void feed(SplitEvent event) {
+    events.add(event);
+    if (performing) {
+      return;
+    }
+    while (!events.isEmpty()) {
+      perform(attempt.on(serving.now(), events.remove()));
+    }
+  }
+
+  private void perform(List<SplitAction> actions) {
+    performing = true;
+    actions.forEach(this::perform);
+    performing = false;
+    if (!events.isEmpty()) {
+      feed(events.remove());
+    }
+  }
+
+  private void perform(SplitAction action) {
+    if (action instanceof SplitAction.Place place) {
+      place(place);
+    } else if (action instanceof SplitAction.Report report) {
+      serving.context().placements().report(report.progress());
+    } else if (action instanceof SplitAction.Reserve reserve) {
+      reserve(reserve);
+    } else if (action instanceof SplitAction.StartTimer timer) {
+      int which = timer.attempt();
+      serving.vertx().setTimer(timer.delayMillis(), id -> feed(new SplitEvent.TimerFired(which)));
+    } else if (action instanceof SplitAction.Prefill prefill) {
+      prefill(prefill);
+    } else if (action instanceof SplitAction.Import transfer) {
+      transfer(transfer);
+    } else if (action instanceof SplitAction.Decode decode) {
+      decode(decode);
+    } else if (action instanceof SplitAction.Cancel cancel) {
+      cancel(cancel);
+    } else {
+      answer(action);
+    }
+  }
+
+  private void answer(SplitAction action) {
+    if (action instanceof SplitAction.SendHead head) {
+      answer.head(head(head));
+    } else if (action instanceof SplitAction.SendToken token) {
+      answer.token(token.token());
+    } else if (action instanceof SplitAction.SendEnd end) {
+      answer.end(end.tokens());
+      finish();
+    } else if (action instanceof SplitAction.SendFailure failure) {
+      fail(failure.failure());
+    }
+  }
+
+  private AnswerHead head(SplitAction.SendHead head) {
+    Continuation continuation =
+        new Continuation(
+            id(),
+            input.admitted().account(),
+            input.plan().service(),
+            input.promptDigest(),
+            input.plan().maxTokens());
+    return new AnswerHead(
+        id(),
+        serving.context().incarnation().instance(),
+        head.prefill(),
+        head.decode(),
+        continuation.encode(input.admitted().digest()));
+  }
+
+  private void place(SplitAction.Place place) {
+    Unis.toFuture(serving.context().placements().place(place.request()), serving.loop())
+        .onSuccess(decision -> feed(new SplitEvent.Decided(decision)));
+  }
+
+  private void reserve(SplitAction.Reserve action) {
+    int which = action.attempt();
+    Optional<EndpointSpec> decode = serving.endpointForNewWork(action.decode());
+    if (decode.isEmpty() || !serving.keyStillWorks(this, input.plan().account())) {
+      feed(new SplitEvent.ReserveFailed(which, CallFailure.NOT_SENT));
+      return;
+    }
+    serving
+        .engines()
+        .reserve(calls, which, decode.get(), action.pieces(), action.holdMillis())
+        .onSuccess(
+            result ->
+                feedResult(
+                    result,
+                    granted -> new SplitEvent.Reserved(which),
+                    failure -> new SplitEvent.ReserveFailed(which, failure)));
+  }
+
+  private void prefill(SplitAction.Prefill action) {
+    int which = action.attempt();
+    Optional<EndpointSpec> prefill = serving.endpointForNewWork(action.prefill());
+    if (prefill.isEmpty()) {
+      feed(new SplitEvent.PrefillFailed(which, CallFailure.NOT_SENT));
+      return;
+    }
+    long timeout = Math.max(1, input.plan().deadlineMillis());
+    serving
+        .engines()
+        .prefill(calls, which, prefill.get(), input.prompt(), input.plan().prefixHashes(), timeout)
+        .onSuccess(
+            result ->
+                feedResult(
+                    result,
+                    done -> new SplitEvent.Prefilled(which, done.handle(), done.computedTokens()),
+                    failure -> new SplitEvent.PrefillFailed(which, failure)));
+  }
+
+  private void transfer(SplitAction.Import action) {
+    int which = action.attempt();
+    Optional<EndpointSpec> decode = serving.endpoint(action.decode());
+    Optional<EndpointSpec> prefill = serving.endpoint(action.prefill());
+    if (decode.isEmpty() || prefill.isEmpty()) {
+      feed(new SplitEvent.ImportFailed(which, CallFailure.NOT_SENT));
+      return;
+    }
+    serving
+        .engines()
+        .importCache(calls, which, decode.get(), prefill.get(), action.handle())
+        .onSuccess(
+            result ->
+                feedResult(
+                    result,
+                    done -> new SplitEvent.Imported(which),
+                    failure -> new SplitEvent.ImportFailed(which, failure)));
+  }
+
+  private void decode(SplitAction.Decode action) {
+    decoding.ifPresent(DecodeStream::close);
+    int stream = action.stream();
+    Optional<EndpointSpec> decode = serving.endpoint(action.decode());
+    if (decode.isEmpty()) {
+      feed(new SplitEvent.StreamBroken(stream, CallFailure.NOT_SENT));
+      return;
+    }
+    DecodeListener listener = new StreamListener(stream);
+    decoding =
+        Optional.of(
+            serving
+                .engines()
+                .decode(
+                    calls,
+                    action.attempt(),
+                    decode.get(),
+                    action.fromPosition(),
+                    action.maxTokens(),
+                    listener));
+  }
+
+  private void cancel(SplitAction.Cancel action) {
+    EndpointId endpoint = action.endpoint();
+    serving
+        .cancels()
+        .cancel(endpoint, calls, action.attempt(), () -> feed(new SplitEvent.Released(endpoint)));
+  }
+
+  private <T> void feedResult(
+      Either<CallFailure, T> result,
+      Function<T, SplitEvent> done,
+      Function<CallFailure, SplitEvent> failed) {
+    feed(result.fold(failed, done));
+  }
+
+  private void fail(CallerFailure failure) {
+    serving.checkFailure(failure, record, id());
+    answer.failure(failure);
+    finish();
+  }
+
+  private void finish() {
+    over = true;
+    serving.vertx().cancelTimer(deadlineTimer);
+    decoding.ifPresent(DecodeStream::close);
+    serving.running().remove(this);
+    refund();
+  }
+
+  /** Gives back what was not used: all if nothing ran, else the tokens that were not generated. */
+  private void refund() {
+    long used = 0;
+    if (admitted && attempt.ran() != Ran.NO) {
+      used = input.plan().promptTokens() + attempt.sentTokens();
+    }
+    long unused = Math.max(0, grantedTokens - used);
+    grantedTokens = 0;
+    if (unused > 0) {
+      serving.context().limitGate().refund(input.admitted().account(), unused);
+    }
+  }
+
+  private final class StreamListener implements DecodeListener {
+    private final int stream;
+
+    private StreamListener(int stream) {
+      this.stream = stream;
+    }
+
+    @Override
+    public void token(AnswerToken token) {
+      feed(new SplitEvent.TokenArrived(stream, token));
+    }
+
+    @Override
+    public void ended(int tokens) {
+      feed(new SplitEvent.StreamEnded(stream, tokens));
+    }
+
+    @Override
+    public void broken(CallFailure failure) {
+      feed(new SplitEvent.StreamBroken(stream, failure));
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/SplitInput.java
@@ -0,0 +1,43 @@
+package org.knapweedcleat.router.caller;
+
+import java.util.List;
+import org.knapweedcleat.core.account.KeyDigest;
+import org.knapweedcleat.core.attempt.SplitPlan;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.RequestId;
+import org.knapweedcleat.core.transfer.PrefixHashes;
+
+/** A checked split request. */
+record SplitInput(Admitted admitted, SplitPlan plan, String prompt, boolean stream) {
+
+  static SplitInput of(
+      Admitted admitted,
+      SplitBody body,
+      RequestId request,
+      IncarnationId owner,
+      int firstPosition,
+      long deadlineMillis) {
+    List<String> words = PrefixHashes.words(body.prompt());
+    SplitPlan plan =
+        new SplitPlan(
+            request,
+            owner,
+            admitted.service().id(),
+            admitted.account(),
+            words.size(),
+            body.maxTokens(),
+            firstPosition,
+            PrefixHashes.of(words),
+            deadlineMillis);
+    return new SplitInput(admitted, plan, body.prompt(), body.stream());
+  }
+
+  /** The prompt and the part of the answer that the caller has not received. */
+  long costTokens() {
+    return (long) plan.promptTokens() + plan.maxTokens() - plan.firstPosition();
+  }
+
+  KeyDigest promptDigest() {
+    return KeyDigest.ofKey(prompt);
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/package-info.java
@@ -0,0 +1,2 @@
+/** Serves callers over HTTP. */
+package org.knapweedcleat.router.caller;
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/endpoint/CancelSender.java
@@ -0,0 +1,140 @@
+package org.knapweedcleat.router.endpoint;
+
+import io.vavr.control.Either;
+import io.vertx.core.Vertx;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import org.knapweedcleat.core.attempt.CallFailure;
+import org.knapweedcleat.core.attempt.CancelLedger;
+import org.knapweedcleat.core.config.EndpointSpec;
+import org.knapweedcleat.core.id.EndpointId;
+
+/** Sends the cancels that are due until endpoints confirm them. */
+public final class CancelSender {
+
+  private static final long TICK_MILLIS = 50;
+
+  private final Vertx vertx;
+  private final EngineClient engines;
+  private final CancelLedger ledger;
+  private final Function<EndpointId, Optional<EndpointSpec>> directory;
+  private final LongSupplier nowMillis;
+  private final LongSupplier random;
+  private final Map<CancelLedger.Cancel, Pending> pending = new HashMap<>();
+  private long timer;
+
+  private CancelSender(
+      Vertx vertx,
+      EngineClient engines,
+      CancelLedger ledger,
+      Function<EndpointId, Optional<EndpointSpec>> directory,
+      LongSupplier nowMillis,
+      LongSupplier random) {
+    this.vertx = vertx;
+    this.engines = engines;
+    this.ledger = ledger;
+    this.directory = directory;
+    this.nowMillis = nowMillis;
+    this.random = random;
+  }
+
+  /**
+   * Returns a sender; call {@link #start} on the event loop.
+   *
+   * @param vertx runs timers
+   * @param engines sends the calls
+   * @param ledger keeps the cancels
+   * @param directory finds endpoints in the document in force
+   * @param nowMillis the time, monotonic
+   * @param random any numbers
+   * @return the sender
+   */
+  public static CancelSender of(
+      Vertx vertx,
+      EngineClient engines,
+      CancelLedger ledger,
+      Function<EndpointId, Optional<EndpointSpec>> directory,
+      LongSupplier nowMillis,
+      LongSupplier random) {
+    return new CancelSender(vertx, engines, ledger, directory, nowMillis, random);
+  }
+
+  /** Begins to repeat cancels. */
+  public void start() {
+    timer = vertx.setPeriodic(TICK_MILLIS, id -> sendDue());
+  }
+
+  /** Stops repeating cancels. */
+  public void stop() {
+    vertx.cancelTimer(timer);
+  }
+
+  /**
+   * Adds a cancel and sends it.
+   *
+   * @param endpoint the endpoint
+   * @param context the request
+   * @param attempt the placement
+   * @param released run when the endpoint has confirmed
+   */
+  public void cancel(
+      EndpointId endpoint, EngineCallContext context, int attempt, Runnable released) {
+    ledger.add(nowMillis.getAsLong(), endpoint, context.request(), attempt);
+    CancelLedger.Cancel cancel = new CancelLedger.Cancel(endpoint, context.request());
+    pending.put(cancel, new Pending(context, released));
+    sendDue();
+  }
+
+  /**
+   * Counts the cancels that are not confirmed.
+   *
+   * @return the count
+   */
+  public int size() {
+    return ledger.size();
+  }
+
+  private void sendDue() {
+    for (CancelLedger.Cancel cancel : ledger.due(nowMillis.getAsLong())) {
+      Optional<EndpointSpec> endpoint = directory.apply(cancel.endpoint());
+      if (endpoint.isPresent()) {
+        send(cancel, endpoint.get());
+      } else {
+        ledger.forget(cancel.endpoint());
+        done(cancel);
+      }
+    }
+  }
+
+  private void send(CancelLedger.Cancel cancel, EndpointSpec endpoint) {
+    int attempt = ledger.attempt(cancel).orElse(0);
+    engines
+        .cancel(pending.get(cancel).context(), attempt, endpoint)
+        .onSuccess(result -> answered(cancel, attempt, result));
+  }
+
+  private void answered(
+      CancelLedger.Cancel cancel, int attempt, Either<CallFailure, Boolean> result) {
+    if (result.isRight()) {
+      if (ledger.confirmed(cancel, attempt)) {
+        done(cancel);
+      }
+      return;
+    }
+    boolean nobody = result.getLeft() == CallFailure.NOT_SENT;
+    ledger.failed(nowMillis.getAsLong(), cancel, nobody, random.getAsLong());
+  }
+
+  private void done(CancelLedger.Cancel cancel) {
+    Pending over = pending.remove(cancel);
+    if (over != null) {
+      over.context().record().released(cancel.endpoint());
+      over.released().run();
+    }
+  }
+
+  private record Pending(EngineCallContext context, Runnable released) {}
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/endpoint/EndpointClient.java
@@ -0,0 +1,194 @@
+package org.knapweedcleat.router.endpoint;
+
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.util.Optional;
+import org.knapweedcleat.core.attempt.CallFailure;
+import org.knapweedcleat.core.attempt.RunRecord;
+
+/**
+ * Sends calls to endpoints, each exactly once.
+ *
+ * <p>The client library hands out a connection before anything is written, which is the boundary
+ * between "no byte left" and "bytes may have left". Nothing is sent again from here and no redirect
+ * is followed.
+ */
+public final class EndpointClient {
+
+  /** The header by which an endpoint says that it has done nothing. */
+  public static final String NOT_RUN_HEADER = "X-Not-Run";
+
+  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final int CONNECTIONS_PER_ENDPOINT = 1_024;
+  private static final int SERVICE_UNAVAILABLE = 503;
+  private static final int MAX_REPLY_BYTES = 16 << 20;
+
+  private final Vertx vertx;
+  private final HttpClient pooled;
+  private final HttpClient single;
+
+  private EndpointClient(Vertx vertx) {
+    this.vertx = vertx;
+    this.pooled = client(vertx, true);
+    this.single = client(vertx, false);
+  }
+
+  /**
+   * Returns a client without connections.
+   *
+   * @param vertx runs the client
+   * @return the client
+   */
+  public static EndpointClient create(Vertx vertx) {
+    return new EndpointClient(vertx);
+  }
+
+  /**
+   * Sends a call that may use a connection which carried other calls before.
+   *
+   * @param call the call
+   * @param record is told before the first byte leaves
+   * @return the answer or the failure; the future itself never fails
+   */
+  public Future<Either<CallFailure, EndpointReply>> send(EndpointCall call, RunRecord record) {
+    return exchange(pooled, call, record);
+  }
+
+  /**
+   * Sends a call over a connection of its own, which no earlier call can have spoilt.
+   *
+   * @param call the call
+   * @param record is told before the first byte leaves
+   * @return the answer or the failure; the future itself never fails
+   */
+  public Future<Either<CallFailure, EndpointReply>> sendAlone(EndpointCall call, RunRecord record) {
+    return exchange(single, call, record);
+  }
+
+  /**
+   * Opens a call whose answer is read as it comes.
+   *
+   * @param call the call; its time-out is for the connection and the response's head
+   * @param record is told before the first byte leaves
+   * @return the response's head or the failure; the future itself never fails
+   */
+  public Future<Either<CallFailure, HttpClientResponse>> open(EndpointCall call, RunRecord record) {
+    return pooled
+        .request(options(call))
+        .map(Optional::of)
+        .otherwiseEmpty()
+        .compose(request -> openOn(request, call, record));
+  }
+
+  /**
+   * Closes all connections.
+   *
+   * @return done when they are closed
+   */
+  public Future<Void> close() {
+    return Future.join(pooled.close(), single.close()).mapEmpty();
+  }
+
+  private Future<Either<CallFailure, EndpointReply>> exchange(
+      HttpClient client, EndpointCall call, RunRecord record) {
+    return client
+        .request(options(call))
+        .map(Optional::of)
+        .otherwiseEmpty()
+        .compose(request -> sendOn(request, call, record));
+  }
+
+  private Future<Either<CallFailure, EndpointReply>> sendOn(
+      Optional<HttpClientRequest> connected, EndpointCall call, RunRecord record) {
+    if (connected.isEmpty()) {
+      return Future.succeededFuture(Either.left(CallFailure.NOT_SENT));
+    }
+    HttpClientRequest request = connected.get();
+    record.sent(call.endpoint().id());
+    long timer = vertx.setTimer(call.timeoutMillis(), id -> request.reset());
+    return request
+        .send(call.body())
+        .compose(EndpointClient::readReply)
+        .map(reply -> judge(reply, call, record))
+        .otherwise(Either.left(CallFailure.UNKNOWN))
+        .onComplete(done -> vertx.cancelTimer(timer));
+  }
+
+  private Future<Either<CallFailure, HttpClientResponse>> openOn(
+      Optional<HttpClientRequest> connected, EndpointCall call, RunRecord record) {
+    if (connected.isEmpty()) {
+      return Future.succeededFuture(Either.left(CallFailure.NOT_SENT));
+    }
+    HttpClientRequest request = connected.get();
+    record.sent(call.endpoint().id());
+    long timer = vertx.setTimer(call.timeoutMillis(), id -> request.reset());
+    return request
+        .send(call.body())
+        .<Either<CallFailure, HttpClientResponse>>map(Either::right)
+        .otherwise(Either.left(CallFailure.UNKNOWN))
+        .onComplete(done -> vertx.cancelTimer(timer));
+  }
+
+  private static Future<ReadReply> readReply(HttpClientResponse response) {
+    Buffer body = Buffer.buffer();
+    response.handler(
+        part -> {
+          body.appendBuffer(part);
+          if (body.length() > MAX_REPLY_BYTES) {
+            response.request().reset();
+          }
+        });
+    return response.end().map(ended -> ReadReply.of(response, body));
+  }
+
+  private static Either<CallFailure, EndpointReply> judge(
+      ReadReply reply, EndpointCall call, RunRecord record) {
+    if (reply.saidNotRun()) {
+      record.saidNotRun(call.endpoint().id());
+      return Either.left(CallFailure.REFUSED);
+    }
+    return Either.right(reply.reply());
+  }
+
+  private static RequestOptions options(EndpointCall call) {
+    return new RequestOptions()
+        .setHost(call.endpoint().host())
+        .setPort(call.endpoint().port())
+        .setMethod(call.method())
+        .setURI(call.uri())
+        .setHeaders(call.headers())
+        .setFollowRedirects(false)
+        .setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+  }
+
+  private static HttpClient client(Vertx vertx, boolean keepAlive) {
+    HttpClientOptions options =
+        new HttpClientOptions()
+            .setKeepAlive(keepAlive)
+            .setPipelining(false)
+            .setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+    PoolOptions pool = new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_ENDPOINT);
+    return vertx.createHttpClient(options, pool);
+  }
+
+  private record ReadReply(EndpointReply reply, boolean saidNotRun) {
+
+    static ReadReply of(HttpClientResponse response, Buffer body) {
+      String type = response.getHeader("Content-Type");
+      EndpointReply reply =
+          new EndpointReply(response.statusCode(), type == null ? "" : type, body);
+      boolean notRun =
+          response.statusCode() == SERVICE_UNAVAILABLE
+              && "true".equalsIgnoreCase(response.getHeader(NOT_RUN_HEADER));
+      return new ReadReply(reply, notRun);
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/vertx/package-info.java
@@ -0,0 +1,2 @@
+/** Joins Vert.x futures and Mutiny. */
+package org.knapweedcleat.router.vertx;
