--- /dev/null
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/CallerFixture.java
@@ -0,0 +1,219 @@
+package org.knapweedcleat.router.caller;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+import org.knapweedcleat.core.account.KeyDigest;
+import org.knapweedcleat.core.audit.AuditEvent;
+import org.knapweedcleat.core.config.AccountSpec;
+import org.knapweedcleat.core.config.CallSafety;
+import org.knapweedcleat.core.config.EndpointRole;
+import org.knapweedcleat.core.config.EndpointSpec;
+import org.knapweedcleat.core.config.EndpointState;
+import org.knapweedcleat.core.config.FleetDocument;
+import org.knapweedcleat.core.config.FleetSnapshot;
+import org.knapweedcleat.core.config.KeySpec;
+import org.knapweedcleat.core.config.PoolKind;
+import org.knapweedcleat.core.config.PoolSpec;
+import org.knapweedcleat.core.config.RouteSpec;
+import org.knapweedcleat.core.config.ServiceSpec;
+import org.knapweedcleat.core.id.AccountId;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.InstanceId;
+import org.knapweedcleat.core.id.PoolId;
+import org.knapweedcleat.core.id.Revision;
+import org.knapweedcleat.core.id.ServiceId;
+import org.knapweedcleat.core.id.TeamId;
+import org.knapweedcleat.core.invariant.InvariantMonitor;
+import org.knapweedcleat.router.gate.DocumentKeyCheck;
+
+/** One instance's caller server with scripted endpoints behind it. */
+final class CallerFixture implements AutoCloseable {
+
+  static final String KEY = "key-one";
+  static final String OTHER_KEY = "key-two";
+  static final int DEADLINE_MILLIS = 4_000;
+
+  private static final TeamId TEAM = TeamId.of("team");
+  private static final FailureDomainId DOMAIN = FailureDomainId.of("domain-a");
+  private static final PoolId ENGINES = PoolId.of("engines");
+  private static final PoolId DESKS = PoolId.of("desks");
+
+  final Vertx vertx = Vertx.vertx();
+  final FakeGates gates = new FakeGates();
+  final MetricRegistry metrics = new MetricRegistry();
+  final InvariantMonitor monitor = InvariantMonitor.of(metrics);
+  final List<AuditEvent> audit = new CopyOnWriteArrayList<>();
+  final CallerServer server;
+  final int port;
+  private final Map<EndpointId, EndpointSpec> endpoints = new HashMap<>();
+  private final List<KeySpec> keys = new ArrayList<>();
+  private final HttpClient client = HttpClient.newHttpClient();
+  private int revision;
+
+  private CallerFixture(String instance) {
+    keys.add(key("one", "account-one", KEY));
+    keys.add(key("two", "account-two", OTHER_KEY));
+    publish();
+    CallerContext context =
+        new CallerContext(
+            IncarnationId.of(InstanceId.of(instance), 7),
+            DOMAIN,
+            gates,
+            DocumentKeyCheck.of(gates),
+            gates,
+            gates,
+            gates,
+            () -> System.nanoTime() / 1_000_000,
+            new java.util.Random(5)::nextLong,
+            metrics,
+            monitor,
+            audit::add,
+            new CallerLimits(10_000, 4_000, 100));
+    server = CallerServer.create(vertx, context, "127.0.0.1", 0);
+    port = server.start().await().indefinitely();
+  }
+
+  static CallerFixture start() {
+    return new CallerFixture("instance-1");
+  }
+
+  static CallerFixture start(String instance) {
+    return new CallerFixture(instance);
+  }
+
+  /** Declares an endpoint at a port. */
+  void endpoint(String id, EndpointRole role, int endpointPort) {
+    endpoint(id, role, endpointPort, EndpointState.ACTIVE);
+  }
+
+  void endpoint(String id, EndpointRole role, int endpointPort, EndpointState state) {
+    PoolId pool = role.isEngine() ? ENGINES : DESKS;
+    EndpointId endpoint = EndpointId.of(id);
+    endpoints.put(
+        endpoint,
+        new EndpointSpec(
+            endpoint, pool, role, DOMAIN, "127.0.0.1", endpointPort, 20, true, state, TEAM));
+    publish();
+  }
+
+  /** Withdraws all keys of a name. */
+  FleetSnapshot withdraw(String keyName) {
+    keys.removeIf(key -> key.name().equals(keyName));
+    return publish();
+  }
+
+  FleetSnapshot publish() {
+    revision++;
+    FleetSnapshot snapshot = new FleetSnapshot(Revision.of(revision), "d" + revision, document());
+    gates.snapshot = Optional.of(snapshot);
+    return snapshot;
+  }
+
+  HttpResponse<String> post(String path, String body, String... headers) {
+    return send("POST", path, body, headers);
+  }
+
+  HttpResponse<String> send(String method, String path, String body, String... headers) {
+    try {
+      return client.send(
+          request(method, path, body, headers), HttpResponse.BodyHandlers.ofString());
+    } catch (IOException | InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  HttpRequest request(String method, String path, String body, String... headers) {
+    HttpRequest.Builder builder =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+            .method(method, HttpRequest.BodyPublishers.ofString(body))
+            .header("Authorization", "Bearer " + KEY);
+    if (headers.length > 0) {
+      builder.headers(headers);
+    }
+    return builder.build();
+  }
+
+  HttpClient client() {
+    return client;
+  }
+
+  static String prompt(int maxTokens, boolean stream) {
+    return new JsonObject()
+        .put("prompt", "tune the horn")
+        .put("maxTokens", maxTokens)
+        .put("stream", stream)
+        .encode();
+  }
+
+  /** Waits until something holds that is bound to happen. */
+  static void eventually(BooleanSupplier holds) {
+    while (!holds.getAsBoolean()) {
+      try {
+        Thread.sleep(5);
+      } catch (InterruptedException e) {
+        throw new IllegalStateException(e);
+      }
+    }
+  }
+
+  @Override
+  public void close() {
+    vertx.close().await();
+  }
+
+  private FleetDocument document() {
+    return new FleetDocument(
+        "test",
+        Map.of(),
+        Map.of(),
+        List.of(),
+        Map.of(
+            ENGINES, new PoolSpec(ENGINES, PoolKind.SPLIT, "horn", 1, 800, TEAM),
+            DESKS, new PoolSpec(DESKS, PoolKind.PLAIN, "", 0, 0, TEAM)),
+        Map.of(
+            ServiceId.of("notes"), service("notes", ENGINES),
+            ServiceId.of("desk"), service("desk", DESKS)),
+        List.of(
+            route("note", "POST", "/notes", "notes", CallSafety.IDEMPOTENT, false),
+            route("slots", "GET", "/slots", "desk", CallSafety.IDEMPOTENT, false),
+            route("open", "GET", "/open", "desk", CallSafety.IDEMPOTENT, true),
+            route("book", "POST", "/book", "desk", CallSafety.AT_MOST_ONCE, false)),
+        Map.of(
+            AccountId.of("account-one"), account("account-one"),
+            AccountId.of("account-two"), account("account-two")),
+        keys,
+        endpoints);
+  }
+
+  private static ServiceSpec service(String id, PoolId pool) {
+    return new ServiceSpec(ServiceId.of(id), pool, 500, 50, DEADLINE_MILLIS, 100, 3, 60_000, TEAM);
+  }
+
+  private static RouteSpec route(
+      String name, String method, String path, String service, CallSafety safety, boolean open) {
+    return new RouteSpec(name, method, path, ServiceId.of(service), safety, open, TEAM);
+  }
+
+  private static AccountSpec account(String id) {
+    return new AccountSpec(AccountId.of(id), 100, 1_000, 1, Map.of(), TEAM);
+  }
+
+  private static KeySpec key(String name, String account, String key) {
+    return new KeySpec(name, AccountId.of(account), KeyDigest.ofKey(key), TEAM);
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/FakeGates.java
@@ -0,0 +1,124 @@
+package org.knapweedcleat.router.caller;
+
+import io.smallrye.mutiny.Uni;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import org.knapweedcleat.core.config.FleetSnapshot;
+import org.knapweedcleat.core.id.AccountId;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.message.PeerMessage;
+import org.knapweedcleat.core.schedule.PlacementDecision;
+import org.knapweedcleat.core.schedule.PlacementProgress;
+import org.knapweedcleat.core.schedule.PlacementRequest;
+import org.knapweedcleat.core.schedule.PlacementStage;
+import org.knapweedcleat.core.schedule.RefusalReason;
+import org.knapweedcleat.router.gate.FleetView;
+import org.knapweedcleat.router.gate.InstanceCalls;
+import org.knapweedcleat.router.gate.InstanceUnreachableException;
+import org.knapweedcleat.router.gate.LimitGate;
+import org.knapweedcleat.router.gate.LimitOutcome;
+import org.knapweedcleat.router.gate.PlacementGate;
+
+/** All gates of one instance, answered from fields that tests set. */
+final class FakeGates implements FleetView, LimitGate, PlacementGate, InstanceCalls {
+
+  final AtomicLong balanceTokens = new AtomicLong(1_000_000);
+  final List<PlacementProgress> reports = new CopyOnWriteArrayList<>();
+  final List<PlacementRequest> placements = new CopyOnWriteArrayList<>();
+  volatile Optional<FleetSnapshot> snapshot = Optional.empty();
+  volatile long unconfirmedMillis;
+  volatile Optional<IncarnationId> home = Optional.empty();
+  volatile Function<PeerMessage, Uni<PeerMessage>> peer;
+  private final Queue<PlacementDecision> decisions = new ArrayDeque<>();
+  private volatile EndpointId prefill = EndpointId.of("prefill-1");
+  private volatile EndpointId decode = EndpointId.of("decode-1");
+  private volatile EndpointId plain = EndpointId.of("plain-1");
+
+  /** Places split requests from now on. */
+  void placeOn(String prefillEndpoint, String decodeEndpoint) {
+    prefill = EndpointId.of(prefillEndpoint);
+    decode = EndpointId.of(decodeEndpoint);
+  }
+
+  /** Places plain calls from now on. */
+  void placeOn(String plainEndpoint) {
+    plain = EndpointId.of(plainEndpoint);
+  }
+
+  @Override
+  public Optional<FleetSnapshot> current() {
+    return snapshot;
+  }
+
+  @Override
+  public long unconfirmedMillis() {
+    return unconfirmedMillis;
+  }
+
+  @Override
+  public Uni<LimitOutcome> acquire(AccountId account, long tokens) {
+    if (balanceTokens.get() < tokens) {
+      return Uni.createFrom().item(new LimitOutcome.Denied(1_500));
+    }
+    balanceTokens.addAndGet(-tokens);
+    return Uni.createFrom().item(new LimitOutcome.Granted(tokens));
+  }
+
+  @Override
+  public void refund(AccountId account, long tokens) {
+    balanceTokens.addAndGet(tokens);
+  }
+
+  @Override
+  public Uni<PlacementDecision> place(PlacementRequest request) {
+    placements.add(request);
+    PlacementDecision decision = decisions.poll();
+    if (decision != null) {
+      return Uni.createFrom().item(decision);
+    }
+    if (request.maxOutputTokens() == 0) {
+      return Uni.createFrom()
+          .item(new PlacementDecision.Plain(request.request(), request.attempt(), plain));
+    }
+    return Uni.createFrom()
+        .item(
+            new PlacementDecision.Split(request.request(), request.attempt(), prefill, decode, 0));
+  }
+
+  /** Refuses the next request. */
+  void refuseNext(PlacementRequest request, RefusalReason reason) {
+    decisions.add(new PlacementDecision.Refused(request.request(), request.attempt(), reason, 700));
+  }
+
+  @Override
+  public void report(PlacementProgress progress) {
+    reports.add(progress);
+  }
+
+  List<PlacementStage> stages() {
+    return reports.stream().map(PlacementProgress::stage).toList();
+  }
+
+  @Override
+  public Uni<PeerMessage> ask(IncarnationId target, PeerMessage question, long timeoutMillis) {
+    return peer == null
+        ? Uni.createFrom().failure(new InstanceUnreachableException(target, false))
+        : peer.apply(question);
+  }
+
+  @Override
+  public Optional<IncarnationId> homeOf(String name) {
+    return home;
+  }
+
+  @Override
+  public boolean isAlive(IncarnationId incarnation) {
+    return peer != null;
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/ScriptedEngine.java
@@ -0,0 +1,54 @@
+package org.knapweedcleat.router.caller;
+
+import io.vertx.core.json.JsonObject;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+
+/** The least of a model engine: one token for each position, memory by request. */
+final class ScriptedEngine implements Function<ScriptedServer.Received, ScriptedServer.Reply> {
+
+  private final Set<String> held = ConcurrentHashMap.newKeySet();
+
+  /** The requests that hold memory. */
+  Set<String> held() {
+    return held;
+  }
+
+  @Override
+  public ScriptedServer.Reply apply(ScriptedServer.Received received) {
+    String request = received.json().getString("request");
+    return switch (received.path()) {
+      case "/v1/reserve" -> {
+        held.add(request);
+        yield json(new JsonObject().put("granted", true));
+      }
+      case "/v1/prefill" ->
+          json(new JsonObject().put("handle", "h-" + request).put("computedTokens", 2));
+      case "/v1/import" -> json(new JsonObject().put("imported", true));
+      case "/v1/cancel" -> json(new JsonObject().put("released", held.remove(request)));
+      case "/v1/decode" -> decode(received.json(), request);
+      default -> ScriptedServer.Reply.json(404, new JsonObject());
+    };
+  }
+
+  private ScriptedServer.Reply decode(JsonObject call, String request) {
+    if (!held.contains(request)) {
+      return ScriptedServer.Reply.json(404, new JsonObject().put("error", "NO_RESERVATION"));
+    }
+    List<String> parts = new ArrayList<>();
+    int tokens = call.getInteger("maxTokens");
+    for (int position = call.getInteger("fromPosition"); position < tokens; position++) {
+      JsonObject token = new JsonObject().put("position", position).put("text", "t" + position);
+      parts.add("event: token\ndata: " + token.encode() + "\n\n");
+    }
+    parts.add("event: end\ndata: " + new JsonObject().put("tokens", tokens).encode() + "\n\n");
+    return new ScriptedServer.Reply(200, "Content-Type: text/event-stream\r\n", parts);
+  }
+
+  private static ScriptedServer.Reply json(JsonObject body) {
+    return ScriptedServer.Reply.json(200, body);
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/ScriptedServer.java
@@ -0,0 +1,169 @@
+package org.knapweedcleat.router.caller;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.JsonObject;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+
+/** An endpoint over raw TCP that can fail at each class of byte boundaries. */
+final class ScriptedServer {
+
+  /** Where the server closes the connection instead of going on. */
+  enum Fault {
+    AFTER_ACCEPT,
+    AFTER_REQUEST_HEAD,
+    AFTER_REQUEST_BODY,
+    AFTER_RESPONSE_HEAD,
+    MID_BODY,
+    NONE
+  }
+
+  /** A request as it arrived. */
+  record Received(String method, String path, String head, String body) {
+    JsonObject json() {
+      return new JsonObject(body);
+    }
+  }
+
+  /** What to answer; an empty list of parts never answers. */
+  record Reply(int status, String headers, List<String> parts) {
+    static Reply json(int status, JsonObject body) {
+      return new Reply(status, "Content-Type: application/json\r\n", List.of(body.encode()));
+    }
+  }
+
+  private final Map<String, Fault> faults = new ConcurrentHashMap<>();
+  private final Map<String, AtomicInteger> counts = new ConcurrentHashMap<>();
+  private final List<Received> received = new CopyOnWriteArrayList<>();
+  private final Function<Received, Reply> behaviour;
+  private final NetServer server;
+  private volatile Fault acceptFault = Fault.NONE;
+
+  private ScriptedServer(Vertx vertx, Function<Received, Reply> behaviour) {
+    this.behaviour = behaviour;
+    this.server = vertx.createNetServer().connectHandler(this::accept);
+  }
+
+  static ScriptedServer start(Vertx vertx, Function<Received, Reply> behaviour) {
+    ScriptedServer scripted = new ScriptedServer(vertx, behaviour);
+    scripted.server.listen(0, "127.0.0.1").await();
+    return scripted;
+  }
+
+  int port() {
+    return server.actualPort();
+  }
+
+  void close() {
+    server.close().await();
+  }
+
+  /** The next request to the path fails; later ones do not. */
+  void failNext(String path, Fault fault) {
+    if (fault == Fault.AFTER_ACCEPT) {
+      acceptFault = fault;
+    } else {
+      faults.put(path, fault);
+    }
+  }
+
+  /** Counts the requests to a path that arrived whole. */
+  int count(String path) {
+    return counts.getOrDefault(path, new AtomicInteger()).get();
+  }
+
+  List<Received> received(String path) {
+    return received.stream().filter(request -> request.path().equals(path)).toList();
+  }
+
+  private void accept(NetSocket socket) {
+    if (acceptFault != Fault.NONE) {
+      acceptFault = Fault.NONE;
+      socket.close();
+      return;
+    }
+    socket.exceptionHandler(failure -> socket.close());
+    Buffer seen = Buffer.buffer();
+    List<Integer> consumed = new ArrayList<>(List.of(0));
+    socket.handler(
+        part -> {
+          seen.appendBuffer(part);
+          consumed.set(0, read(socket, seen, consumed.get(0)));
+        });
+  }
+
+  private int read(NetSocket socket, Buffer seen, int from) {
+    String text = seen.getString(from, seen.length());
+    int headEnd = text.indexOf("\r\n\r\n");
+    if (headEnd < 0) {
+      return from;
+    }
+    String head = text.substring(0, headEnd);
+    String[] line = head.split(" ", 3);
+    String path = line[1].split("\\?")[0];
+    if (faults.remove(path, Fault.AFTER_REQUEST_HEAD)) {
+      socket.close();
+      return seen.length();
+    }
+    int length = contentLength(head);
+    int bodyStart = headEnd + 4;
+    if (text.length() < bodyStart + length) {
+      return from;
+    }
+    String body = text.substring(bodyStart, bodyStart + length);
+    serve(socket, new Received(line[0], path, head, body));
+    return seen.length();
+  }
+
+  private void serve(NetSocket socket, Received request) {
+    received.add(request);
+    counts.computeIfAbsent(request.path(), key -> new AtomicInteger()).incrementAndGet();
+    Fault fault = faults.getOrDefault(request.path(), Fault.NONE);
+    faults.remove(request.path());
+    if (fault == Fault.AFTER_REQUEST_BODY) {
+      socket.close();
+      return;
+    }
+    Reply reply = behaviour.apply(request);
+    if (!reply.parts().isEmpty()) {
+      send(socket, reply, fault);
+    }
+  }
+
+  private static void send(NetSocket socket, Reply reply, Fault fault) {
+    StringBuilder text = new StringBuilder();
+    text.append("HTTP/1.1 ").append(reply.status()).append(" X\r\n").append(reply.headers());
+    text.append("Transfer-Encoding: chunked\r\n\r\n");
+    int parts = fault == Fault.MID_BODY ? reply.parts().size() / 2 : reply.parts().size();
+    if (fault != Fault.AFTER_RESPONSE_HEAD) {
+      reply.parts().subList(0, parts).forEach(part -> text.append(chunk(part)));
+    }
+    if (fault == Fault.NONE) {
+      socket.write(text.append("0\r\n\r\n").toString());
+    } else {
+      socket.write(text.toString()).onComplete(done -> socket.close());
+    }
+  }
+
+  private static String chunk(String part) {
+    return Integer.toHexString(part.length()) + "\r\n" + part + "\r\n";
+  }
+
+  private static int contentLength(String head) {
+    for (String line : head.toLowerCase(Locale.ROOT).split("\r\n")) {
+      if (line.startsWith("content-length:")) {
+        return Integer.parseInt(line.substring("content-length:".length()).strip());
+      }
+    }
+    return 0;
+  }
+}
