--- a/knapweedcleat-standins/src/main/java/org/knapweedcleat/standins/load/LoadCommand.java
+++ b/knapweedcleat-standins/src/main/java/org/knapweedcleat/standins/load/LoadCommand.java
@@ -63,7 +63,7 @@
   }
 
   private void tick(Vertx vertx, StreamClient client, UniformRandomProvider random, long timer) {
-    int number = started++;
+    started++;
     if (started == requests) {
       vertx.cancelTimer(timer);
     }
@@ -73,12 +73,16 @@
       return;
     }
     inFlight++;
-    SocketAddress target = address(targets.get(number % targets.size()));
-    String key = keys.get(number % keys.size());
-    StreamRequest request =
-        StreamRequest.of(path, key, prompt(number, random.nextLong()), maxTokens);
     long sentNanos = System.nanoTime();
-    client.send(target, request, event -> {}).onSuccess(answer -> finish(answer, sentNanos));
+    SocketAddress target = address(targets.get(started % targets.size()));
+    client
+        .send(target, request(started, random.nextLong()), event -> {})
+        .onSuccess(answer -> finish(answer, sentNanos));
+  }
+
+  private StreamRequest request(int number, long random) {
+    String key = keys.get(number % keys.size());
+    return StreamRequest.of(path, key, prompt(number, random), maxTokens);
   }
 
   private void finish(StreamedAnswer answer, long sentNanos) {
