Exit when a stand-in's port is taken

The bind failure is a checked exception thrown unchecked, so the handler for unchecked exceptions missed it and the process stayed up without a port.

--- a/knapweedcleat-standins/src/main/java/org/knapweedcleat/standins/StandinMain.java
+++ b/knapweedcleat-standins/src/main/java/org/knapweedcleat/standins/StandinMain.java
@@ -57,7 +57,7 @@
   private void run() {
     try {
       command.run();
-    } catch (RuntimeException e) {
+    } catch (Exception e) {
       System.err.println("cannot start: " + e);
       System.exit(FAILED_EXIT);
     }
