--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/platform/PlatformWatchTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/platform/PlatformWatchTest.java
@@ -53,7 +53,7 @@
     asked.add(after);
     if (answers.isEmpty()) {
       done.tryComplete();
-      return Future.succeededFuture(Optional.empty());
+      return Promise.<Optional<PublishedValue<String>>>promise().future();
     }
     return answers.pop();
   }
