Limit client accounts over all instances by share leases

Cause: no client account may get more than its rate and burst over all instances together, without shared state.

Change: a sans-IO limiter. Pledges name their slots, so two homes never use the same share. Tokens move with the shares they belong to. Raised weights count only when every failure domain has heard of them. An instance may be dropped from the count only by a list that was confirmed a quiet time after it was last heard.

Ruled out: pledging by a digest of the member list, which stops all pledges on each change of members; counting by heartbeats alone, which doubles shares when two instances cannot hear each other.

Not yet: lending between failure domains.

--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/limit/AccountTable.java
@@ -0,0 +1,111 @@
+package org.knapweedcleat.core.limit;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.knapweedcleat.core.config.AccountSpec;
+import org.knapweedcleat.core.id.AccountId;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.Revision;
+
+/**
+ * The client accounts of the document in force.
+ *
+ * <p>A failure domain's part of an account may rise only after every other one has heard of the new
+ * document; until then the smallest part since the last confirmed document counts. A table that is
+ * new, or was reset, does not know that smallest part and gives nothing.
+ */
+final class AccountTable {
+
+  private final FailureDomainId domain;
+  private final LimitSettings settings;
+  private Map<AccountId, DomainAccount> accounts = Map.of();
+  private List<List<DomainAccount>> slots = emptySlots();
+  private Revision revision = Revision.NONE;
+  private boolean confirmed;
+  private boolean initial = true;
+
+  private AccountTable(FailureDomainId domain, LimitSettings settings) {
+    this.domain = domain;
+    this.settings = settings;
+  }
+
+  static AccountTable of(FailureDomainId domain, LimitSettings settings) {
+    return new AccountTable(domain, settings);
+  }
+
+  /** Takes a document; the caller has let all buckets earn up to now. */
+  void configure(
+      long nowMillis, Revision next, Collection<AccountSpec> specs, Set<FailureDomainId> all) {
+    boolean partsKnown = confirmed;
+    Map<AccountId, DomainAccount> updated = new HashMap<>();
+    List<List<DomainAccount>> updatedSlots = emptySlots();
+    for (AccountSpec spec : specs) {
+      boolean added = !accounts.containsKey(spec.id());
+      DomainAccount account =
+          added ? DomainAccount.of(spec.id(), nowMillis) : accounts.get(spec.id());
+      account.configure(spec, DomainAccount.partOf(spec, domain, all), settings);
+      if (added && partsKnown) {
+        account.confirm();
+      }
+      updated.put(spec.id(), account);
+      updatedSlots.get(account.slot()).add(account);
+    }
+    accounts = updated;
+    slots = updatedSlots;
+    revision = next;
+    confirmed = false;
+  }
+
+  void confirm() {
+    accounts.values().forEach(DomainAccount::confirm);
+    confirmed = true;
+    initial = false;
+  }
+
+  /** Forgets which parts were confirmed; the caller has let all buckets earn up to now. */
+  void reset() {
+    accounts.values().forEach(DomainAccount::resetPart);
+    confirmed = false;
+    initial = true;
+  }
+
+  DomainAccount find(AccountId account) {
+    return accounts.get(account);
+  }
+
+  Collection<DomainAccount> all() {
+    return accounts.values();
+  }
+
+  List<DomainAccount> inSlot(int slot) {
+    return slots.get(slot);
+  }
+
+  Revision revision() {
+    return revision;
+  }
+
+  Revision confirmedRevision() {
+    return confirmed ? revision : Revision.NONE;
+  }
+
+  boolean isConfirmed() {
+    return confirmed;
+  }
+
+  boolean isInitial() {
+    return initial;
+  }
+
+  private static List<List<DomainAccount>> emptySlots() {
+    List<List<DomainAccount>> slots = new ArrayList<>();
+    for (int slot = 0; slot < Slots.COUNT; slot++) {
+      slots.add(new ArrayList<>());
+    }
+    return slots;
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/limit/ShareLimiter.java
@@ -0,0 +1,349 @@
+package org.knapweedcleat.core.limit;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import org.knapweedcleat.core.config.AccountSpec;
+import org.knapweedcleat.core.id.AccountId;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.Revision;
+import org.knapweedcleat.core.invariant.InvariantMonitor;
+import org.knapweedcleat.core.membership.MemberView;
+
+/**
+ * Grants tokens of client accounts so that all instances together never exceed an account's rate
+ * and burst.
+ *
+ * <p>The document gives each failure domain a part of every account. Inside a failure domain each
+ * of N instances owns one Nth, once all others count it, and pledges it by a short lease to the
+ * home of the account's slot. A home grants only from its own share and from pledges that it holds;
+ * a holder counts a lease from when it sent the request, the giver from when it answered, plus
+ * drift. So two homes together have at most the whole, a paused process wakes with nothing, and a
+ * lost message costs only tokens.
+ *
+ * <p>Times are milliseconds of the process's monotonic clock. Every call may return grants and
+ * denials of earlier acquisitions.
+ */
+public final class ShareLimiter {
+
+  /** How many renewals follow faster on a change of members, and by which factor. */
+  private static final int QUICK_RENEWALS = 4;
+
+  private final IncarnationId self;
+  private final LimitSettings settings;
+  private final AccountTable table;
+  private final LocalTokens tokens;
+  private final ShareOwnership ownership;
+  private final ShareExchange exchange;
+  private final PendingDraws pending = PendingDraws.empty();
+  private final HomeDraws homeDraws;
+  private MemberView view;
+  private long nowMillis = Long.MIN_VALUE;
+  private long nextRenewMillis = Long.MIN_VALUE;
+  private int quickRenewals;
+  private long refundNumber;
+
+  private ShareLimiter(
+      IncarnationId self,
+      FailureDomainId domain,
+      LimitSettings settings,
+      InvariantMonitor monitor) {
+    this.self = self;
+    this.settings = settings;
+    this.table = AccountTable.of(domain, settings);
+    this.tokens = LocalTokens.of(table, monitor);
+    this.ownership = ShareOwnership.of(self.instance(), settings);
+    this.exchange = ShareExchange.of(self, settings, tokens, ownership);
+    this.homeDraws = HomeDraws.of(settings, monitor, table, tokens, exchange);
+  }
+
+  /**
+   * Returns the limiter of an instance that owns nothing yet.
+   *
+   * @param self the own incarnation
+   * @param domain the own failure domain
+   * @param settings the protocol's times
+   * @param monitor where violations are counted
+   * @return the limiter
+   * @throws NullPointerException if an argument is null
+   */
+  public static ShareLimiter of(
+      IncarnationId self,
+      FailureDomainId domain,
+      LimitSettings settings,
+      InvariantMonitor monitor) {
+    return new ShareLimiter(
+        Objects.requireNonNull(self, "self"),
+        Objects.requireNonNull(domain, "domain"),
+        Objects.requireNonNull(settings, "settings"),
+        Objects.requireNonNull(monitor, "monitor"));
+  }
+
+  /**
+   * Takes the client accounts of a document; one that is not newer is ignored.
+   *
+   * @param nowMillis the time
+   * @param revision the document's revision
+   * @param accounts the client accounts
+   * @param all all failure domains of the document
+   * @return what is to be done
+   */
+  public List<LimitAction> configure(
+      long nowMillis,
+      Revision revision,
+      Collection<AccountSpec> accounts,
+      Set<FailureDomainId> all) {
+    List<LimitAction> actions = advance(nowMillis);
+    if (revision.isAfter(table.revision())) {
+      tokens.configure(this.nowMillis, revision, accounts, all);
+      confirmIfKnown();
+    }
+    return actions;
+  }
+
+  /**
+   * Takes a new view of the members.
+   *
+   * @param nowMillis the time
+   * @param view the view
+   * @return what is to be done
+   */
+  public List<LimitAction> members(long nowMillis, MemberView view) {
+    final List<LimitAction> actions = advance(nowMillis);
+    this.view = view;
+    ownership.members(view);
+    if (ownership.isDoubtful() && ownership.isActive()) {
+      giveUp(this.nowMillis);
+    }
+    exchange.members(this.nowMillis, view, actions);
+    confirmIfKnown();
+    nextRenewMillis = this.nowMillis;
+    quickRenewals = QUICK_RENEWALS;
+    return actions;
+  }
+
+  /**
+   * Takes tokens, here or at the account's home.
+   *
+   * @param nowMillis the time
+   * @param draw names the acquisition
+   * @param account the client account
+   * @param tokens how many, at least 1
+   * @return what is to be done; the answer is among it or comes with a later call
+   * @throws IllegalArgumentException if the count is not positive
+   */
+  public List<LimitAction> acquire(long nowMillis, DrawId draw, AccountId account, long tokens) {
+    requireCount(tokens, 1);
+    List<LimitAction> actions = advance(nowMillis);
+    DomainAccount found = table.find(account);
+    LimitMessage.DrawAnswer answer = homeDraws.drawHere(this.nowMillis, draw, account, tokens);
+    IncarnationId home = found == null ? null : exchange.home(found.slot());
+    if (answer.granted() || !answer.reason().isRetryable() || home == null || home.equals(self)) {
+      actions.add(outcome(draw, account, tokens, answer));
+      return actions;
+    }
+    long deadlineMillis = this.nowMillis + settings.drawTimeoutMillis();
+    pending.add(new PendingDraws.Pending(draw, account, tokens, home, deadlineMillis));
+    actions.add(new LimitAction.Send(home, new LimitMessage.Draw(draw, account, tokens)));
+    return actions;
+  }
+
+  /**
+   * Gives back tokens that were granted and not used.
+   *
+   * @param nowMillis the time
+   * @param account the client account
+   * @param tokens how many, at least 0
+   * @return what is to be done
+   * @throws IllegalArgumentException if the count is negative
+   */
+  public List<LimitAction> refund(long nowMillis, AccountId account, long tokens) {
+    requireCount(tokens, 0);
+    List<LimitAction> actions = advance(nowMillis);
+    DomainAccount found = table.find(account);
+    if (found == null) {
+      return actions;
+    }
+    IncarnationId home = exchange.home(found.slot());
+    if (home == null || home.equals(self) || this.tokens.fraction(found.slot()) > 0) {
+      this.tokens.give(this.nowMillis, found, tokens);
+      return actions;
+    }
+    refundNumber++;
+    long homeMillis = exchange.heardMillis(home);
+    LimitMessage refund = new LimitMessage.Refund(refundNumber, account, tokens, homeMillis);
+    actions.add(new LimitAction.Send(home, refund));
+    return actions;
+  }
+
+  /**
+   * Takes a message of another instance.
+   *
+   * @param nowMillis the time
+   * @param from the sender
+   * @param message the message
+   * @return what is to be done
+   */
+  public List<LimitAction> receive(long nowMillis, IncarnationId from, LimitMessage message) {
+    List<LimitAction> actions = advance(nowMillis);
+    dispatch(from, message, actions);
+    return actions;
+  }
+
+  /**
+   * Lets time pass; to be called several times in each draw timeout.
+   *
+   * @param nowMillis the time
+   * @return what is to be done
+   */
+  public List<LimitAction> tick(long nowMillis) {
+    final List<LimitAction> actions = advance(nowMillis);
+    if (ownership.activate(this.nowMillis)) {
+      exchange.refreshFractions(this.nowMillis);
+    }
+    confirmIfKnown();
+    homeDraws.forget(this.nowMillis);
+    if (this.nowMillis >= nextRenewMillis && view != null) {
+      nextRenewMillis = this.nowMillis + renewMillis();
+      exchange.refreshFractions(this.nowMillis);
+      tokens.nextPeriod();
+      askToBeCounted(actions);
+      exchange.renew(this.nowMillis, view, actions);
+    }
+    return actions;
+  }
+
+  /**
+   * Gives back all pledges with their tokens and gives up the own share for good, for a planned
+   * stop.
+   *
+   * @param nowMillis the time
+   * @return what is to be done
+   */
+  public List<LimitAction> handOver(long nowMillis) {
+    List<LimitAction> actions = advance(nowMillis);
+    exchange.releaseAll(this.nowMillis, actions);
+    ownership.end();
+    exchange.refreshFractions(this.nowMillis);
+    if (view != null) {
+      exchange
+          .peers()
+          .forEach(peer -> actions.add(new LimitAction.Send(peer, new LimitMessage.Ended())));
+    }
+    return actions;
+  }
+
+  private void dispatch(IncarnationId from, LimitMessage message, List<LimitAction> actions) {
+    if (message instanceof LimitMessage.JoinRequest request) {
+      LimitMessage answer = ownership.join(from, request, table.confirmedRevision());
+      exchange.refreshFractions(nowMillis);
+      actions.add(new LimitAction.Send(from, answer));
+    } else if (message instanceof LimitMessage.JoinAnswer answer) {
+      ownership.answered(nowMillis, from, answer);
+    } else if (message instanceof LimitMessage.PledgeRequest request) {
+      exchange.requested(nowMillis, from, request, actions);
+    } else if (message instanceof LimitMessage.Pledge pledge) {
+      exchange.pledged(nowMillis, from, pledge);
+    } else if (message instanceof LimitMessage.Release release) {
+      exchange.released(nowMillis, from, release);
+    } else if (message instanceof LimitMessage.Draw draw) {
+      actions.add(new LimitAction.Send(from, homeDraws.answer(nowMillis, from, draw)));
+    } else if (message instanceof LimitMessage.DrawAnswer answer) {
+      takeAnswer(from, answer, actions);
+    } else if (message instanceof LimitMessage.CancelDraw cancel) {
+      homeDraws.cancel(nowMillis, from, cancel.draw());
+    } else if (message instanceof LimitMessage.Refund refund) {
+      homeDraws.refund(nowMillis, from, refund);
+    } else if (message instanceof LimitMessage.Ended) {
+      ownership.ended(nowMillis, from);
+    }
+  }
+
+  /** Moves to a time; after a gap the own share ends with the last call before it. */
+  private List<LimitAction> advance(long millis) {
+    boolean paused = nowMillis != Long.MIN_VALUE && millis - nowMillis > settings.pauseMillis();
+    if (paused) {
+      giveUp(nowMillis);
+    }
+    nowMillis = Math.max(nowMillis, millis);
+    ownership.advance(nowMillis);
+    exchange.lapse(nowMillis);
+    List<LimitAction> actions = new ArrayList<>();
+    for (PendingDraws.Pending late : pending.expire(nowMillis)) {
+      expire(late, actions);
+    }
+    return actions;
+  }
+
+  private long renewMillis() {
+    if (quickRenewals == 0) {
+      return settings.renewMillis();
+    }
+    quickRenewals--;
+    return Math.max(1, settings.renewMillis() / QUICK_RENEWALS);
+  }
+
+  private void giveUp(long atMillis) {
+    ownership.restart();
+    exchange.refreshFractions(atMillis);
+    tokens.reset(atMillis);
+  }
+
+  /** Uses the weights in full once no failure domain can still use older ones. */
+  private void confirmIfKnown() {
+    Revision revision = table.revision();
+    if (view == null || table.isConfirmed() || revision.equals(Revision.NONE)) {
+      return;
+    }
+    boolean applied = view.isAppliedEverywhere(revision);
+    if (table.isInitial()) {
+      boolean current = applied && !view.isSupersededAnywhere(revision);
+      applied = current && ownership.isActive() || ownership.isConfirmedByPeer(revision);
+    }
+    if (applied) {
+      tokens.confirm(nowMillis);
+    }
+  }
+
+  private void askToBeCounted(List<LimitAction> actions) {
+    LimitMessage request = new LimitMessage.JoinRequest(ownership.generation());
+    ownership.toAsk().forEach(peer -> actions.add(new LimitAction.Send(peer, request)));
+  }
+
+  private static LimitAction outcome(
+      DrawId draw, AccountId account, long tokens, LimitMessage.DrawAnswer answer) {
+    if (answer.granted()) {
+      return new LimitAction.Granted(draw, account, tokens);
+    }
+    return new LimitAction.Denied(draw, account, answer.reason(), answer.retryAfterMillis());
+  }
+
+  private void takeAnswer(
+      IncarnationId from, LimitMessage.DrawAnswer answer, List<LimitAction> actions) {
+    PendingDraws.Pending draw = pending.answered(answer.draw(), from);
+    if (draw != null) {
+      actions.add(outcome(draw.draw(), draw.account(), draw.tokens(), answer));
+    }
+  }
+
+  /** A draw without an answer may still be served from the own share, if that is not pledged. */
+  private void expire(PendingDraws.Pending late, List<LimitAction> actions) {
+    actions.add(new LimitAction.Send(late.home(), new LimitMessage.CancelDraw(late.draw())));
+    LimitMessage.DrawAnswer answer =
+        homeDraws.drawHere(nowMillis, late.draw(), late.account(), late.tokens());
+    if (!answer.granted() && answer.reason() == DenialReason.NO_SHARE) {
+      answer =
+          HomeDraws.denied(late.draw(), DenialReason.HOME_UNREACHABLE, answer.retryAfterMillis());
+    }
+    actions.add(outcome(late.draw(), late.account(), late.tokens(), answer));
+  }
+
+  private static void requireCount(long tokens, long least) {
+    if (tokens < least) {
+      throw new IllegalArgumentException("tokens below " + least + ": " + tokens);
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/limit/ShareOwnership.java
@@ -0,0 +1,179 @@
+package org.knapweedcleat.core.limit;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.InstanceId;
+import org.knapweedcleat.core.id.Revision;
+import org.knapweedcleat.core.membership.Member;
+import org.knapweedcleat.core.membership.MemberView;
+
+/**
+ * Decides what part of the failure domain's rate and burst this instance owns: one of N equal parts
+ * once every other instance that may own one counts this instance among the N.
+ */
+final class ShareOwnership {
+
+  /** What one instance answered to the request to be counted. */
+  private record Answer(
+      IncarnationId from, List<InstanceId> counted, Revision confirmed, long firstMillis) {}
+
+  /** Which run of an instance gave its share up, and when. */
+  private record Ended(long startNumber, long atMillis) {}
+
+  private final InstanceId self;
+  private final LimitSettings settings;
+  private final Map<InstanceId, Answer> answers = new HashMap<>();
+  private final Map<InstanceId, Long> joinedNumbers = new HashMap<>();
+  private final Map<InstanceId, Ended> ended = new HashMap<>();
+  private final Set<InstanceId> joiners = new HashSet<>();
+  private MemberView view;
+  private long nowMillis;
+  private long generation = 1;
+  private boolean active;
+  private boolean over;
+
+  private ShareOwnership(InstanceId self, LimitSettings settings) {
+    this.self = self;
+    this.settings = settings;
+  }
+
+  static ShareOwnership of(InstanceId self, LimitSettings settings) {
+    return new ShareOwnership(self, settings);
+  }
+
+  void members(MemberView next) {
+    view = next;
+    joiners.removeAll(next.possible());
+  }
+
+  /** Tells whether the view itself says that this instance may have been taken for dead. */
+  boolean isDoubtful() {
+    return view != null && (view.stale() || !view.listed());
+  }
+
+  /** Gives up the own share and asks anew to be counted. */
+  void restart() {
+    active = false;
+    generation++;
+    answers.clear();
+  }
+
+  /** Gives up the own share for good. */
+  void end() {
+    active = false;
+    over = true;
+  }
+
+  LimitMessage.JoinAnswer join(
+      IncarnationId from, LimitMessage.JoinRequest request, Revision confirmed) {
+    InstanceId joiner = from.instance();
+    joinedNumbers.merge(joiner, from.startNumber(), Math::max);
+    if (view == null || !view.possible().contains(joiner)) {
+      joiners.add(joiner);
+    }
+    return new LimitMessage.JoinAnswer(request.generation(), List.copyOf(counted()), confirmed);
+  }
+
+  void answered(long nowMillis, IncarnationId from, LimitMessage.JoinAnswer answer) {
+    if (answer.generation() != generation) {
+      return;
+    }
+    Answer last = answers.get(from.instance());
+    boolean first = last == null || !last.from().equals(from);
+    long firstMillis = first ? nowMillis : last.firstMillis();
+    answers.put(
+        from.instance(), new Answer(from, answer.counted(), answer.confirmed(), firstMillis));
+  }
+
+  /** Leaves an instance out of the count, once all pledges that it gave before have lapsed. */
+  void ended(long nowMillis, IncarnationId from) {
+    Ended last = ended.get(from.instance());
+    if (last == null || last.startNumber() < from.startNumber()) {
+      ended.put(from.instance(), new Ended(from.startNumber(), nowMillis));
+    }
+  }
+
+  void advance(long millis) {
+    nowMillis = millis;
+  }
+
+  /** Takes the own share if all have counted this instance and all older pledges have lapsed. */
+  boolean activate(long nowMillis) {
+    if (active || over || view == null || isDoubtful()) {
+      return false;
+    }
+    active = required().stream().allMatch(instance -> isSettled(nowMillis, instance));
+    return active;
+  }
+
+  /** Lists whom to ask, while this instance owns nothing. */
+  List<IncarnationId> toAsk() {
+    if (active || over || view == null) {
+      return List.of();
+    }
+    return view.domainMembers().stream()
+        .map(Member::incarnation)
+        .filter(member -> !member.instance().equals(self))
+        .toList();
+  }
+
+  /** Tells whether a peer has said that it uses the weights of a revision in full. */
+  boolean isConfirmedByPeer(Revision revision) {
+    return answers.values().stream().anyMatch(answer -> answer.confirmed().equals(revision));
+  }
+
+  double fraction() {
+    return active ? 1.0 / counted().size() : 0;
+  }
+
+  boolean isOver() {
+    return over;
+  }
+
+  long generation() {
+    return generation;
+  }
+
+  boolean isActive() {
+    return active;
+  }
+
+  private Set<InstanceId> counted() {
+    Set<InstanceId> counted = new HashSet<>(joiners);
+    if (view != null) {
+      counted.addAll(view.possible());
+    }
+    counted.removeIf(this::isEnded);
+    counted.add(self);
+    return counted;
+  }
+
+  private Set<InstanceId> required() {
+    Set<InstanceId> required = counted();
+    answers.values().forEach(answer -> required.addAll(answer.counted()));
+    required.removeIf(this::isEnded);
+    required.remove(self);
+    return required;
+  }
+
+  private boolean isSettled(long nowMillis, InstanceId instance) {
+    Answer answer = answers.get(instance);
+    if (answer == null || nowMillis < answer.firstMillis() + settings.settleMillis()) {
+      return false;
+    }
+    return view.domainMembers().stream()
+        .filter(member -> member.id().equals(instance))
+        .allMatch(member -> member.incarnation().equals(answer.from()));
+  }
+
+  private boolean isEnded(InstanceId instance) {
+    Ended last = ended.get(instance);
+    return last != null
+        && nowMillis >= last.atMillis() + settings.settleMillis()
+        && last.startNumber() >= joinedNumbers.getOrDefault(instance, Long.MIN_VALUE);
+  }
+}
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/membership/KnownInstance.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/membership/KnownInstance.java
@@ -48,9 +48,17 @@
     return heardAtMillis >= sinceMillis;
   }
 
-  /** An instance may be at work while it is listed, and some time after it was heard or listed. */
-  boolean isPossibleSince(long sinceMillis) {
-    return listedNow || heardAtMillis >= sinceMillis || listedAtMillis >= sinceMillis;
+  /**
+   * An instance that was heard or listed may be at work until a list leaves it out that was
+   * confirmed a quiet time later; without such a list it stays possible.
+   */
+  boolean isPossible(long lastListMillis, long quietMillis) {
+    long lastSeenMillis = Math.max(heardAtMillis, listedAtMillis);
+    return listedNow || lastListMillis < lastSeenMillis + quietMillis;
+  }
+
+  boolean isSeenSince(long sinceMillis) {
+    return listedNow || Math.max(heardAtMillis, listedAtMillis) >= sinceMillis;
   }
 
   boolean isIn(FailureDomainId domain) {
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/membership/MemberView.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/membership/MemberView.java
@@ -19,6 +19,7 @@
  *     other failure domains only some are known
  * @param possible the instances of the own failure domain that may be at work, heard or not, the
  *     own one included
+ * @param domains the failure domains where instances may be at work, the own one included
  * @param revisions for each other failure domain heard from recently, the lowest revision that it
  *     may still apply
  * @param ownRevision the lowest revision that an instance of the own failure domain may still apply
@@ -30,6 +31,7 @@
     Member self,
     List<Member> live,
     Set<InstanceId> possible,
+    Set<FailureDomainId> domains,
     Map<FailureDomainId, Revision> revisions,
     Revision ownRevision,
     long epoch,
@@ -40,6 +42,7 @@
   public MemberView {
     live = List.copyOf(live);
     possible = Set.copyOf(possible);
+    domains = Set.copyOf(domains);
     revisions = Map.copyOf(revisions);
   }
 
@@ -103,16 +106,26 @@
   }
 
   /**
-   * Tells whether every failure domain is known to apply a revision or a higher one.
+   * Tells whether every failure domain where instances may be at work is known to apply a revision
+   * or a higher one.
    *
    * @param revision the revision
-   * @param domains all failure domains
    * @return false while one of them is not heard from
    */
-  public boolean isAppliedIn(Revision revision, Set<FailureDomainId> domains) {
+  public boolean isAppliedEverywhere(Revision revision) {
     return domains.stream().noneMatch(domain -> revision.isAfter(revisionOf(domain)));
   }
 
+  /**
+   * Tells whether some failure domain applies only revisions above the given one.
+   *
+   * @param revision the revision
+   * @return true if one does
+   */
+  public boolean isSupersededAnywhere(Revision revision) {
+    return revisions.values().stream().anyMatch(other -> other.isAfter(revision));
+  }
+
   private Revision revisionOf(FailureDomainId domain) {
     if (domain.equals(self.domain())) {
       return ownRevision;
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/membership/Membership.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/membership/Membership.java
@@ -41,6 +41,7 @@
   private long contactRound;
   private long nowMillis = Long.MIN_VALUE;
   private long startMillis;
+  private long lastListMillis = Long.MIN_VALUE / 2;
   private long staleUntilMillis = Long.MIN_VALUE;
   private boolean started;
   private boolean listed;
@@ -75,6 +76,7 @@
    */
   public List<MembershipAction> listed(long nowMillis, List<ListedInstance> instances) {
     advance(nowMillis);
+    lastListMillis = this.nowMillis;
     others.values().forEach(KnownInstance::unlisted);
     boolean listsSelf = false;
     for (ListedInstance instance : instances) {
@@ -183,7 +185,9 @@
 
   private void forget() {
     long sinceMillis = nowMillis - MEMORY_QUIET_TIMES * settings.quietMillis();
-    others.values().removeIf(instance -> !instance.isPossibleSince(sinceMillis));
+    others
+        .values()
+        .removeIf(instance -> !isPossible(instance) && !instance.isSeenSince(sinceMillis));
   }
 
   private List<MembershipAction> dueHeartbeats() {
@@ -256,6 +260,7 @@
         self,
         live(),
         possibleInDomain(),
+        possibleDomains(),
         domainRevisions(),
         ownDomainRevision(),
         epoch,
@@ -282,10 +287,11 @@
   }
 
   private List<KnownInstance> possible() {
-    long sinceMillis = nowMillis - settings.quietMillis();
-    return others.values().stream()
-        .filter(instance -> instance.isPossibleSince(sinceMillis))
-        .toList();
+    return others.values().stream().filter(this::isPossible).toList();
+  }
+
+  private boolean isPossible(KnownInstance instance) {
+    return instance.isPossible(lastListMillis, settings.quietMillis());
   }
 
   private List<KnownInstance> domainPeers() {
@@ -301,6 +307,15 @@
     return ids;
   }
 
+  private Set<FailureDomainId> possibleDomains() {
+    Set<FailureDomainId> domains = new HashSet<>();
+    domains.add(self.domain());
+    if (started) {
+      possible().forEach(instance -> domains.add(instance.domain()));
+    }
+    return domains;
+  }
+
   private Revision ownDomainRevision() {
     if (!started) {
       return revision;
