Find whom a presented key stands for

Cause: callers act for a client account by a key of which only the digest is published, and a withdrawn key has to end running streams. Change: KeyRing, built from a document, answers with a typed identity or refusal, and lists keys withdrawn or given since an older ring. A key that moved to another client account counts as withdrawn and given.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/account/KeyDigest.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/account/KeyDigest.java
@@ -1,9 +1,5 @@
 package org.knapweedcleat.core.account;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.Locale;
 import java.util.regex.Pattern;
 
@@ -41,16 +37,7 @@
    * @return its digest
    */
   public static KeyDigest ofKey(String key) {
-    byte[] bytes = key.getBytes(StandardCharsets.UTF_8);
-    return new KeyDigest(HexFormat.of().formatHex(sha256().digest(bytes)));
-  }
-
-  private static MessageDigest sha256() {
-    try {
-      return MessageDigest.getInstance("SHA-256");
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("every Java platform has SHA-256", e);
-    }
+    return new KeyDigest(Sha256.hexOf(key));
   }
 
   @Override
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/account/KeyIdentity.java
@@ -0,0 +1,12 @@
+package org.knapweedcleat.core.account;
+
+import org.knapweedcleat.core.id.AccountId;
+
+/**
+ * Whom a key stands for. Holds no key.
+ *
+ * @param account the client account
+ * @param keyName the key's name, which is not secret
+ * @param digest the key's digest
+ */
+public record KeyIdentity(AccountId account, String keyName, KeyDigest digest) {}
--- /dev/null
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/account/KeyRingTest.java
@@ -0,0 +1,46 @@
+package org.knapweedcleat.core.account;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import io.vavr.control.Either;
+import org.junit.jupiter.api.Test;
+import org.knapweedcleat.core.config.FleetDocumentParser;
+import org.knapweedcleat.core.config.SampleDocument;
+import org.knapweedcleat.core.id.AccountId;
+
+class KeyRingTest {
+
+  private static final KeyIdentity IDENTITY =
+      new KeyIdentity(AccountId.of("families"), "families-1", KeyDigest.ofKey("example"));
+
+  private final KeyRing ring = KeyRing.of(SampleDocument.document());
+
+  @Test
+  void findsWhomTheKeyStandsFor() {
+    assertThat(ring.authenticate("example"), is(Either.right(IDENTITY)));
+    assertThat(ring.authenticate("Example"), is(Either.left(KeyRefusal.UNKNOWN)));
+    assertThat(ring.authenticate(""), is(Either.left(KeyRefusal.MISSING)));
+    assertThat(ring.authenticate(null), is(Either.left(KeyRefusal.MISSING)));
+    assertThat(ring.authenticate("k".repeat(513)), is(Either.left(KeyRefusal.TOO_LONG)));
+  }
+
+  @Test
+  void listsWithdrawnKeys() {
+    assertThat(KeyRing.empty().withdrawnSince(ring).asJava(), is(java.util.List.of(IDENTITY)));
+    assertThat(ring.givenSince(KeyRing.empty()).asJava(), is(java.util.List.of(IDENTITY)));
+    assertThat(ring.withdrawnSince(ring).asJava(), is(empty()));
+  }
+
+  @Test
+  void listsKeysThatStandForAnotherAccountAsWithdrawn() {
+    String moved =
+        SampleDocument.TEXT.replace("account = families", "account = clerks")
+            + "[account clerks]\nteam = office\nrateTokensPerSecond = 1\nburstTokens = 1\n";
+    KeyRing newer = KeyRing.of(FleetDocumentParser.parse("f", moved).get());
+
+    assertThat(newer.withdrawnSince(ring).asJava(), is(java.util.List.of(IDENTITY)));
+    assertThat(newer.confirms(IDENTITY), is(false));
+  }
+}
