Answer route and endpoint look-ups of a document from indexes

Cause: FleetDocument.route and endpoints searched lists on each request. Change: FleetDocument is a final value class with the same constructor and accessors; FleetIndex is built once with it. It also knows the team of the deployment's section (withTeam), which a comparison has to name. Ruled out: an index as a record component, which would show in the constructor that others call. Conclusion: the parser's tests pass; no timing was taken.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/FleetAssembler.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/FleetAssembler.java
@@ -26,17 +26,19 @@
   }
 
   private FleetDocument assemble() {
+    CheckedSection deployment = of(SectionKind.DEPLOYMENT).head();
     return new FleetDocument(
-        of(SectionKind.DEPLOYMENT).head().name(),
-        byId(SectionKind.REGION, FleetAssembler::region, RegionSpec::id),
-        byId(SectionKind.DOMAIN, FleetAssembler::domain, FailureDomainSpec::id),
-        of(SectionKind.LINK).map(FleetAssembler::link).asJava(),
-        byId(SectionKind.POOL, FleetAssembler::pool, PoolSpec::id),
-        byId(SectionKind.SERVICE, FleetAssembler::service, ServiceSpec::id),
-        of(SectionKind.ROUTE).map(FleetAssembler::route).asJava(),
-        byId(SectionKind.ACCOUNT, FleetAssembler::account, AccountSpec::id),
-        of(SectionKind.KEY).map(FleetAssembler::key).asJava(),
-        byId(SectionKind.ENDPOINT, FleetAssembler::endpoint, EndpointSpec::id));
+            deployment.name(),
+            byId(SectionKind.REGION, FleetAssembler::region, RegionSpec::id),
+            byId(SectionKind.DOMAIN, FleetAssembler::domain, FailureDomainSpec::id),
+            of(SectionKind.LINK).map(FleetAssembler::link).asJava(),
+            byId(SectionKind.POOL, FleetAssembler::pool, PoolSpec::id),
+            byId(SectionKind.SERVICE, FleetAssembler::service, ServiceSpec::id),
+            of(SectionKind.ROUTE).map(FleetAssembler::route).asJava(),
+            byId(SectionKind.ACCOUNT, FleetAssembler::account, AccountSpec::id),
+            of(SectionKind.KEY).map(FleetAssembler::key).asJava(),
+            byId(SectionKind.ENDPOINT, FleetAssembler::endpoint, EndpointSpec::id))
+        .withTeam(team(deployment));
   }
 
   private List<CheckedSection> of(SectionKind kind) {
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/FleetDocument.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/FleetDocument.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import org.knapweedcleat.core.id.AccountId;
 import org.knapweedcleat.core.id.EndpointId;
@@ -9,44 +10,198 @@
 import org.knapweedcleat.core.id.PoolId;
 import org.knapweedcleat.core.id.RegionId;
 import org.knapweedcleat.core.id.ServiceId;
+import org.knapweedcleat.core.id.TeamId;
 
-/**
- * The published document, checked and immutable; every reference in it resolves.
- *
- * @param name the deployment's name
- * @param regions the regions by id
- * @param domains the failure domains by id
- * @param links the links between regions
- * @param pools the pools by id
- * @param services the services by id
- * @param routes the routes
- * @param accounts the client accounts by id
- * @param keys the keys
- * @param endpoints the endpoints by id
- */
-public record FleetDocument(
-    String name,
-    Map<RegionId, RegionSpec> regions,
-    Map<FailureDomainId, FailureDomainSpec> domains,
-    List<LinkSpec> links,
-    Map<PoolId, PoolSpec> pools,
-    Map<ServiceId, ServiceSpec> services,
-    List<RouteSpec> routes,
-    Map<AccountId, AccountSpec> accounts,
-    List<KeySpec> keys,
-    Map<EndpointId, EndpointSpec> endpoints) {
-
-  /** Copies the collections. */
-  public FleetDocument {
-    regions = Map.copyOf(regions);
-    domains = Map.copyOf(domains);
-    links = List.copyOf(links);
-    pools = Map.copyOf(pools);
-    services = Map.copyOf(services);
-    routes = List.copyOf(routes);
-    accounts = Map.copyOf(accounts);
-    keys = List.copyOf(keys);
-    endpoints = Map.copyOf(endpoints);
+/** The published document, checked and immutable; every reference in it resolves. */
+public final class FleetDocument {
+
+  private final String name;
+  private final Map<RegionId, RegionSpec> regions;
+  private final Map<FailureDomainId, FailureDomainSpec> domains;
+  private final List<LinkSpec> links;
+  private final Map<PoolId, PoolSpec> pools;
+  private final Map<ServiceId, ServiceSpec> services;
+  private final List<RouteSpec> routes;
+  private final Map<AccountId, AccountSpec> accounts;
+  private final List<KeySpec> keys;
+  private final Map<EndpointId, EndpointSpec> endpoints;
+  private final Optional<TeamId> team;
+  private final FleetIndex index;
+
+  /**
+   * Creates a document whose deployment names no team.
+   *
+   * @param name the deployment's name
+   * @param regions the regions by id
+   * @param domains the failure domains by id
+   * @param links the links between regions
+   * @param pools the pools by id
+   * @param services the services by id
+   * @param routes the routes
+   * @param accounts the client accounts by id
+   * @param keys the keys
+   * @param endpoints the endpoints by id
+   */
+  public FleetDocument(
+      String name,
+      Map<RegionId, RegionSpec> regions,
+      Map<FailureDomainId, FailureDomainSpec> domains,
+      List<LinkSpec> links,
+      Map<PoolId, PoolSpec> pools,
+      Map<ServiceId, ServiceSpec> services,
+      List<RouteSpec> routes,
+      Map<AccountId, AccountSpec> accounts,
+      List<KeySpec> keys,
+      Map<EndpointId, EndpointSpec> endpoints) {
+    this(
+        name,
+        regions,
+        domains,
+        links,
+        pools,
+        services,
+        routes,
+        accounts,
+        keys,
+        endpoints,
+        Optional.empty());
+  }
+
+  private FleetDocument(
+      String name,
+      Map<RegionId, RegionSpec> regions,
+      Map<FailureDomainId, FailureDomainSpec> domains,
+      List<LinkSpec> links,
+      Map<PoolId, PoolSpec> pools,
+      Map<ServiceId, ServiceSpec> services,
+      List<RouteSpec> routes,
+      Map<AccountId, AccountSpec> accounts,
+      List<KeySpec> keys,
+      Map<EndpointId, EndpointSpec> endpoints,
+      Optional<TeamId> team) {
+    this.name = Objects.requireNonNull(name, "name");
+    this.regions = Map.copyOf(regions);
+    this.domains = Map.copyOf(domains);
+    this.links = List.copyOf(links);
+    this.pools = Map.copyOf(pools);
+    this.services = Map.copyOf(services);
+    this.routes = List.copyOf(routes);
+    this.accounts = Map.copyOf(accounts);
+    this.keys = List.copyOf(keys);
+    this.endpoints = Map.copyOf(endpoints);
+    this.team = team;
+    this.index = FleetIndex.of(this.routes, this.endpoints.values());
+  }
+
+  /**
+   * Returns the same document with the team that owns the deployment's section.
+   *
+   * @param owner the team
+   * @return the document
+   */
+  public FleetDocument withTeam(TeamId owner) {
+    return new FleetDocument(
+        name,
+        regions,
+        domains,
+        links,
+        pools,
+        services,
+        routes,
+        accounts,
+        keys,
+        endpoints,
+        Optional.of(owner));
+  }
+
+  /**
+   * Returns the deployment's name.
+   *
+   * @return the deployment's name
+   */
+  public String name() {
+    return name;
+  }
+
+  /**
+   * Returns the regions by id.
+   *
+   * @return the regions by id
+   */
+  public Map<RegionId, RegionSpec> regions() {
+    return regions;
+  }
+
+  /**
+   * Returns the failure domains by id.
+   *
+   * @return the failure domains by id
+   */
+  public Map<FailureDomainId, FailureDomainSpec> domains() {
+    return domains;
+  }
+
+  /**
+   * Returns the links between regions.
+   *
+   * @return the links between regions
+   */
+  public List<LinkSpec> links() {
+    return links;
+  }
+
+  /**
+   * Returns the pools by id.
+   *
+   * @return the pools by id
+   */
+  public Map<PoolId, PoolSpec> pools() {
+    return pools;
+  }
+
+  /**
+   * Returns the services by id.
+   *
+   * @return the services by id
+   */
+  public Map<ServiceId, ServiceSpec> services() {
+    return services;
+  }
+
+  /**
+   * Returns the routes.
+   *
+   * @return the routes
+   */
+  public List<RouteSpec> routes() {
+    return routes;
+  }
+
+  /**
+   * Returns the client accounts by id.
+   *
+   * @return the client accounts by id
+   */
+  public Map<AccountId, AccountSpec> accounts() {
+    return accounts;
+  }
+
+  /**
+   * Returns the keys.
+   *
+   * @return the keys
+   */
+  public List<KeySpec> keys() {
+    return keys;
+  }
+
+  /**
+   * Returns the team that owns the deployment's section.
+   *
+   * @return the team, if it is known
+   */
+  public Optional<TeamId> team() {
+    return team;
   }
 
   /**
@@ -57,9 +212,16 @@
    * @return the route, if one is declared
    */
   public Optional<RouteSpec> route(String method, String path) {
-    return routes.stream()
-        .filter(route -> route.method().equals(method) && route.path().equals(path))
-        .findFirst();
+    return index.route(method, path);
+  }
+
+  /**
+   * Returns the endpoints by id.
+   *
+   * @return the endpoints by id
+   */
+  public Map<EndpointId, EndpointSpec> endpoints() {
+    return endpoints;
   }
 
   /**
@@ -70,9 +232,26 @@
    * @return the endpoints, leaving ones included
    */
   public List<EndpointSpec> endpoints(PoolId pool, FailureDomainId domain) {
-    return endpoints.values().stream()
-        .filter(endpoint -> endpoint.pool().equals(pool) && endpoint.domain().equals(domain))
-        .sorted((one, other) -> one.id().compareTo(other.id()))
-        .toList();
+    return index.endpoints(pool, domain);
+  }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof FleetDocument document && parts().equals(document.parts());
+  }
+
+  @Override
+  public int hashCode() {
+    return parts().hashCode();
+  }
+
+  @Override
+  public String toString() {
+    return "FleetDocument[" + name + "]";
+  }
+
+  private List<Object> parts() {
+    return List.of(
+        name, regions, domains, links, pools, services, routes, accounts, keys, endpoints, team);
   }
 }
