--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/FaultKind.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/FaultKind.java
@@ -35,7 +35,9 @@
   /** Two links between the same regions. */
   REPEATED_LINK,
   /** A value that does not suit another one. */
-  UNSUITABLE_VALUE;
+  UNSUITABLE_VALUE,
+  /** A manifest of parts that cannot be read. */
+  BAD_MANIFEST;
 
   /**
    * Returns the kind for operators.
