Compare two documents by section, owner and danger

Cause: operators need to see what a change does, whose sections it touches and what can hurt callers before they publish it. Values are read from the records by component name, which is the key's name. Ruled out: comparing the texts, which would report comments and order.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/CrossChecks.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/CrossChecks.java
@@ -102,11 +102,11 @@
   private static ConfigFault roleNotAllowed(
       CheckedSection endpoint, CheckedSection pool, PoolKind kind) {
     String roles =
-        List.of(EndpointRole.values()).filter(kind::allows).map(ValueRules::word).mkString(" or ");
+        List.of(EndpointRole.values()).filter(kind::allows).map(SettingWord::of).mkString(" or ");
     return endpoint.fault(
         FaultKind.ROLE_NOT_ALLOWED,
         DocumentKeys.ENDPOINT_ROLE,
-        roles + ", as [" + pool.source().header() + "] is " + ValueRules.word(kind));
+        roles + ", as [" + pool.source().header() + "] is " + SettingWord.of(kind));
   }
 
   private List<ConfigFault> addresses() {
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/DocumentKeys.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/DocumentKeys.java
@@ -16,6 +16,9 @@
 /** The keys of the published document. */
 public final class DocumentKeys {
 
+  /** What stands before the name of a failure domain in the key of its weight. */
+  public static final String DOMAIN_WEIGHT_PREFIX = "domainWeight.";
+
   private static final int DAY_MILLIS = 86_400_000;
   private static final int MINUTE_MILLIS = 60_000;
   private static final String MILLIS = "milliseconds";
@@ -189,7 +192,7 @@
   static final SettingKey<Integer> ACCOUNT_DOMAIN_WEIGHT =
       optional(
           SectionKind.ACCOUNT,
-          "domainWeight.",
+          DOMAIN_WEIGHT_PREFIX,
           ValueRules.whole(0, 1_000),
           "",
           "0",
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ValueRules.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ValueRules.java
@@ -4,7 +4,6 @@
 import io.vavr.control.Option;
 import io.vavr.control.Try;
 import java.net.InetAddress;
-import java.util.Locale;
 import java.util.regex.Pattern;
 import org.knapweedcleat.core.account.KeyDigest;
 
@@ -80,8 +79,8 @@
   static <E extends Enum<E>> ValueRule<E> oneOf(Class<E> type) {
     List<E> values = List.of(type.getEnumConstants());
     return ValueRule.of(
-        values.map(ValueRules::word).mkString(" or "),
-        text -> values.find(value -> word(value).equals(text)));
+        values.map(SettingWord::of).mkString(" or "),
+        text -> values.find(value -> SettingWord.of(value).equals(text)));
   }
 
   static ValueRule<KeyDigest> digest() {
@@ -90,11 +89,6 @@
         text -> Try.of(() -> KeyDigest.of(text)).toOption());
   }
 
-  /** Returns the word by which settings name a constant. */
-  static String word(Enum<?> value) {
-    return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
-  }
-
   private static ValueRule<String> matching(String allowed, Pattern pattern) {
     return ValueRule.of(
         allowed, text -> Option.of(text).filter(word -> pattern.matcher(word).matches()));
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/diff/SectionComparison.java
@@ -0,0 +1,94 @@
+package org.knapweedcleat.core.config.diff;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.List;
+import io.vavr.collection.Map;
+import io.vavr.collection.TreeSet;
+import io.vavr.control.Option;
+import java.util.Collection;
+import java.util.function.BiFunction;
+import java.util.function.Function;
+import org.knapweedcleat.core.config.SectionKind;
+import org.knapweedcleat.core.id.TeamId;
+
+/** Compares the sections of one kind, found by their names. */
+final class SectionComparison<T extends Record> {
+
+  private final SectionKind kind;
+  private final Function<T, String> name;
+  private final Function<T, TeamId> team;
+  private List<Danger> removal = List.empty();
+  private BiFunction<T, T, List<Danger>> change = (old, now) -> List.empty();
+  private Function<T, List<Danger>> addition = now -> List.empty();
+
+  SectionComparison(SectionKind kind, Function<T, String> name, Function<T, TeamId> team) {
+    this.kind = kind;
+    this.name = name;
+    this.team = team;
+  }
+
+  SectionComparison<T> removal(Danger danger) {
+    removal = List.of(danger);
+    return this;
+  }
+
+  SectionComparison<T> change(BiFunction<T, T, List<Danger>> rule) {
+    change = rule;
+    return this;
+  }
+
+  SectionComparison<T> addition(Function<T, List<Danger>> rule) {
+    addition = rule;
+    return this;
+  }
+
+  List<SectionChange> compare(Collection<T> old, Collection<T> now) {
+    Map<String, T> before = List.ofAll(old).toMap(name, Function.identity());
+    Map<String, T> after = List.ofAll(now).toMap(name, Function.identity());
+    return TreeSet.ofAll(before.keySet().addAll(after.keySet()))
+        .toList()
+        .flatMap(each -> compareOne(each, before.get(each), after.get(each)));
+  }
+
+  private Option<SectionChange> compareOne(String each, Option<T> before, Option<T> after) {
+    if (before.equals(after)) {
+      return Option.none();
+    }
+    return Option.some(
+        new SectionChange(
+            changeKind(before, after),
+            kind.word() + " " + each,
+            before.toList().appendAll(after).map(team).distinct(),
+            values(before, after),
+            dangers(before, after)));
+  }
+
+  private static SectionChange.Kind changeKind(Option<?> before, Option<?> after) {
+    if (before.isEmpty()) {
+      return SectionChange.Kind.ADDED;
+    }
+    return after.isEmpty() ? SectionChange.Kind.REMOVED : SectionChange.Kind.CHANGED;
+  }
+
+  private List<Danger> dangers(Option<T> before, Option<T> after) {
+    if (after.isEmpty()) {
+      return removal;
+    }
+    return before.isEmpty() ? addition.apply(after.get()) : change.apply(before.get(), after.get());
+  }
+
+  private List<ValueChange> values(Option<T> before, Option<T> after) {
+    Map<String, String> old = before.map(SpecValues::of).getOrElse(HashMap.empty());
+    Map<String, String> now = after.map(SpecValues::of).getOrElse(HashMap.empty());
+    return old.keySet()
+        .toList()
+        .appendAll(now.keySet())
+        .distinct()
+        .map(key -> valueChange(key, old.getOrElse(key, ""), now.getOrElse(key, "")))
+        .reject(value -> value.before().equals(value.after()));
+  }
+
+  private static ValueChange valueChange(String key, String before, String after) {
+    return new ValueChange(key, before, after);
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/diff/SpecValues.java
@@ -0,0 +1,58 @@
+package org.knapweedcleat.core.config.diff;
+
+import io.vavr.Tuple;
+import io.vavr.Tuple2;
+import io.vavr.collection.LinkedHashMap;
+import io.vavr.collection.List;
+import io.vavr.collection.Map;
+import java.lang.reflect.RecordComponent;
+import org.knapweedcleat.core.config.DocumentKeys;
+import org.knapweedcleat.core.config.SettingWord;
+
+/** Gives the keys and values of a section back as an operator would write them. */
+final class SpecValues {
+
+  private static final String DOMAIN_WEIGHTS = "domainWeights";
+  private static final List<String> IN_HEADER = List.of("id", "name", "from", "to");
+
+  private SpecValues() {}
+
+  /** Returns the values by key; a record's components are named like the keys. */
+  static Map<String, String> of(Record spec) {
+    return LinkedHashMap.ofEntries(
+        List.of(spec.getClass().getRecordComponents())
+            .reject(component -> IN_HEADER.contains(component.getName()))
+            .flatMap(component -> entries(component.getName(), value(spec, component))));
+  }
+
+  private static List<Tuple2<String, String>> entries(String name, Object value) {
+    if (name.equals(DOMAIN_WEIGHTS)) {
+      return List.ofAll(((java.util.Map<?, ?>) value).entrySet())
+          .map(
+              entry ->
+                  Tuple.of(
+                      DocumentKeys.DOMAIN_WEIGHT_PREFIX + entry.getKey(),
+                      String.valueOf(entry.getValue())))
+          .sortBy(entry -> entry._1);
+    }
+    return List.of(Tuple.of(name, text(value)));
+  }
+
+  private static String text(Object value) {
+    if (value instanceof Enum<?> constant) {
+      return SettingWord.of(constant);
+    }
+    if (value instanceof Boolean flag) {
+      return SettingWord.of(flag);
+    }
+    return String.valueOf(value);
+  }
+
+  private static Object value(Record spec, RecordComponent component) {
+    try {
+      return component.getAccessor().invoke(spec);
+    } catch (ReflectiveOperationException e) {
+      throw new IllegalStateException("a public record shows its components", e);
+    }
+  }
+}
