--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/document/DocumentKeeper.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/document/DocumentKeeper.java
@@ -1,9 +1,10 @@
 package org.knapweedcleat.router.document;
 
 import com.codahale.metrics.MetricRegistry;
-import io.vavr.control.Option;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.LongSupplier;
@@ -121,7 +122,7 @@
    */
   public void offer(Revision revision, String document, DocumentSource source) {
     RevisionOutcome outcome = gate.offer(revision, name, document);
-    String kind = outcome.getClass().getSimpleName().toLowerCase(java.util.Locale.ROOT);
+    String kind = outcome.getClass().getSimpleName().toLowerCase(Locale.ROOT);
     metrics.counter("document.offers." + kind).inc();
     if (outcome instanceof RevisionOutcome.Applied applied) {
       text = document.getBytes(StandardCharsets.UTF_8);
@@ -148,11 +149,15 @@
 
   private void onApplied(RevisionOutcome.Applied applied, DocumentSource source) {
     FleetSnapshot snapshot = applied.snapshot();
-    Option<FleetSnapshot> previous = Option.ofOptional(applied.previous());
-    java.util.List<String> sections =
-        previous
-            .map(old -> DocumentDiff.between(old.document(), snapshot.document()).sections())
-            .getOrElse(java.util.List.of());
+    List<String> sections =
+        applied
+            .previous()
+            .map(
+                old ->
+                    DocumentDiff.between(old.document(), snapshot.document())
+                        .sections()
+                        .toJavaList())
+            .orElse(List.of());
     audit.record(
         new AuditEvent.DocumentApplied(snapshot.revision(), snapshot.digest(), sections, source));
     KeyRing newKeys = KeyRing.of(snapshot.document());
@@ -167,9 +172,8 @@
   }
 
   private void onRejected(RevisionOutcome.Rejected rejected) {
-    java.util.List<String> faults = rejected.faults().map(ConfigFault::toString).toJavaList();
-    audit.record(
-        new AuditEvent.DocumentRejected(rejected.revision(), rejected.digest(), faults));
+    List<String> faults = rejected.faults().map(ConfigFault::toString).toJavaList();
+    audit.record(new AuditEvent.DocumentRejected(rejected.revision(), rejected.digest(), faults));
     LOG.warn("document revision {} does not check and is left out", rejected.revision());
   }
 }
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/limit/LimitDesk.java
@@ -0,0 +1,144 @@
+package org.knapweedcleat.router.limit;
+
+import com.codahale.metrics.MetricRegistry;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
+import org.knapweedcleat.core.config.FleetSnapshot;
+import org.knapweedcleat.core.id.AccountId;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.limit.DrawId;
+import org.knapweedcleat.core.limit.LimitAction;
+import org.knapweedcleat.core.limit.LimitMessage;
+import org.knapweedcleat.core.limit.ShareLimiter;
+import org.knapweedcleat.core.membership.MemberView;
+import org.knapweedcleat.router.gate.LimitGate;
+import org.knapweedcleat.router.gate.LimitOutcome;
+
+/** Runs the limiter of this instance and carries its messages. */
+public final class LimitDesk implements LimitGate {
+
+  private final ShareLimiter limiter;
+  private final LongSupplier nowMillis;
+  private final MetricRegistry metrics;
+  private final BiConsumer<IncarnationId, LimitMessage> send;
+  private final Map<DrawId, UniEmitter<? super LimitOutcome>> draws = new HashMap<>();
+  private long lastDraw;
+
+  private LimitDesk(
+      ShareLimiter limiter,
+      LongSupplier nowMillis,
+      MetricRegistry metrics,
+      BiConsumer<IncarnationId, LimitMessage> send) {
+    this.limiter = Objects.requireNonNull(limiter, "limiter");
+    this.nowMillis = Objects.requireNonNull(nowMillis, "nowMillis");
+    this.metrics = Objects.requireNonNull(metrics, "metrics");
+    this.send = Objects.requireNonNull(send, "send");
+  }
+
+  /**
+   * Returns a desk.
+   *
+   * @param limiter decides
+   * @param nowMillis the monotonic clock
+   * @param metrics counts grants and denials
+   * @param send sends a message to an incarnation; it may be lost
+   * @return the desk
+   */
+  public static LimitDesk of(
+      ShareLimiter limiter,
+      LongSupplier nowMillis,
+      MetricRegistry metrics,
+      BiConsumer<IncarnationId, LimitMessage> send) {
+    return new LimitDesk(limiter, nowMillis, metrics, send);
+  }
+
+  @Override
+  public Uni<LimitOutcome> acquire(AccountId account, long tokens) {
+    return Uni.createFrom()
+        .emitter(
+            emitter -> {
+              DrawId draw = DrawId.of(++lastDraw);
+              draws.put(draw, emitter);
+              run(limiter.acquire(nowMillis.getAsLong(), draw, account, tokens));
+            });
+  }
+
+  @Override
+  public void refund(AccountId account, long tokens) {
+    run(limiter.refund(nowMillis.getAsLong(), account, tokens));
+  }
+
+  /**
+   * Takes over a document.
+   *
+   * @param snapshot what is in force
+   */
+  public void configure(FleetSnapshot snapshot) {
+    run(
+        limiter.configure(
+            nowMillis.getAsLong(),
+            snapshot.revision(),
+            snapshot.document().accounts().values(),
+            snapshot.document().domains().keySet()));
+  }
+
+  /**
+   * Takes over who lives.
+   *
+   * @param view who lives
+   */
+  public void members(MemberView view) {
+    run(limiter.members(nowMillis.getAsLong(), view));
+  }
+
+  /**
+   * Takes a message of another instance.
+   *
+   * @param from the sender
+   * @param message the message
+   */
+  public void receive(IncarnationId from, LimitMessage message) {
+    run(limiter.receive(nowMillis.getAsLong(), from, message));
+  }
+
+  /** Lets time pass. */
+  public void tick() {
+    run(limiter.tick(nowMillis.getAsLong()));
+  }
+
+  /** Hands over what this instance keeps, since it is going to stop. */
+  public void handOver() {
+    run(limiter.handOver(nowMillis.getAsLong()));
+  }
+
+  private void run(List<LimitAction> actions) {
+    actions.forEach(this::run);
+  }
+
+  private void run(LimitAction action) {
+    if (action instanceof LimitAction.Send message) {
+      send.accept(message.to(), message.message());
+    } else if (action instanceof LimitAction.Granted granted) {
+      metrics.counter("limit.granted").inc();
+      resolve(granted.draw(), new LimitOutcome.Granted(granted.tokens()));
+    } else if (action instanceof LimitAction.Denied denied) {
+      String reason = denied.reason().name().toLowerCase(Locale.ROOT);
+      metrics.counter("limit.denied." + reason).inc();
+      resolve(denied.draw(), new LimitOutcome.Denied(denied.retryAfterMillis()));
+    }
+  }
+
+  private void resolve(DrawId draw, LimitOutcome outcome) {
+    UniEmitter<? super LimitOutcome> emitter = draws.remove(draw);
+    if (emitter != null) {
+      emitter.complete(outcome);
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/AddressBook.java
@@ -0,0 +1,64 @@
+package org.knapweedcleat.router.node;
+
+import io.smallrye.mutiny.Uni;
+import java.util.Optional;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.membership.Member;
+import org.knapweedcleat.core.membership.MemberView;
+import org.knapweedcleat.core.message.PeerMessage;
+import org.knapweedcleat.router.gate.InstanceCalls;
+import org.knapweedcleat.router.gate.InstanceUnreachableException;
+import org.knapweedcleat.router.peer.PeerAddress;
+import org.knapweedcleat.router.peer.PeerTransport;
+import org.knapweedcleat.router.placement.SchedulerLink;
+
+/** Finds where an incarnation listens and sends it messages. */
+final class AddressBook implements InstanceCalls, SchedulerLink {
+
+  private final PeerTransport transport;
+  private MemberView view;
+
+  private AddressBook(PeerTransport transport, MemberView view) {
+    this.transport = transport;
+    this.view = view;
+  }
+
+  static AddressBook of(PeerTransport transport, MemberView view) {
+    return new AddressBook(transport, view);
+  }
+
+  void members(MemberView newView) {
+    view = newView;
+  }
+
+  @Override
+  public Uni<PeerMessage> ask(IncarnationId target, PeerMessage question, long timeoutMillis) {
+    Optional<PeerAddress> address = addressOf(target);
+    if (address.isEmpty()) {
+      return Uni.createFrom().failure(new InstanceUnreachableException(target, false));
+    }
+    return transport.ask(address.get(), target, question, timeoutMillis);
+  }
+
+  @Override
+  public void tell(IncarnationId target, PeerMessage message) {
+    addressOf(target).ifPresent(address -> transport.send(address, target, message));
+  }
+
+  @Override
+  public Optional<IncarnationId> homeOf(String name) {
+    return view.homeOfName(name).map(Member::incarnation);
+  }
+
+  @Override
+  public boolean isAlive(IncarnationId incarnation) {
+    return view.isLive(incarnation);
+  }
+
+  private Optional<PeerAddress> addressOf(IncarnationId target) {
+    return view.live().stream()
+        .filter(member -> member.incarnation().equals(target))
+        .findFirst()
+        .map(member -> new PeerAddress(member.id(), member.host(), member.peerPort()));
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/ReaderDuty.java
@@ -0,0 +1,30 @@
+package org.knapweedcleat.router.node;
+
+import java.util.Comparator;
+import java.util.List;
+import org.knapweedcleat.core.membership.Member;
+import org.knapweedcleat.core.membership.MemberView;
+import org.knapweedcleat.core.membership.RendezvousHash;
+
+/** Chooses the instances of a failure domain that read the platform for the others. */
+final class ReaderDuty {
+
+  private static final int READERS = 2;
+  private static final String NAME = "platform-reader";
+
+  private ReaderDuty() {}
+
+  /** Tells whether the own instance is among the readers. */
+  static boolean isReader(MemberView view) {
+    Comparator<Member> byHash =
+        Comparator.comparingLong(member -> RendezvousHash.weight(NAME, member.id().value()));
+    List<Member> readers =
+        view.domainMembers().stream()
+            .filter(member -> !member.leaving())
+            .sorted(byHash.reversed())
+            .limit(READERS)
+            .toList();
+    return readers.stream()
+        .anyMatch(member -> member.incarnation().equals(view.self().incarnation()));
+  }
+}
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerMessageType.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerMessageType.java
@@ -3,10 +3,13 @@
 import io.vavr.control.Option;
 import java.util.HashMap;
 import java.util.Map;
+import org.knapweedcleat.core.limit.LimitMessage;
+import org.knapweedcleat.core.membership.Heartbeat;
 import org.knapweedcleat.core.message.PeerMessage;
 import org.knapweedcleat.core.schedule.PlacementDecision;
 import org.knapweedcleat.core.schedule.PlacementProgress;
 import org.knapweedcleat.core.schedule.PlacementRequest;
+import org.knapweedcleat.core.schedule.RunningClaims;
 
 /** The messages between instances and their codes on the wire; a code is never used again. */
 public enum PeerMessageType {
@@ -29,7 +32,31 @@
   /** Refuses a request. */
   PLACEMENT_REFUSED(23, PlacementDecision.Refused.class),
   /** Reports how far a placement has come. */
-  PLACEMENT_PROGRESS(24, PlacementProgress.class);
+  PLACEMENT_PROGRESS(24, PlacementProgress.class),
+  /** Tells what the sender still serves. */
+  RUNNING_CLAIMS(25, RunningClaims.class),
+  /** Tells that the sender lives. */
+  HEARTBEAT(40, Heartbeat.class),
+  /** Asks to be counted among the owners of shares. */
+  LIMIT_JOIN_REQUEST(60, LimitMessage.JoinRequest.class),
+  /** Answers a request to be counted. */
+  LIMIT_JOIN_ANSWER(61, LimitMessage.JoinAnswer.class),
+  /** Asks for a pledge of shares. */
+  LIMIT_PLEDGE_REQUEST(62, LimitMessage.PledgeRequest.class),
+  /** Pledges shares. */
+  LIMIT_PLEDGE(63, LimitMessage.Pledge.class),
+  /** Gives pledged shares back. */
+  LIMIT_RELEASE(64, LimitMessage.Release.class),
+  /** Draws tokens. */
+  LIMIT_DRAW(65, LimitMessage.Draw.class),
+  /** Answers a draw. */
+  LIMIT_DRAW_ANSWER(66, LimitMessage.DrawAnswer.class),
+  /** Withdraws a draw. */
+  LIMIT_CANCEL_DRAW(67, LimitMessage.CancelDraw.class),
+  /** Gives tokens back. */
+  LIMIT_REFUND(68, LimitMessage.Refund.class),
+  /** Tells that the sender's shares have ended. */
+  LIMIT_ENDED(69, LimitMessage.Ended.class);
 
   private static final Map<Short, PeerMessageType> BY_CODE = new HashMap<>();
   private static final Map<Class<?>, PeerMessageType> BY_CLASS = new HashMap<>();
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/LoadPoller.java
@@ -0,0 +1,177 @@
+package org.knapweedcleat.router.placement;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.ext.web.client.HttpResponse;
+import io.vertx.ext.web.client.WebClient;
+import io.vertx.ext.web.client.WebClientOptions;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import org.knapweedcleat.core.config.EndpointSpec;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.RequestId;
+import org.knapweedcleat.core.schedule.CacheHint;
+import org.knapweedcleat.core.schedule.EndpointLoad;
+
+/** Asks the engines of the pools that are scheduled here for their load and cache events. */
+public final class LoadPoller implements OrphanCanceller {
+
+  private static final int TIMEOUT_MILLIS = 1000;
+  private static final int MAX_FAILURES = 2;
+  private static final int OK = 200;
+
+  private final WebClient client;
+  private final LocalSchedulers schedulers;
+  private final MetricRegistry metrics;
+  private final ObjectMapper json =
+      new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+  private final Map<EndpointId, EndpointSpec> polled = new HashMap<>();
+  private final Map<EndpointId, Integer> failures = new HashMap<>();
+  private final Map<EndpointId, Long> cacheEvents = new HashMap<>();
+  private final Set<EndpointId> busy = new HashSet<>();
+
+  private LoadPoller(WebClient client, LocalSchedulers schedulers, MetricRegistry metrics) {
+    this.client = client;
+    this.schedulers = schedulers;
+    this.metrics = metrics;
+  }
+
+  /**
+   * Returns a poller that asks nobody yet.
+   *
+   * @param vertx runs it
+   * @param schedulers take the reports
+   * @param metrics counts calls
+   * @return the poller
+   */
+  public static LoadPoller create(Vertx vertx, LocalSchedulers schedulers, MetricRegistry metrics) {
+    WebClientOptions options = new WebClientOptions();
+    options.setConnectTimeout(TIMEOUT_MILLIS);
+    options.setFollowRedirects(false);
+    WebClient client = WebClient.create(vertx, options);
+    return new LoadPoller(
+        client, Objects.requireNonNull(schedulers, "schedulers"), Objects.requireNonNull(metrics));
+  }
+
+  /**
+   * Asks each engine once; one that has not answered the last time yet is left out.
+   *
+   * @param engines the engines of the pools that are scheduled here
+   */
+  public void poll(List<EndpointSpec> engines) {
+    polled.clear();
+    engines.forEach(engine -> polled.put(engine.id(), engine));
+    failures.keySet().retainAll(polled.keySet());
+    cacheEvents.keySet().retainAll(polled.keySet());
+    engines.stream().filter(engine -> busy.add(engine.id())).forEach(this::pollOne);
+  }
+
+  @Override
+  public void cancelOrphan(EndpointId endpoint, RequestId request) {
+    EndpointSpec engine = polled.get(endpoint);
+    if (engine == null) {
+      return;
+    }
+    metrics.counter("schedule.orphans.cancelled").inc();
+    client
+        .post(engine.port(), engine.host(), "/v1/cancel")
+        .putHeader("X-Request-Id", request.value())
+        .timeout(TIMEOUT_MILLIS)
+        .sendJson(new CancelBody(request.value(), Integer.MAX_VALUE))
+        .onFailure(cause -> metrics.counter("schedule.orphans.failed").inc());
+  }
+
+  /** Closes the connections. */
+  public void close() {
+    client.close();
+  }
+
+  private void pollOne(EndpointSpec engine) {
+    metrics.counter("schedule.polls").inc();
+    get(engine, "/v1/load")
+        .map(body -> read(body, LoadBody.class))
+        .onSuccess(load -> onLoad(engine, load))
+        .onFailure(cause -> onFailure(engine))
+        .compose(load -> pollCache(engine))
+        .onComplete(done -> busy.remove(engine.id()));
+  }
+
+  private Future<Void> pollCache(EndpointSpec engine) {
+    long after = cacheEvents.getOrDefault(engine.id(), 0L);
+    return get(engine, "/v1/cache-events?after=" + after)
+        .map(body -> read(body, CacheBody.class))
+        .onSuccess(events -> onCacheEvents(engine, events))
+        .mapEmpty();
+  }
+
+  private Future<Buffer> get(EndpointSpec engine, String path) {
+    return client
+        .get(engine.port(), engine.host(), path)
+        .timeout(TIMEOUT_MILLIS)
+        .send()
+        .compose(LoadPoller::bodyOf);
+  }
+
+  private static Future<Buffer> bodyOf(HttpResponse<Buffer> response) {
+    return response.statusCode() == OK
+        ? Future.succeededFuture(response.bodyAsBuffer())
+        : Future.failedFuture(new IllegalStateException("status " + response.statusCode()));
+  }
+
+  private <T> T read(Buffer body, Class<T> type) {
+    try {
+      return json.readValue(body.getBytes(), type);
+    } catch (IOException e) {
+      throw new IllegalArgumentException("not a " + type.getSimpleName(), e);
+    }
+  }
+
+  private void onLoad(EndpointSpec engine, LoadBody load) {
+    failures.remove(engine.id());
+    schedulers.report(engine.pool(), load.toLoad(engine.id()));
+  }
+
+  private void onFailure(EndpointSpec engine) {
+    metrics.counter("schedule.polls.failed").inc();
+    int count = failures.merge(engine.id(), 1, Integer::sum);
+    if (count >= MAX_FAILURES) {
+      schedulers.endpointFailed(engine.pool(), engine.id());
+    }
+  }
+
+  private void onCacheEvents(EndpointSpec engine, CacheBody body) {
+    cacheEvents.put(engine.id(), body.next());
+    for (CacheEntry event : body.events()) {
+      boolean stored = event.kind().equals("STORED");
+      schedulers.cacheHint(engine.pool(), new CacheHint(engine.id(), event.hash(), stored));
+    }
+  }
+
+  private record LoadBody(
+      int usedPieces,
+      int totalPieces,
+      int queuedPrefillTokens,
+      int runningDecodes,
+      List<String> held) {
+    EndpointLoad toLoad(EndpointId endpoint) {
+      List<RequestId> requests = held.stream().map(RequestId::of).toList();
+      return new EndpointLoad(
+          endpoint, usedPieces, totalPieces, queuedPrefillTokens, runningDecodes, requests);
+    }
+  }
+
+  private record CacheBody(long next, List<CacheEntry> events) {}
+
+  private record CacheEntry(long number, long hash, String kind) {}
+
+  private record CancelBody(String request, int attempt) {}
+}
