Add tickets, forwarded calls, key withdrawal and the planned stop towards callers

Asking again for a booking was not safe, withdrawn keys kept their streams, and an instance could not stop without cutting. A ticket binds a call to the incarnation that gave it; a planned stop serves on for a grace time, then refuses as not run, and ends when nothing is left.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/attempt/Continuation.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/attempt/Continuation.java
@@ -1,13 +1,10 @@
 package org.knapweedcleat.core.attempt;
 
 import java.nio.charset.StandardCharsets;
-import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
 import java.util.Arrays;
 import java.util.Base64;
 import java.util.Optional;
-import javax.crypto.Mac;
-import javax.crypto.spec.SecretKeySpec;
 import org.knapweedcleat.core.account.KeyDigest;
 import org.knapweedcleat.core.id.AccountId;
 import org.knapweedcleat.core.id.RequestId;
@@ -32,10 +29,8 @@
     KeyDigest promptDigest,
     int maxTokens) {
 
-  private static final String ALGORITHM = "HmacSHA256";
   private static final String SEPARATOR = "\n";
   private static final int PARTS = 5;
-  private static final int CODE_BYTES = 32;
   private static final int MAX_TEXT = 4_096;
 
   /**
@@ -66,7 +61,7 @@
     }
     try {
       byte[] all = Base64.getUrlDecoder().decode(text);
-      return all.length <= CODE_BYTES ? Optional.empty() : checked(all, key);
+      return all.length <= KeyedCode.BYTES ? Optional.empty() : checked(all, key);
     } catch (IllegalArgumentException e) {
       return Optional.empty();
     }
@@ -95,9 +90,9 @@
   }
 
   private static Optional<Continuation> checked(byte[] all, KeyDigest key) {
-    byte[] content = new byte[all.length - CODE_BYTES];
-    System.arraycopy(all, CODE_BYTES, content, 0, content.length);
-    byte[] code = Arrays.copyOf(all, CODE_BYTES);
+    byte[] content = new byte[all.length - KeyedCode.BYTES];
+    System.arraycopy(all, KeyedCode.BYTES, content, 0, content.length);
+    byte[] code = Arrays.copyOf(all, KeyedCode.BYTES);
     if (!MessageDigest.isEqual(code, code(key, content))) {
       return Optional.empty();
     }
@@ -125,12 +120,7 @@
   }
 
   private static byte[] code(KeyDigest key, byte[] content) {
-    try {
-      Mac mac = Mac.getInstance(ALGORITHM);
-      mac.init(new SecretKeySpec(key.hex().getBytes(StandardCharsets.UTF_8), ALGORITHM));
-      return mac.doFinal(content);
-    } catch (GeneralSecurityException e) {
-      throw new IllegalStateException("every Java platform has " + ALGORITHM, e);
-    }
+    byte[] secret = key.hex().getBytes(StandardCharsets.UTF_8);
+    return KeyedCode.of(secret, new String(content, StandardCharsets.UTF_8));
   }
 }
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/drain/DrainState.java
@@ -0,0 +1,78 @@
+package org.knapweedcleat.core.drain;
+
+import java.util.OptionalLong;
+
+/**
+ * How far the planned stop of an instance has come.
+ *
+ * <p>For a grace time after its beginning new requests are still served, since the balancer goes on
+ * sending them until it has noticed; after that they are refused as not run.
+ */
+public final class DrainState {
+
+  /** How long new requests are still served after the beginning. */
+  public static final long GRACE_MILLIS = 3_000;
+
+  /** After this time what still runs is cut. */
+  public static final long LIMIT_MILLIS = 300_000;
+
+  private OptionalLong sinceMillis = OptionalLong.empty();
+
+  private DrainState() {}
+
+  /**
+   * Returns the state of an instance that is not stopping.
+   *
+   * @return the state
+   */
+  public static DrainState open() {
+    return new DrainState();
+  }
+
+  /**
+   * Begins the stop.
+   *
+   * @param nowMillis the time, monotonic
+   * @return false if it had begun before
+   */
+  public boolean begin(long nowMillis) {
+    if (sinceMillis.isPresent()) {
+      return false;
+    }
+    sinceMillis = OptionalLong.of(nowMillis);
+    return true;
+  }
+
+  /**
+   * Tells whether the stop has begun.
+   *
+   * @return true from the beginning on
+   */
+  public boolean isDraining() {
+    return sinceMillis.isPresent();
+  }
+
+  /**
+   * Tells whether new requests are served.
+   *
+   * @param nowMillis the time
+   * @return true until the grace time is over
+   */
+  public boolean admits(long nowMillis) {
+    return sinceMillis.isEmpty() || nowMillis - sinceMillis.getAsLong() < GRACE_MILLIS;
+  }
+
+  /**
+   * Tells whether the instance may end.
+   *
+   * @param nowMillis the time
+   * @param unfinished the requests, unused tickets and unconfirmed cancels that are left
+   * @return true when nothing is left or the limit has passed
+   */
+  public boolean isDone(long nowMillis, long unfinished) {
+    if (sinceMillis.isEmpty() || admits(nowMillis)) {
+      return false;
+    }
+    return unfinished == 0 || nowMillis - sinceMillis.getAsLong() >= LIMIT_MILLIS;
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/drain/package-info.java
@@ -0,0 +1,2 @@
+/** Planned stops that cut no request. */
+package org.knapweedcleat.core.drain;
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Admission.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Admission.java
@@ -2,12 +2,15 @@
 
 import io.vavr.control.Either;
 import java.util.Optional;
+import org.knapweedcleat.core.account.KeyDigest;
 import org.knapweedcleat.core.attempt.CallerError;
 import org.knapweedcleat.core.attempt.CallerFailure;
 import org.knapweedcleat.core.config.FleetDocument;
 import org.knapweedcleat.core.config.FleetSnapshot;
+import org.knapweedcleat.core.config.PoolSpec;
 import org.knapweedcleat.core.config.RouteSpec;
 import org.knapweedcleat.core.config.ServiceSpec;
+import org.knapweedcleat.core.id.AccountId;
 import org.knapweedcleat.router.gate.CheckedKey;
 
 /** Decides whether a request has a route and a key that works. */
@@ -27,18 +30,25 @@
   }
 
   Either<CallerFailure, Admitted> admit(String method, String path, String authorization) {
-    Optional<FleetSnapshot> snapshot = context.fleet().current();
-    if (snapshot.isEmpty()) {
-      return refuse(CallerError.NOT_READY, RETRY_MILLIS, "no document is in force yet");
-    }
-    FleetDocument document = snapshot.get().document();
-    Optional<RouteSpec> route = document.route(method, path);
-    if (route.isEmpty()) {
-      return refuse(CallerError.NO_ROUTE, 0, "no route for this method and path");
-    }
-    ServiceSpec service = document.services().get(route.get().service());
-    return checkKey(route.get(), service, authorization)
-        .map(key -> new Admitted(route.get(), service, document.pools().get(service.pool()), key));
+    return find(method, path)
+        .flatMap(
+            found ->
+                checkKey(found.route(), found.service(), authorization)
+                    .map(key -> key.map(found::with).orElse(found)));
+  }
+
+  /** Admits a call that another instance passed on, by the digest of the key that came with it. */
+  Either<CallerFailure, Admitted> admitForwarded(
+      String method, String path, KeyDigest digest, AccountId account) {
+    return find(method, path)
+        .flatMap(
+            found ->
+                context
+                    .keys()
+                    .find(digest)
+                    .filter(key -> key.account().equals(account))
+                    .<Either<CallerFailure, Admitted>>map(key -> Either.right(found.with(key)))
+                    .orElseGet(() -> refuse(CallerError.UNKNOWN_KEY, 0, "no such key")));
   }
 
   Either<CallerFailure, CheckedKey> authenticate(String authorization) {
@@ -51,6 +61,21 @@
         .orElseGet(() -> refuse(CallerError.UNKNOWN_KEY, 0, "no such key"));
   }
 
+  private Either<CallerFailure, Admitted> find(String method, String path) {
+    Optional<FleetSnapshot> snapshot = context.fleet().current();
+    if (snapshot.isEmpty()) {
+      return refuse(CallerError.NOT_READY, RETRY_MILLIS, "no document is in force yet");
+    }
+    FleetDocument document = snapshot.get().document();
+    Optional<RouteSpec> route = document.route(method, path);
+    if (route.isEmpty()) {
+      return refuse(CallerError.NO_ROUTE, 0, "no route for this method and path");
+    }
+    ServiceSpec service = document.services().get(route.get().service());
+    PoolSpec pool = document.pools().get(service.pool());
+    return Either.right(new Admitted(route.get(), service, pool, Optional.empty()));
+  }
+
   private Either<CallerFailure, Optional<CheckedKey>> checkKey(
       RouteSpec route, ServiceSpec service, String authorization) {
     if (route.open()) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Admitted.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Admitted.java
@@ -16,6 +16,11 @@
 
   private static final KeyDigest OPEN_DIGEST = KeyDigest.ofKey("");
 
+  /** Returns the same with the key that came with the request. */
+  Admitted with(CheckedKey checked) {
+    return new Admitted(route, service, pool, Optional.of(checked));
+  }
+
   AccountId account() {
     return key.map(CheckedKey::account).orElse(OPEN_ACCOUNT);
   }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/CallDispatch.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/CallDispatch.java
@@ -2,8 +2,10 @@
 
 import io.vavr.control.Either;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonObject;
 import java.util.Optional;
 import org.knapweedcleat.core.attempt.CallerError;
 import org.knapweedcleat.core.attempt.CallerFailure;
@@ -11,7 +13,11 @@
 import org.knapweedcleat.core.attempt.GiveUpCause;
 import org.knapweedcleat.core.attempt.RunRecord;
 import org.knapweedcleat.core.config.PoolKind;
+import org.knapweedcleat.core.id.InstanceId;
 import org.knapweedcleat.core.id.RequestId;
+import org.knapweedcleat.core.once.Ticket;
+import org.knapweedcleat.core.once.TicketBook;
+import org.knapweedcleat.router.gate.CheckedKey;
 
 /** Sends each caller's request on its way. */
 final class CallDispatch {
@@ -19,22 +25,49 @@
   private static final String DEADLINE = "X-Deadline-Millis";
   private static final String CONTINUATION = "X-Continuation";
   private static final String NEXT_POSITION = "X-Next-Position";
+  private static final String TICKETS = "/v1/tickets";
   private static final long RETRY_MILLIS = 1_000;
 
   private final Serving serving;
   private final Admission admission;
+  private final OnceCalls once;
+  private final Draining draining;
 
   private CallDispatch(Serving serving) {
     this.serving = serving;
     this.admission = Admission.of(serving.context());
+    this.once = OnceCalls.of(serving, admission);
+    this.draining = Draining.of(serving, once::unusedTickets);
   }
 
   static CallDispatch of(Serving serving) {
     return new CallDispatch(serving);
   }
 
+  OnceCalls once() {
+    return once;
+  }
+
+  Draining draining() {
+    return draining;
+  }
+
   void handle(HttpServerRequest request, Buffer body) {
     serving.count("requests");
+    if (draining.isDraining()) {
+      request.response().putHeader("Connection", "close");
+    }
+    if (!draining.admits()) {
+      String message = "the instance is stopping";
+      refuse(request, CallerFailure.notRun(CallerError.DRAINING, 0, message));
+    } else if (request.method() == HttpMethod.POST && TICKETS.equals(request.path())) {
+      issue(request);
+    } else {
+      route(request, body);
+    }
+  }
+
+  private void route(HttpServerRequest request, Buffer body) {
     admit(request)
         .peekLeft(failure -> refuse(request, failure))
         .peek(admitted -> begin(request, body, admitted));
@@ -45,6 +78,31 @@
     ErrorAnswers.write(request.response(), failure);
   }
 
+  /** Gives no tickets once the stop has begun, since the stop waits for those that are out. */
+  private void issue(HttpServerRequest request) {
+    Either<CallerFailure, CheckedKey> key =
+        admission.authenticate(request.getHeader("Authorization"));
+    if (key.isLeft()) {
+      refuse(request, key.getLeft());
+      return;
+    }
+    if (draining.isDraining()) {
+      refuse(request, CallerFailure.notRun(CallerError.DRAINING, 0, "the instance is stopping"));
+      return;
+    }
+    Optional<Ticket> ticket = once.issue(key.get());
+    if (ticket.isEmpty()) {
+      String message = "too many tickets are out";
+      refuse(request, CallerFailure.notRun(CallerError.QUEUE_FULL, RETRY_MILLIS, message));
+      return;
+    }
+    JsonObject answer =
+        new JsonObject()
+            .put("ticket", ticket.get().toString())
+            .put("expiresInMillis", TicketBook.LIFETIME_MILLIS);
+    request.response().putHeader("Content-Type", "application/json").end(answer.toBuffer());
+  }
+
   private Either<CallerFailure, Admitted> admit(HttpServerRequest request) {
     if (serving.running().size() >= serving.context().limits().maxInFlight()) {
       String message = "the instance has too many requests";
@@ -100,14 +158,20 @@
   private void plain(
       HttpServerRequest request, Buffer body, Admitted admitted, long deadlineMillis) {
     PlainInput input = PlainInput.of(request, body);
-    PlainRun run = PlainRun.of(serving, admitted, input, deadlineMillis);
+    CallerWait wait =
+        once.applies(admitted, input)
+            ? once.begin(admitted, input, deadlineMillis)
+            : startPlain(admitted, input, deadlineMillis);
     HttpServerResponse response = request.response();
-    response.closeHandler(closed -> run.giveUp(GiveUpCause.CALLER_GONE));
-    run.told()
-        .onSuccess(
-            outcome ->
-                PlainAnswers.write(response, serving.context().incarnation().instance(), outcome));
+    response.closeHandler(closed -> wait.giveUp().accept(GiveUpCause.CALLER_GONE));
+    InstanceId instance = serving.context().incarnation().instance();
+    wait.told().onSuccess(outcome -> PlainAnswers.write(response, instance, outcome));
+  }
+
+  private CallerWait startPlain(Admitted admitted, PlainInput input, long deadlineMillis) {
+    PlainRun run = PlainRun.of(serving, admitted, input, deadlineMillis);
     run.start();
+    return new CallerWait(run.told(), run::giveUp);
   }
 
   private Either<CallerFailure, Integer> firstPosition(
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/CallerServer.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/CallerServer.java
@@ -13,12 +13,17 @@
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Supplier;
 import org.knapweedcleat.core.attempt.CallerError;
 import org.knapweedcleat.core.attempt.CallerFailure;
+import org.knapweedcleat.core.config.FleetSnapshot;
+import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.RequestId;
+import org.knapweedcleat.core.message.PeerMessage;
+import org.knapweedcleat.core.once.ForwardedCall;
 import org.knapweedcleat.router.vertx.Unis;
 
 /** Serves callers over HTTP; all its state belongs to one event loop. */
@@ -35,6 +40,8 @@
   private final int port;
   private final Serving serving;
   private final CallDispatch dispatch;
+  private final Withdrawals withdrawals;
+  private Optional<HttpServer> listening = Optional.empty();
 
   private CallerServer(Vertx vertx, CallerContext context, String host, int port) {
     this.vertx = vertx;
@@ -44,6 +51,7 @@
     this.port = port;
     this.serving = Serving.of(vertx, loop, context);
     this.dispatch = CallDispatch.of(serving);
+    this.withdrawals = Withdrawals.of(serving);
   }
 
   /**
@@ -69,6 +77,44 @@
     return Unis.from(() -> onLoop(this::listen));
   }
 
+  /**
+   * Follows a new document: requests whose keys it no longer declares are ended.
+   *
+   * @param snapshot the document in force
+   */
+  public void documentChanged(FleetSnapshot snapshot) {
+    loop.runOnContext(ignored -> withdrawals.apply(snapshot));
+  }
+
+  /** Begins the planned stop; a second call changes nothing. */
+  public void beginDrain() {
+    loop.runOnContext(ignored -> dispatch.draining().begin());
+  }
+
+  /**
+   * Waits for the end of the planned stop; the server then listens no longer.
+   *
+   * @return the requests that were cut, normally 0
+   */
+  public Uni<Integer> drained() {
+    return Unis.from(() -> onLoop(() -> dispatch.draining().drained().compose(this::stop)));
+  }
+
+  /**
+   * Answers a question of another instance.
+   *
+   * @param question the question
+   * @param from the incarnation that asks
+   * @return the answer; fails for a question of another slice
+   */
+  public Uni<PeerMessage> answer(PeerMessage question, IncarnationId from) {
+    if (question instanceof ForwardedCall call) {
+      return Unis.from(() -> onLoop(() -> dispatch.once().answer(call).map(done -> done)));
+    }
+    return Uni.createFrom()
+        .failure(new IllegalArgumentException("not a question for callers from " + from));
+  }
+
   /**
    * Lists the requests that this incarnation owns.
    *
@@ -84,8 +130,18 @@
     return ids;
   }
 
+  private Future<Integer> stop(int cut) {
+    serving.cancels().stop();
+    return listening
+        .map(HttpServer::close)
+        .orElseGet(Future::succeededFuture)
+        .compose(closed -> serving.endpoints().close())
+        .map(closed -> cut);
+  }
+
   private Future<Integer> listen() {
     serving.cancels().start();
+    context.fleet().current().ifPresent(withdrawals::apply);
     Router router = Router.router(vertx);
     router
         .route()
@@ -97,6 +153,7 @@
         .requestHandler(router)
         .invalidRequestHandler(this::invalid)
         .listen(port, host)
+        .onSuccess(bound -> listening = Optional.of(bound))
         .map(HttpServer::actualPort);
   }
 
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Draining.java
@@ -0,0 +1,73 @@
+package org.knapweedcleat.router.caller;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.List;
+import java.util.function.LongSupplier;
+import org.knapweedcleat.core.attempt.GiveUpCause;
+import org.knapweedcleat.core.audit.AuditEvent;
+import org.knapweedcleat.core.drain.DrainState;
+import org.knapweedcleat.core.invariant.Invariant;
+
+/** Carries out the planned stop of an instance towards its callers. */
+final class Draining {
+
+  private static final long TICK_MILLIS = 50;
+
+  private final Serving serving;
+  private final LongSupplier unusedTickets;
+  private final DrainState state = DrainState.open();
+  private final Promise<Integer> drained = Promise.promise();
+
+  private Draining(Serving serving, LongSupplier unusedTickets) {
+    this.serving = serving;
+    this.unusedTickets = unusedTickets;
+  }
+
+  static Draining of(Serving serving, LongSupplier unusedTickets) {
+    return new Draining(serving, unusedTickets);
+  }
+
+  /** Begins the stop; a second call changes nothing. */
+  void begin() {
+    if (!state.begin(serving.now())) {
+      return;
+    }
+    serving.context().audit().record(new AuditEvent.DrainStarted());
+    serving.vertx().setPeriodic(TICK_MILLIS, this::look);
+  }
+
+  boolean isDraining() {
+    return state.isDraining();
+  }
+
+  boolean admits() {
+    return state.admits(serving.now());
+  }
+
+  /** Completes with the number of requests that were cut. */
+  Future<Integer> drained() {
+    return drained.future();
+  }
+
+  private void look(long timer) {
+    long unfinished =
+        (long) serving.running().size() + serving.cancels().size() + unusedTickets.getAsLong();
+    if (state.isDone(serving.now(), unfinished)) {
+      serving.vertx().cancelTimer(timer);
+      finish();
+    }
+  }
+
+  private void finish() {
+    List<RunningCall> left = serving.running().all();
+    left.forEach(call -> call.giveUp(GiveUpCause.STOPPED));
+    int cut = left.size();
+    serving
+        .context()
+        .monitor()
+        .check(cut == 0, Invariant.DRAIN_CUTS_NOTHING, serving.context().incarnation());
+    serving.context().audit().record(new AuditEvent.DrainFinished(cut));
+    drained.complete(cut);
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/ForwardCall.java
@@ -0,0 +1,92 @@
+package org.knapweedcleat.router.caller;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.Optional;
+import org.knapweedcleat.core.attempt.CallerError;
+import org.knapweedcleat.core.attempt.CallerFailure;
+import org.knapweedcleat.core.attempt.GiveUpCause;
+import org.knapweedcleat.core.attempt.Ran;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.RequestId;
+import org.knapweedcleat.core.message.PeerMessage;
+import org.knapweedcleat.core.once.CallOutcome;
+import org.knapweedcleat.core.once.ForwardedAnswer;
+import org.knapweedcleat.core.once.ForwardedCall;
+import org.knapweedcleat.router.gate.CheckedKey;
+import org.knapweedcleat.router.vertx.Unis;
+
+/** Asks the incarnation that remembers a call's outcome to run it; the caller waits here. */
+final class ForwardCall implements RunningCall {
+
+  private final Serving serving;
+  private final RequestId id;
+  private final Optional<CheckedKey> key;
+  private final Promise<CallOutcome> told = Promise.promise();
+
+  private ForwardCall(Serving serving, Optional<CheckedKey> key) {
+    this.serving = serving;
+    this.id = serving.nextRequest();
+    this.key = key;
+  }
+
+  static ForwardCall of(Serving serving, Optional<CheckedKey> key) {
+    return new ForwardCall(serving, key);
+  }
+
+  @Override
+  public RequestId id() {
+    return id;
+  }
+
+  @Override
+  public Optional<CheckedKey> key() {
+    return key;
+  }
+
+  @Override
+  public void giveUp(GiveUpCause cause) {
+    finish(
+        new CallOutcome.Failed(
+            CallerFailure.truthful(cause.error(), Ran.MAYBE, 0, cause.message())));
+  }
+
+  /** What the caller is told. */
+  Future<CallOutcome> told() {
+    return told.future();
+  }
+
+  void start(IncarnationId owner, ForwardedCall question) {
+    serving.count("forwarded");
+    if (!serving.context().instances().isAlive(owner)) {
+      finish(lost(question));
+      return;
+    }
+    serving.running().add(this);
+    Unis.toFuture(
+            serving.context().instances().ask(owner, question, question.remainingMillis()),
+            serving.loop())
+        .map(answer -> outcome(question, answer))
+        .otherwise(failure -> lost(question))
+        .onSuccess(this::finish);
+  }
+
+  private static CallOutcome outcome(ForwardedCall question, PeerMessage answer) {
+    return answer instanceof ForwardedAnswer known ? known.outcome() : lost(question);
+  }
+
+  /** Says "maybe" also when no byte left now: an earlier call with the ticket may have run. */
+  private static CallOutcome lost(ForwardedCall question) {
+    CallerError error =
+        question.ticket().isEmpty() ? CallerError.ENDPOINT_LOST : CallerError.TICKET_LOST;
+    String message = "the instance that remembers the call does not answer";
+    return new CallOutcome.Failed(new CallerFailure(error, Ran.MAYBE, 0, message));
+  }
+
+  private void finish(CallOutcome outcome) {
+    serving.running().remove(this);
+    if (told.tryComplete(outcome) && outcome instanceof CallOutcome.Failed failed) {
+      serving.countError(failed.failure());
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/OnceCalls.java
@@ -0,0 +1,190 @@
+package org.knapweedcleat.router.caller;
+
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import org.knapweedcleat.core.attempt.CallerError;
+import org.knapweedcleat.core.attempt.CallerFailure;
+import org.knapweedcleat.core.config.CallSafety;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.once.CallDecision;
+import org.knapweedcleat.core.once.CallDigest;
+import org.knapweedcleat.core.once.CallOutcome;
+import org.knapweedcleat.core.once.CallSlot;
+import org.knapweedcleat.core.once.ForwardedAnswer;
+import org.knapweedcleat.core.once.ForwardedCall;
+import org.knapweedcleat.core.once.Ticket;
+import org.knapweedcleat.core.once.TicketBook;
+import org.knapweedcleat.router.gate.CheckedKey;
+
+/** Runs the calls that carry a ticket or a name, here or through the incarnation that knows it. */
+final class OnceCalls {
+
+  private static final int SECRET_LONGS = 4;
+
+  private final Serving serving;
+  private final Admission admission;
+  private final TicketBook book;
+
+  private OnceCalls(Serving serving, Admission admission) {
+    this.serving = serving;
+    this.admission = admission;
+    this.book =
+        TicketBook.of(
+            serving.context().incarnation(), secret(serving), serving.context().monitor());
+  }
+
+  static OnceCalls of(Serving serving, Admission admission) {
+    return new OnceCalls(serving, admission);
+  }
+
+  Optional<Ticket> issue(CheckedKey key) {
+    return book.issue(serving.now(), key.account());
+  }
+
+  long unusedTickets() {
+    return book.unused(serving.now());
+  }
+
+  /** Tells whether a call has to be remembered. */
+  boolean applies(Admitted admitted, PlainInput input) {
+    boolean once = admitted.route().safety() == CallSafety.AT_MOST_ONCE;
+    return input.ticket().isPresent()
+        || once && input.idempotencyKey().isPresent() && admitted.key().isPresent();
+  }
+
+  /** Begins a call; what the caller is told comes later. */
+  CallerWait begin(Admitted admitted, PlainInput input, long deadlineMillis) {
+    if (input.ticket().isEmpty()) {
+      return beginNamed(admitted, input, deadlineMillis);
+    }
+    if (admitted.key().isEmpty()) {
+      return refuse(CallerError.UNKNOWN_KEY, "a ticket needs the key that it was given to");
+    }
+    Optional<Ticket> ticket = Ticket.parse(input.ticket().get());
+    if (ticket.isEmpty()) {
+      return refuse(CallerError.MALFORMED, "X-Ticket is not a ticket");
+    }
+    IncarnationId owner = ticket.get().owner();
+    if (!owner.equals(serving.context().incarnation())) {
+      return forward(owner, admitted, input, deadlineMillis);
+    }
+    CallDecision decision =
+        book.begin(serving.now(), ticket.get(), admitted.account(), digest(input));
+    return follow(decision, admitted, input, deadlineMillis);
+  }
+
+  /** Runs a call that another instance passed on, after checking its key and route here. */
+  Future<ForwardedAnswer> answer(ForwardedCall call) {
+    Either<CallerFailure, Admitted> admitted =
+        admission.admitForwarded(call.method(), call.path(), call.keyDigest(), call.account());
+    if (admitted.isLeft()) {
+      return Future.succeededFuture(ForwardedAnswer.of(new CallOutcome.Failed(admitted.getLeft())));
+    }
+    PlainInput input = input(call);
+    long deadline = Math.min(call.remainingMillis(), admitted.get().service().deadlineMillis());
+    return decide(call, admitted.get(), input)
+        .map(decision -> follow(decision, admitted.get(), input, Math.max(1, deadline)))
+        .map(wait -> wait.told().map(ForwardedAnswer::of))
+        .orElseGet(() -> Future.succeededFuture(malformedTicket()));
+  }
+
+  private Optional<CallDecision> decide(ForwardedCall call, Admitted admitted, PlainInput input) {
+    CallDigest digest = digest(input);
+    if (call.ticket().isEmpty()) {
+      return Optional.of(book.beginNamed(serving.now(), call.name(), admitted.account(), digest));
+    }
+    return Ticket.parse(call.ticket())
+        .map(ticket -> book.begin(serving.now(), ticket, admitted.account(), digest));
+  }
+
+  private CallerWait beginNamed(Admitted admitted, PlainInput input, long deadlineMillis) {
+    String name = input.idempotencyKey().orElseThrow();
+    IncarnationId self = serving.context().incarnation();
+    IncarnationId home =
+        serving.context().instances().homeOf(admitted.account() + "/" + name).orElse(self);
+    if (!home.equals(self)) {
+      return forward(home, admitted, input, deadlineMillis);
+    }
+    CallDecision decision = book.beginNamed(serving.now(), name, admitted.account(), digest(input));
+    return follow(decision, admitted, input, deadlineMillis);
+  }
+
+  private CallerWait follow(
+      CallDecision decision, Admitted admitted, PlainInput input, long deadlineMillis) {
+    if (decision instanceof CallDecision.Run run) {
+      return run(run.slot(), admitted, input, deadlineMillis);
+    }
+    if (decision instanceof CallDecision.Replay replay) {
+      serving.count("replayed");
+      return CallerWait.over(replay.outcome());
+    }
+    CallerFailure failure = ((CallDecision.Refuse) decision).failure();
+    serving.countError(failure);
+    return CallerWait.over(new CallOutcome.Failed(failure));
+  }
+
+  private CallerWait run(CallSlot slot, Admitted admitted, PlainInput input, long deadlineMillis) {
+    PlainRun run = PlainRun.of(serving, admitted, input, deadlineMillis);
+    run.outcome().onSuccess(outcome -> book.finish(slot, outcome));
+    run.start();
+    return new CallerWait(run.told(), run::giveUp);
+  }
+
+  private CallerWait forward(
+      IncarnationId owner, Admitted admitted, PlainInput input, long deadlineMillis) {
+    ForwardCall call = ForwardCall.of(serving, admitted.key());
+    call.start(
+        owner,
+        new ForwardedCall(
+            input.ticket().orElse(""),
+            input.idempotencyKey().orElse(""),
+            admitted.account(),
+            admitted.digest(),
+            input.method().name(),
+            input.path(),
+            input.query(),
+            input.contentType(),
+            input.body().getBytes(),
+            deadlineMillis));
+    return new CallerWait(call.told(), call::giveUp);
+  }
+
+  private CallerWait refuse(CallerError error, String message) {
+    CallerFailure failure = CallerFailure.notRun(error, 0, message);
+    serving.countError(failure);
+    return CallerWait.over(new CallOutcome.Failed(failure));
+  }
+
+  private static ForwardedAnswer malformedTicket() {
+    CallerFailure failure =
+        CallerFailure.notRun(CallerError.MALFORMED, 0, "X-Ticket is not a ticket");
+    return ForwardedAnswer.of(new CallOutcome.Failed(failure));
+  }
+
+  private static PlainInput input(ForwardedCall call) {
+    return new PlainInput(
+        HttpMethod.valueOf(call.method()),
+        call.path(),
+        call.query(),
+        call.contentType(),
+        Optional.of(call.ticket()).filter(ticket -> !ticket.isEmpty()),
+        Optional.of(call.name()).filter(name -> !name.isEmpty()),
+        Buffer.buffer(call.body()));
+  }
+
+  private static CallDigest digest(PlainInput input) {
+    return CallDigest.of(input.method().name(), input.uri(), input.body().getBytes());
+  }
+
+  private static byte[] secret(Serving serving) {
+    ByteBuffer bytes = ByteBuffer.allocate(SECRET_LONGS * Long.BYTES);
+    for (int i = 0; i < SECRET_LONGS; i++) {
+      bytes.putLong(serving.context().random().getAsLong());
+    }
+    return bytes.array();
+  }
+}
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/PlainInput.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/PlainInput.java
@@ -12,10 +12,12 @@
     String path,
     String query,
     String contentType,
+    Optional<String> ticket,
     Optional<String> idempotencyKey,
     Buffer body) {
 
   private static final String CONTENT_TYPE = "Content-Type";
+  private static final String TICKET = "X-Ticket";
   private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
   static PlainInput of(HttpServerRequest request, Buffer body) {
@@ -24,6 +26,7 @@
         request.path(),
         Optional.ofNullable(request.query()).orElse(""),
         Optional.ofNullable(request.getHeader(CONTENT_TYPE)).orElse(""),
+        Optional.ofNullable(request.getHeader(TICKET)),
         Optional.ofNullable(request.getHeader(IDEMPOTENCY_KEY)).filter(name -> !name.isBlank()),
         body == null ? Buffer.buffer() : body);
   }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/PlainRun.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/PlainRun.java
@@ -81,7 +81,7 @@
   public void giveUp(GiveUpCause cause) {
     if (begun) {
       feed(new PlainEvent.GivenUp(cause));
-    } else {
+    } else if (!outcome.future().isComplete()) {
       fail(CallerFailure.truthful(cause.error(), Ran.NO, 0, cause.message()));
     }
   }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Serving.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Serving.java
@@ -110,9 +110,14 @@
     return endpoint(id).filter(endpoint -> endpoint.state().takesNewWork());
   }
 
+  /** Counts an error answer. */
+  void countError(CallerFailure failure) {
+    count("error." + failure.error().name().toLowerCase(Locale.ROOT));
+  }
+
   /** Counts an error answer and checks that "not run" is said only if no byte left. */
   void checkFailure(CallerFailure failure, RunRecord record, RequestId request) {
-    count("error." + failure.error().name().toLowerCase(Locale.ROOT));
+    countError(failure);
     boolean truthful = failure.ran() != Ran.NO || record.isClean();
     context.monitor().check(truthful, Invariant.NOT_RUN_IS_TRUE, request);
   }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/SplitCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/SplitCall.java
@@ -45,6 +45,7 @@
   private boolean admitted;
   private boolean over;
   private boolean performing;
+  private boolean callerGone;
 
   private SplitCall(Serving serving, SplitInput input, SplitAnswer answer) {
     this.serving = serving;
@@ -73,6 +74,7 @@
 
   @Override
   public void giveUp(GiveUpCause cause) {
+    callerGone |= cause == GiveUpCause.CALLER_GONE;
     if (admitted) {
       feed(new SplitEvent.GivenUp(cause));
     } else if (!over) {
@@ -285,8 +287,12 @@
   }
 
   private void fail(CallerFailure failure) {
-    serving.checkFailure(failure, record, id());
-    answer.failure(failure);
+    if (callerGone) {
+      serving.count("gone");
+    } else {
+      serving.checkFailure(failure, record, id());
+      answer.failure(failure);
+    }
     finish();
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/endpoint/CancelSender.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/endpoint/CancelSender.java
@@ -112,7 +112,7 @@
   private void send(CancelLedger.Cancel cancel, EndpointSpec endpoint) {
     int attempt = ledger.attempt(cancel).orElse(0);
     engines
-        .cancel(pending.get(cancel).context(), attempt, endpoint)
+        .cancel(pending.get(cancel).context(), endpoint)
         .onSuccess(result -> answered(cancel, attempt, result));
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/endpoint/EngineClient.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/endpoint/EngineClient.java
@@ -136,13 +136,13 @@
    * Has an endpoint release what it holds for a request.
    *
    * @param context the request
-   * @param attempt the placement; earlier ones are meant too
    * @param endpoint the endpoint
    * @return true when the endpoint confirmed, or the failure
    */
   public Future<Either<CallFailure, Boolean>> cancel(
-      EngineCallContext context, int attempt, EndpointSpec endpoint) {
-    return post(context, endpoint, "/v1/cancel", body(context, attempt), CANCEL_TIMEOUT_MILLIS)
+      EngineCallContext context, EndpointSpec endpoint) {
+    JsonObject body = new JsonObject().put("request", context.request().value());
+    return post(context, endpoint, "/v1/cancel", body, CANCEL_TIMEOUT_MILLIS)
         .map(result -> result.flatMap(reply -> reply.isOk() ? Either.right(true) : unknown()));
   }
 
