--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/LoadPoller.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/LoadPoller.java
@@ -86,7 +86,7 @@
         .post(engine.port(), engine.host(), "/v1/cancel")
         .putHeader("X-Request-Id", request.value())
         .timeout(TIMEOUT_MILLIS)
-        .sendJson(new CancelBody(request.value(), Integer.MAX_VALUE))
+        .sendJson(new CancelBody(request.value()))
         .onFailure(cause -> metrics.counter("schedule.orphans.failed").inc());
   }
 
@@ -173,5 +173,5 @@
 
   private record CacheEntry(long number, long hash, String kind) {}
 
-  private record CancelBody(String request, int attempt) {}
+  private record CancelBody(String request) {}
 }
