Put the parts of an instance together and start it as a process

Cause: the slices ran only in tests. Change: RouterNode composes them on one event loop, RouterMain reads the settings and stops as planned on SIGTERM.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/id/IncarnationId.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/id/IncarnationId.java
@@ -6,7 +6,7 @@
  * Names one run of an instance: a restarted instance is a new incarnation.
  *
  * @param instance the instance
- * @param startNumber a number that no other run of the instance has
+ * @param startNumber a number that rises from run to run
  */
 public record IncarnationId(InstanceId instance, long startNumber) {
 
@@ -19,7 +19,7 @@
    * Returns the id of one run of an instance.
    *
    * @param instance the instance
-   * @param startNumber a number that no other run of the instance has
+   * @param startNumber a number that rises from run to run
    * @return the id
    * @throws NullPointerException if the instance is null
    */
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/RouterMain.java
@@ -0,0 +1,102 @@
+package org.knapweedcleat.router;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vavr.collection.Seq;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import org.knapweedcleat.core.config.ConfigFault;
+import org.knapweedcleat.core.config.InstanceSettings;
+import org.knapweedcleat.core.config.InstanceSettingsParser;
+import org.knapweedcleat.router.node.NodeContext;
+import org.knapweedcleat.router.node.RouterNode;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The program {@code knapweedcleatd}: one instance of the router. */
+public final class RouterMain {
+
+  private static final int USAGE = 2;
+  private static final int FAILED = 1;
+  private static final Logger LOG = LoggerFactory.getLogger(RouterMain.class);
+
+  @Option(name = "--settings", metaVar = "FILE", usage = "the instance's settings", required = true)
+  private Path settingsFile;
+
+  @Option(name = "--help", help = true, usage = "prints this text")
+  private boolean help;
+
+  private RouterMain() {}
+
+  /**
+   * Runs the program until it is told to stop.
+   *
+   * @param arguments {@code --settings FILE}
+   */
+  public static void main(String[] arguments) {
+    RouterMain main = new RouterMain();
+    CmdLineParser parser = new CmdLineParser(main);
+    try {
+      parser.parseArgument(arguments);
+    } catch (CmdLineException e) {
+      System.err.println("knapweedcleatd: " + e.getMessage());
+      parser.printUsage(System.err);
+      System.exit(USAGE);
+    }
+    if (main.help) {
+      System.out.println("usage: knapweedcleatd --settings FILE");
+      parser.printUsage(System.out);
+      return;
+    }
+    main.run();
+  }
+
+  private void run() {
+    InstanceSettings settings = readSettings();
+    Vertx vertx = Vertx.vertx();
+    NodeContext context = NodeContext.of(settings, new MetricRegistry(), event -> {});
+    RouterNode.start(vertx, context)
+        .onSuccess(node -> Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(node))))
+        .onSuccess(node -> LOG.info("{} listens", context.incarnation()))
+        .onFailure(RouterMain::exit);
+  }
+
+  private InstanceSettings readSettings() {
+    try {
+      String text = Files.readString(settingsFile);
+      return InstanceSettingsParser.parse(settingsFile.toString(), text)
+          .fold(RouterMain::exitWith, settings -> settings);
+    } catch (IOException e) {
+      System.err.println("knapweedcleatd: cannot read " + settingsFile + ": " + e.getMessage());
+      System.exit(USAGE);
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static InstanceSettings exitWith(Seq<ConfigFault> faults) {
+    faults.forEach(System.err::println);
+    System.exit(USAGE);
+    throw new IllegalStateException("exiting");
+  }
+
+  private static void exit(Throwable cause) {
+    LOG.error("cannot start", cause);
+    System.exit(FAILED);
+  }
+
+  /** Blocks the end of the process until the planned stop is over. */
+  private static void drain(RouterNode node) {
+    CountDownLatch done = new CountDownLatch(1);
+    node.drain().onComplete(drained -> done.countDown());
+    try {
+      done.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
@@ -0,0 +1,335 @@
+package org.knapweedcleat.router.node;
+
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.knapweedcleat.core.config.EndpointSpec;
+import org.knapweedcleat.core.config.FleetDocument;
+import org.knapweedcleat.core.config.FleetSnapshot;
+import org.knapweedcleat.core.config.InstanceSettings;
+import org.knapweedcleat.core.config.RevisionOutcome;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.PoolId;
+import org.knapweedcleat.core.id.RequestId;
+import org.knapweedcleat.core.limit.LimitMessage;
+import org.knapweedcleat.core.limit.ShareLimiter;
+import org.knapweedcleat.core.membership.Heartbeat;
+import org.knapweedcleat.core.membership.ListedInstance;
+import org.knapweedcleat.core.membership.Member;
+import org.knapweedcleat.core.membership.MemberView;
+import org.knapweedcleat.core.membership.Membership;
+import org.knapweedcleat.core.membership.MembershipAction;
+import org.knapweedcleat.core.message.PeerMessage;
+import org.knapweedcleat.core.schedule.PlacementProgress;
+import org.knapweedcleat.core.schedule.PlacementRequest;
+import org.knapweedcleat.core.schedule.RunningClaims;
+import org.knapweedcleat.core.schedule.SchedulePolicy;
+import org.knapweedcleat.router.caller.CallerContext;
+import org.knapweedcleat.router.caller.CallerLimits;
+import org.knapweedcleat.router.caller.CallerServer;
+import org.knapweedcleat.router.document.DocumentKeeper;
+import org.knapweedcleat.router.document.PeerDocumentFetch;
+import org.knapweedcleat.router.gate.DocumentKeyCheck;
+import org.knapweedcleat.router.lifecycle.Closer;
+import org.knapweedcleat.router.limit.LimitDesk;
+import org.knapweedcleat.router.peer.DocumentRequest;
+import org.knapweedcleat.router.peer.Hello;
+import org.knapweedcleat.router.peer.PeerAddress;
+import org.knapweedcleat.router.peer.PeerHandler;
+import org.knapweedcleat.router.peer.PeerTransport;
+import org.knapweedcleat.router.placement.EngineCanceller;
+import org.knapweedcleat.router.placement.LoadPoller;
+import org.knapweedcleat.router.placement.LocalSchedulers;
+import org.knapweedcleat.router.placement.PlacementDesk;
+import org.knapweedcleat.router.platform.PublishedValue;
+
+/** One run of an instance: all its parts on one event loop. */
+public final class RouterNode implements PeerHandler {
+
+  private final Vertx vertx;
+  private final Context loop;
+  private final NodeContext context;
+  private final Closer closer = Closer.create();
+  private final PeerTransport transport;
+  private final Membership membership;
+  private final AddressBook addresses;
+  private final DocumentKeeper keeper;
+  private final PeerDocumentFetch fetch;
+  private final LocalSchedulers schedulers;
+  private final LoadPoller poller;
+  private final PlacementDesk placements;
+  private final LimitDesk limits;
+  private final CallerServer callers;
+  private final PlatformReader platform;
+  private final EngineCanceller canceller;
+  private final Incarnations incarnations = Incarnations.create();
+
+  private RouterNode(Vertx vertx, NodeContext context) {
+    this.vertx = vertx;
+    this.loop = vertx.getOrCreateContext();
+    this.context = context;
+    InstanceSettings settings = context.settings();
+    FailureDomainId domain = settings.domain();
+    Hello hello = new Hello(context.incarnation(), domain);
+    this.transport = PeerTransport.create(vertx, hello, context.metrics(), this);
+    Member self = context.self(settings.peerPort());
+    this.membership = Membership.of(self, NodeTimes.membership(settings.peers()));
+    MemberView view = membership.view();
+    this.addresses = AddressBook.of(transport, view);
+    this.keeper =
+        DocumentKeeper.of(
+            settings.platform().document(),
+            context.monitor(),
+            context.metrics(),
+            context.audit(),
+            context::nowMillis,
+            this::onDocument);
+    this.fetch = PeerDocumentFetch.of(keeper, this::askForDocument);
+    this.canceller = EngineCanceller.create(vertx, keeper, context.metrics());
+    this.schedulers =
+        LocalSchedulers.of(
+            domain,
+            SchedulePolicy.standard(),
+            context.monitor(),
+            context.metrics(),
+            context::nowMillis,
+            canceller);
+    this.poller = LoadPoller.create(vertx, schedulers, context.metrics());
+    this.placements =
+        PlacementDesk.of(view, schedulers, addresses, context::nowMillis, context.metrics());
+    this.limits = newLimitDesk();
+    this.callers =
+        CallerServer.create(vertx, callerContext(), settings.host(), settings.callerPort());
+    this.platform = PlatformReader.create(vertx, context, keeper, this::onListed);
+  }
+
+  /**
+   * Starts a run of an instance.
+   *
+   * @param vertx runs it
+   * @param context what its parts share
+   * @return the run, once it listens; it is ready later, when it knows what is in force
+   */
+  public static Future<RouterNode> start(Vertx vertx, NodeContext context) {
+    Promise<RouterNode> started = Promise.promise();
+    vertx
+        .getOrCreateContext()
+        .runOnContext(
+            ignored -> {
+              RouterNode node = new RouterNode(vertx, context);
+              node.begin().onComplete(started);
+            });
+    return started.future();
+  }
+
+  @Override
+  public void onMessage(IncarnationId from, PeerMessage message) {
+    if (message instanceof Heartbeat heartbeat) {
+      onHeartbeat(from, heartbeat);
+    } else if (message instanceof LimitMessage limitMessage) {
+      limits.receive(from, limitMessage);
+    } else if (message instanceof PlacementProgress progress) {
+      schedulers.progress(progress);
+    } else if (message instanceof RunningClaims claims) {
+      schedulers.claims(from, claims);
+    } else {
+      context.metrics().counter("peer.messages.unexpected").inc();
+    }
+  }
+
+  @Override
+  public Uni<PeerMessage> onQuestion(IncarnationId from, PeerMessage question) {
+    if (question instanceof PlacementRequest request) {
+      return schedulers.submit(request).map(decision -> decision);
+    }
+    if (question instanceof DocumentRequest request) {
+      return Uni.createFrom().item(keeper.part(request));
+    }
+    return callers.answer(question, from);
+  }
+
+  /**
+   * Stops as planned: takes nothing new, finishes what runs, hands over and closes.
+   *
+   * @return the requests that were cut, normally 0
+   */
+  public Future<Integer> drain() {
+    Promise<Integer> drained = Promise.promise();
+    loop.runOnContext(ignored -> leave(drained));
+    return drained.future();
+  }
+
+  private void leave(Promise<Integer> drained) {
+    run(membership.leave(context.nowMillis()));
+    callers.beginDrain();
+    callers.drained().subscribe().with(cut -> finish(cut, drained), drained::fail);
+  }
+
+  private Future<RouterNode> begin() {
+    closer.addLater(transport::close);
+    closer.add(poller::close);
+    closer.add(canceller::close);
+    closer.add(platform::close);
+    InstanceSettings settings = context.settings();
+    return transport
+        .listen(settings.host(), settings.peerPort())
+        .compose(port -> startCallers())
+        .map(port -> started());
+  }
+
+  private Future<Integer> startCallers() {
+    Promise<Integer> listening = Promise.promise();
+    callers.start().subscribe().with(listening::complete, listening::fail);
+    return listening.future();
+  }
+
+  private RouterNode started() {
+    platform.start();
+    every(NodeTimes.TICK_MILLIS, this::tick);
+    every(NodeTimes.MEMBERSHIP_TICK_MILLIS, () -> run(membership.tick(context.nowMillis())));
+    every(NodeTimes.POLL_MILLIS, () -> poller.poll(scheduledEngines()));
+    every(NodeTimes.CLAIM_MILLIS, this::sendClaims);
+    return this;
+  }
+
+  private void every(long periodMillis, Runnable step) {
+    long timer = vertx.setPeriodic(periodMillis, fired -> step.run());
+    closer.add(() -> vertx.cancelTimer(timer));
+  }
+
+  private void tick() {
+    schedulers.tick();
+    placements.tick();
+    limits.tick();
+  }
+
+  private void finish(int cut, Promise<Integer> drained) {
+    limits.handOver();
+    closer.closeAll().onComplete(closed -> drained.complete(cut));
+  }
+
+  private LimitDesk newLimitDesk() {
+    ShareLimiter limiter =
+        ShareLimiter.of(
+            context.incarnation(),
+            context.settings().domain(),
+            NodeTimes.limits(context.settings().peers()),
+            context.monitor());
+    return LimitDesk.of(limiter, context::nowMillis, context.metrics(), addresses::tell);
+  }
+
+  private CallerContext callerContext() {
+    InstanceSettings.Limits bounds = context.settings().limits();
+    return new CallerContext(
+        context.incarnation(),
+        context.settings().domain(),
+        keeper,
+        DocumentKeyCheck.of(keeper),
+        limits,
+        placements,
+        addresses,
+        context::nowMillis,
+        context.random()::nextLong,
+        context.metrics(),
+        context.monitor(),
+        context.audit(),
+        new CallerLimits(bounds.maxBodyBytes(), bounds.maxHeaderBytes(), bounds.maxInFlight()));
+  }
+
+  private void onHeartbeat(IncarnationId from, Heartbeat heartbeat) {
+    if (!from.equals(heartbeat.sender().incarnation())) {
+      context.metrics().counter("peer.messages.unexpected").inc();
+      return;
+    }
+    run(membership.heartbeat(context.nowMillis(), heartbeat));
+    fetch.announced(from, heartbeat.revision());
+  }
+
+  private void onListed(PublishedValue<List<ListedInstance>> list) {
+    run(membership.listed(context.nowMillis(), list.value()));
+  }
+
+  private void onDocument(RevisionOutcome.Applied applied) {
+    FleetSnapshot snapshot = applied.snapshot();
+    schedulers.configure(snapshot.document());
+    limits.configure(snapshot);
+    callers.documentChanged(snapshot);
+    run(membership.document(context.nowMillis(), snapshot.revision(), snapshot.digest()));
+  }
+
+  private Uni<PeerMessage> askForDocument(IncarnationId peer, DocumentRequest request) {
+    return addresses.ask(peer, request, NodeTimes.DOCUMENT_TIMEOUT_MILLIS);
+  }
+
+  private void run(List<MembershipAction> actions) {
+    for (MembershipAction action : actions) {
+      if (action instanceof MembershipAction.Send message) {
+        PeerAddress to = new PeerAddress(message.to(), message.host(), message.peerPort());
+        transport.send(to, message.heartbeat());
+      } else if (action instanceof MembershipAction.ViewChanged changed) {
+        onView(changed.view());
+      }
+    }
+  }
+
+  private void onView(MemberView view) {
+    addresses.members(view);
+    limits.members(view);
+    incarnations.endedIn(view).forEach(schedulers::incarnationEnded);
+    placements.members(view);
+    platform.setReader(ReaderDuty.isReader(view));
+  }
+
+  private List<EndpointSpec> scheduledEngines() {
+    Optional<FleetDocument> document = keeper.current().map(FleetSnapshot::document);
+    FailureDomainId domain = context.settings().domain();
+    List<EndpointSpec> engines = new ArrayList<>();
+    for (PoolId pool : poolsScheduledBy(self -> self.equals(context.incarnation()))) {
+      document.orElseThrow().endpoints(pool, domain).stream()
+          .filter(endpoint -> endpoint.role().isEngine())
+          .forEach(engines::add);
+    }
+    return engines;
+  }
+
+  private List<PoolId> poolsScheduledBy(Predicate<IncarnationId> wanted) {
+    FailureDomainId domain = context.settings().domain();
+    MemberView view = membership.view();
+    return keeper.current().stream()
+        .flatMap(snapshot -> snapshot.document().pools().keySet().stream())
+        .filter(
+            pool ->
+                view.schedulerOf(pool, domain).map(Member::incarnation).filter(wanted).isPresent())
+        .toList();
+  }
+
+  private void sendClaims() {
+    callers.running().subscribe().with(this::sendClaims);
+  }
+
+  private void sendClaims(Set<RequestId> running) {
+    RunningClaims claims = new RunningClaims(List.copyOf(running));
+    Set<IncarnationId> schedulersNow = new HashSet<>();
+    poolsScheduledBy(
+        scheduler -> {
+          schedulersNow.add(scheduler);
+          return true;
+        });
+    for (IncarnationId scheduler : schedulersNow) {
+      if (scheduler.equals(context.incarnation())) {
+        schedulers.claims(scheduler, claims);
+      } else {
+        addresses.tell(scheduler, claims);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/package-info.java
@@ -0,0 +1,2 @@
+/** The router process. */
+package org.knapweedcleat.router;
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerMessageType.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerMessageType.java
@@ -6,6 +6,8 @@
 import org.knapweedcleat.core.limit.LimitMessage;
 import org.knapweedcleat.core.membership.Heartbeat;
 import org.knapweedcleat.core.message.PeerMessage;
+import org.knapweedcleat.core.once.ForwardedAnswer;
+import org.knapweedcleat.core.once.ForwardedCall;
 import org.knapweedcleat.core.schedule.PlacementDecision;
 import org.knapweedcleat.core.schedule.PlacementProgress;
 import org.knapweedcleat.core.schedule.PlacementRequest;
@@ -56,7 +58,11 @@
   /** Gives tokens back. */
   LIMIT_REFUND(68, LimitMessage.Refund.class),
   /** Tells that the sender's shares have ended. */
-  LIMIT_ENDED(69, LimitMessage.Ended.class);
+  LIMIT_ENDED(69, LimitMessage.Ended.class),
+  /** Brings a call to the incarnation that remembers its outcome. */
+  FORWARDED_CALL(80, ForwardedCall.class),
+  /** Brings the outcome back. */
+  FORWARDED_ANSWER(81, ForwardedAnswer.class);
 
   private static final Map<Short, PeerMessageType> BY_CODE = new HashMap<>();
   private static final Map<Class<?>, PeerMessageType> BY_CLASS = new HashMap<>();
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/EngineCanceller.java
@@ -0,0 +1,70 @@
+package org.knapweedcleat.router.placement;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Vertx;
+import io.vertx.ext.web.client.WebClient;
+import io.vertx.ext.web.client.WebClientOptions;
+import java.util.Objects;
+import java.util.Optional;
+import org.knapweedcleat.core.config.EndpointSpec;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.RequestId;
+import org.knapweedcleat.router.gate.FleetView;
+
+/** Cancels orphans at model engines. */
+public final class EngineCanceller implements OrphanCanceller {
+
+  private static final int TIMEOUT_MILLIS = 1000;
+
+  private final WebClient client;
+  private final FleetView fleet;
+  private final MetricRegistry metrics;
+
+  private EngineCanceller(WebClient client, FleetView fleet, MetricRegistry metrics) {
+    this.client = client;
+    this.fleet = fleet;
+    this.metrics = metrics;
+  }
+
+  /**
+   * Returns a canceller.
+   *
+   * @param vertx runs it
+   * @param fleet shows where endpoints are
+   * @param metrics counts cancels
+   * @return the canceller
+   */
+  public static EngineCanceller create(Vertx vertx, FleetView fleet, MetricRegistry metrics) {
+    Objects.requireNonNull(fleet, "fleet");
+    Objects.requireNonNull(metrics, "metrics");
+    WebClientOptions options = new WebClientOptions().setConnectTimeout(TIMEOUT_MILLIS);
+    return new EngineCanceller(WebClient.create(vertx, options), fleet, metrics);
+  }
+
+  @Override
+  public void cancelOrphan(EndpointId endpoint, RequestId request) {
+    Optional<EndpointSpec> engine =
+        fleet
+            .current()
+            .map(snapshot -> snapshot.document().endpoints().get(endpoint))
+            .filter(spec -> spec.role().isEngine());
+    engine.ifPresent(spec -> cancel(spec, request));
+  }
+
+  /** Closes the connections. */
+  public void close() {
+    client.close();
+  }
+
+  private void cancel(EndpointSpec engine, RequestId request) {
+    metrics.counter("schedule.orphans.cancelled").inc();
+    client
+        .post(engine.port(), engine.host(), "/v1/cancel")
+        .putHeader("X-Request-Id", request.value())
+        .timeout(TIMEOUT_MILLIS)
+        .sendJson(new CancelBody(request.value()))
+        .onFailure(cause -> metrics.counter("schedule.orphans.failed").inc());
+  }
+
+  private record CancelBody(String request) {}
+}
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/LoadPoller.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/LoadPoller.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.knapweedcleat.core.config.EndpointSpec;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.RequestId;
@@ -23,7 +24,7 @@
 import org.knapweedcleat.core.schedule.EndpointLoad;
 
 /** Asks the engines of the pools that are scheduled here for their load and cache events. */
-public final class LoadPoller implements OrphanCanceller {
+public final class LoadPoller {
 
   private static final int TIMEOUT_MILLIS = 1000;
   private static final int MAX_FAILURES = 2;
@@ -34,7 +35,6 @@
   private final MetricRegistry metrics;
   private final ObjectMapper json =
       new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
-  private final Map<EndpointId, EndpointSpec> polled = new HashMap<>();
   private final Map<EndpointId, Integer> failures = new HashMap<>();
   private final Map<EndpointId, Long> cacheEvents = new HashMap<>();
   private final Set<EndpointId> busy = new HashSet<>();
@@ -68,28 +68,12 @@
    * @param engines the engines of the pools that are scheduled here
    */
   public void poll(List<EndpointSpec> engines) {
-    polled.clear();
-    engines.forEach(engine -> polled.put(engine.id(), engine));
-    failures.keySet().retainAll(polled.keySet());
-    cacheEvents.keySet().retainAll(polled.keySet());
+    Set<EndpointId> polled = engines.stream().map(EndpointSpec::id).collect(Collectors.toSet());
+    failures.keySet().retainAll(polled);
+    cacheEvents.keySet().retainAll(polled);
     engines.stream().filter(engine -> busy.add(engine.id())).forEach(this::pollOne);
   }
 
-  @Override
-  public void cancelOrphan(EndpointId endpoint, RequestId request) {
-    EndpointSpec engine = polled.get(endpoint);
-    if (engine == null) {
-      return;
-    }
-    metrics.counter("schedule.orphans.cancelled").inc();
-    client
-        .post(engine.port(), engine.host(), "/v1/cancel")
-        .putHeader("X-Request-Id", request.value())
-        .timeout(TIMEOUT_MILLIS)
-        .sendJson(new CancelBody(request.value()))
-        .onFailure(cause -> metrics.counter("schedule.orphans.failed").inc());
-  }
-
   /** Closes the connections. */
   public void close() {
     client.close();
@@ -172,6 +156,4 @@
   private record CacheBody(long next, List<CacheEntry> events) {}
 
   private record CacheEntry(long number, long hash, String kind) {}
-
-  private record CancelBody(String request) {}
 }
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/platform/PublishedDocument.java
@@ -0,0 +1,78 @@
+package org.knapweedcleat.router.platform;
+
+import io.vavr.collection.Seq;
+import io.vertx.core.Future;
+import java.util.Objects;
+import java.util.Optional;
+import org.knapweedcleat.core.config.DocumentParts;
+import org.knapweedcleat.core.config.PartOutcome;
+import org.knapweedcleat.core.id.Revision;
+
+/** Reads the published document, whole or from the parts that a manifest names. */
+public final class PublishedDocument {
+
+  private final PlatformClient client;
+  private final String name;
+
+  private PublishedDocument(PlatformClient client, String name) {
+    this.client = client;
+    this.name = name;
+  }
+
+  /**
+   * Returns a reader of a document.
+   *
+   * @param client calls the platform
+   * @param name the name of the document's value
+   * @return the reader
+   */
+  public static PublishedDocument of(PlatformClient client, String name) {
+    Objects.requireNonNull(client, "client");
+    return new PublishedDocument(client, Objects.requireNonNull(name, "name"));
+  }
+
+  /**
+   * Reads the document if it is newer than a revision.
+   *
+   * @param after the revision that is known already
+   * @param waitMillis how long the platform may wait for a newer one
+   * @return the whole text under the manifest's revision, empty if there is no newer one; fails
+   *     with {@link PlatformException}
+   */
+  public Future<Optional<PublishedValue<String>>> read(Revision after, long waitMillis) {
+    return client.value(name, after, waitMillis).compose(this::complete);
+  }
+
+  private Future<Optional<PublishedValue<String>>> complete(
+      Optional<PublishedValue<String>> found) {
+    if (found.filter(value -> DocumentParts.isManifest(value.value())).isEmpty()) {
+      return Future.succeededFuture(found);
+    }
+    PublishedValue<String> manifest = found.get();
+    return DocumentParts.of(name, manifest.value())
+        .<Future<String>>fold(
+            faults -> Future.failedFuture(PlatformException.of(PlatformFault.BAD_ANSWER)),
+            parts -> readParts(parts, parts.missing()))
+        .map(text -> Optional.of(new PublishedValue<>(manifest.revision(), text)));
+  }
+
+  private Future<String> readParts(DocumentParts parts, Seq<String> missing) {
+    if (missing.isEmpty()) {
+      return Future.succeededFuture(parts.text().get());
+    }
+    String digest = missing.head();
+    return client
+        .value(DocumentParts.valueName(name, digest), Revision.NONE, 0)
+        .compose(part -> add(parts, digest, part))
+        .compose(added -> readParts(parts, missing.tail()));
+  }
+
+  private static Future<Void> add(
+      DocumentParts parts, String digest, Optional<PublishedValue<String>> part) {
+    boolean accepted =
+        part.filter(found -> parts.add(digest, found.value()) == PartOutcome.ACCEPTED).isPresent();
+    return accepted
+        ? Future.succeededFuture()
+        : Future.failedFuture(PlatformException.of(PlatformFault.BAD_ANSWER));
+  }
+}
