Serve operators: readiness, metrics, status, audit trail and planned stop

Cause: operators and the balancer had no way to see or stop an instance. Change: OperatorServer answers the calls of the protocols page from OperatorSources, which the wiring implements.

--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/operator/MetricsPage.java
@@ -0,0 +1,57 @@
+package org.knapweedcleat.router.operator;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.json.MetricsModule;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.prometheus.client.Collector;
+import io.prometheus.client.dropwizard.DropwizardExports;
+import io.prometheus.client.exporter.common.TextFormat;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** Writes a metric registry as Prometheus text or as JSON. */
+final class MetricsPage {
+
+  static final String PROMETHEUS_TYPE = TextFormat.CONTENT_TYPE_004;
+
+  private final MetricRegistry metrics;
+  private final DropwizardExports exports;
+  private final ObjectMapper mapper;
+
+  private MetricsPage(MetricRegistry metrics) {
+    this.metrics = metrics;
+    this.exports = new DropwizardExports(metrics);
+    this.mapper =
+        new ObjectMapper()
+            .registerModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false));
+  }
+
+  static MetricsPage of(MetricRegistry metrics) {
+    return new MetricsPage(metrics);
+  }
+
+  /** Returns the metrics as text; the library makes each name legal. */
+  String prometheus() {
+    List<Collector.MetricFamilySamples> families = exports.collect();
+    StringWriter text = new StringWriter();
+    try {
+      TextFormat.write004(text, Collections.enumeration(families));
+    } catch (IOException e) {
+      throw new UncheckedIOException("a string writer does not fail", e);
+    }
+    return text.toString();
+  }
+
+  String json() {
+    try {
+      return mapper.writeValueAsString(metrics);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("every registry can be written", e);
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/operator/OperatorServer.java
@@ -0,0 +1,169 @@
+package org.knapweedcleat.router.operator;
+
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import java.util.Objects;
+import java.util.Optional;
+import org.knapweedcleat.router.vertx.Unis;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Serves operators over HTTP. */
+public final class OperatorServer {
+
+  private static final int ACCEPTED = 202;
+  private static final int BAD_REQUEST = 400;
+  private static final int NOT_FOUND = 404;
+  private static final int WRONG_METHOD = 405;
+  private static final int UNAVAILABLE = 503;
+  private static final String JSON = "application/json";
+  private static final Logger LOG = LoggerFactory.getLogger(OperatorServer.class);
+
+  private final Vertx vertx;
+  private final OperatorSources sources;
+  private final MetricsPage metrics;
+  private final String host;
+  private final int port;
+  private final HttpServer server;
+
+  private OperatorServer(Vertx vertx, OperatorSources sources, String host, int port) {
+    this.vertx = vertx;
+    this.sources = sources;
+    this.metrics = MetricsPage.of(sources.metrics());
+    this.host = host;
+    this.port = port;
+    this.server = vertx.createHttpServer();
+  }
+
+  /**
+   * Returns a server that does not listen yet.
+   *
+   * @param vertx runs the server
+   * @param sources what it shows and sets off
+   * @param host the IP number to listen on
+   * @param port the TCP port, 0 for any free one
+   * @return the server
+   * @throws NullPointerException if an argument is null
+   */
+  public static OperatorServer create(Vertx vertx, OperatorSources sources, String host, int port) {
+    Objects.requireNonNull(vertx, "vertx");
+    Objects.requireNonNull(sources, "sources");
+    return new OperatorServer(vertx, sources, Objects.requireNonNull(host, "host"), port);
+  }
+
+  /**
+   * Begins to listen.
+   *
+   * @return the bound port
+   */
+  public Uni<Integer> start() {
+    return Unis.from(
+        () -> server.requestHandler(router()).listen(port, host).map(HttpServer::actualPort));
+  }
+
+  /**
+   * Stops listening.
+   *
+   * @return completes when the port is free
+   */
+  public Uni<Void> close() {
+    return Unis.from(server::close);
+  }
+
+  private Router router() {
+    Router router = Router.router(vertx);
+    router.get("/ready").handler(this::ready);
+    router.get("/live").handler(context -> answer(context, new JsonObject().put("live", true)));
+    router.get("/metrics").handler(this::prometheus);
+    router.get("/metrics.json").handler(this::metricsJson);
+    router.get("/status").handler(this::status);
+    router.get("/audit").handler(this::audit);
+    router.post("/drain").handler(this::drain);
+    router.errorHandler(
+        NOT_FOUND, context -> fail(context, NOT_FOUND, "NO_ROUTE", "see docs/PROTOCOLS.md"));
+    router.errorHandler(
+        WRONG_METHOD,
+        context -> fail(context, WRONG_METHOD, "MALFORMED", "another method is needed"));
+    return router;
+  }
+
+  private void ready(RoutingContext context) {
+    InstanceState state = sources.state();
+    if (!state.isReady()) {
+      context.response().setStatusCode(UNAVAILABLE);
+    }
+    answer(
+        context,
+        new JsonObject()
+            .put("ready", state.isReady())
+            .put("reason", state.name())
+            .put("message", state.meaning()));
+  }
+
+  private void prometheus(RoutingContext context) {
+    vertx
+        .executeBlocking(metrics::prometheus)
+        .onSuccess(text -> write(context, MetricsPage.PROMETHEUS_TYPE, text))
+        .onFailure(context::fail);
+  }
+
+  private void metricsJson(RoutingContext context) {
+    vertx
+        .executeBlocking(metrics::json)
+        .onSuccess(text -> write(context, JSON, text))
+        .onFailure(context::fail);
+  }
+
+  private void status(RoutingContext context) {
+    Unis.toFuture(sources.status(), vertx.getOrCreateContext())
+        .map(OperatorJson::line)
+        .onSuccess(text -> write(context, JSON, text))
+        .onFailure(context::fail);
+  }
+
+  private void audit(RoutingContext context) {
+    Optional<Long> after = number(context.queryParams().get("after"));
+    if (after.isEmpty()) {
+      fail(context, BAD_REQUEST, "MALFORMED", "after takes a whole number from 0");
+      return;
+    }
+    write(context, JSON, OperatorJson.line(sources.audit().read(after.get())));
+  }
+
+  private void drain(RoutingContext context) {
+    LOG.info("an operator began a planned stop");
+    sources.drain();
+    context.response().setStatusCode(ACCEPTED);
+    answer(context, new JsonObject().put("draining", true));
+  }
+
+  private static Optional<Long> number(String text) {
+    if (text == null) {
+      return Optional.of(0L);
+    }
+    return text.matches("[0-9]{1,18}") ? Optional.of(Long.parseLong(text)) : Optional.empty();
+  }
+
+  private static void fail(RoutingContext context, int status, String error, String message) {
+    context.response().setStatusCode(status);
+    answer(
+        context,
+        new JsonObject()
+            .put("error", error)
+            .put("ran", "no")
+            .put("retryAfterMillis", 0)
+            .put("message", message));
+  }
+
+  private static void answer(RoutingContext context, JsonObject body) {
+    write(context, JSON, body.encode());
+  }
+
+  private static void write(RoutingContext context, String type, String body) {
+    context.response().putHeader("Content-Type", type).end(body);
+  }
+}
