--- /dev/null
+++ b/knapweedcleat-standins/src/test/java/org/knapweedcleat/standins/process/Await.java
@@ -0,0 +1,38 @@
+package org.knapweedcleat.standins.process;
+
+import io.vertx.core.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+/** Waits for conditions; the limit only ends runs that would hang. */
+final class Await {
+
+  private static final long LIMIT_SECONDS = 60;
+  private static final long POLL_MILLIS = 20;
+
+  private Await() {}
+
+  static void until(String what, BooleanSupplier condition) {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError("never happened: " + what);
+      }
+      pause(POLL_MILLIS);
+    }
+  }
+
+  static <T> T result(Future<T> future) {
+    until("answer", future::isComplete);
+    return future.result();
+  }
+
+  static void pause(long millis) {
+    try {
+      TimeUnit.MILLISECONDS.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-standins/src/test/java/org/knapweedcleat/standins/process/Http.java
@@ -0,0 +1,52 @@
+package org.knapweedcleat.standins.process;
+
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+
+/** Sends calls whose answers are short. */
+final class Http {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(30);
+  private static final HttpClient CLIENT =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+  private Http() {}
+
+  static Reply get(int port, String path) {
+    return send("GET", port, path, "");
+  }
+
+  /** Sends a call; headers come as names and values in turn. Status 0: the connection broke. */
+  static Reply send(String method, int port, String path, String body, String... headers) {
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+            .timeout(TIMEOUT)
+            .header("Content-Type", "application/json")
+            .method(method, HttpRequest.BodyPublishers.ofString(body));
+    if (headers.length > 0) {
+      request.headers(headers);
+    }
+    try {
+      HttpResponse<String> response =
+          CLIENT.send(request.build(), HttpResponse.BodyHandlers.ofString());
+      return new Reply(response.statusCode(), response.body());
+    } catch (IOException e) {
+      return new Reply(0, "");
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException(e);
+    }
+  }
+
+  record Reply(int status, String text) {
+
+    JsonObject json() {
+      return new JsonObject(text);
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-standins/src/test/java/org/knapweedcleat/standins/process/Proc.java
@@ -0,0 +1,106 @@
+package org.knapweedcleat.standins.process;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** One process of a deployment; it is only ever ended by its own id. */
+final class Proc {
+
+  private static final long EXIT_LIMIT_SECONDS = 60;
+
+  private final String name;
+  private final Process process;
+  private final Path log;
+
+  private Proc(String name, Process process, Path log) {
+    this.name = name;
+    this.process = process;
+    this.log = log;
+  }
+
+  static Proc java(Path folder, String name, String jar, List<String> arguments) {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(List.of("-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+    command.addAll(List.of("-jar", jar));
+    command.addAll(arguments);
+    Path log = folder.resolve(name + ".log");
+    try {
+      Process process =
+          new ProcessBuilder(command)
+              .redirectErrorStream(true)
+              .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+              .start();
+      return new Proc(name, process, log);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  boolean isAlive() {
+    return process.isAlive();
+  }
+
+  void checkAlive() {
+    if (!isAlive()) {
+      throw new IllegalStateException(name + " ended: " + log());
+    }
+  }
+
+  void kill() {
+    process.destroyForcibly();
+    awaitExit();
+  }
+
+  void terminate() {
+    process.destroy();
+  }
+
+  void pause() {
+    signal("STOP");
+  }
+
+  void wake() {
+    signal("CONT");
+  }
+
+  int awaitExit() {
+    try {
+      if (!process.waitFor(EXIT_LIMIT_SECONDS, TimeUnit.SECONDS)) {
+        throw new AssertionError(name + " does not end: " + log());
+      }
+      return process.exitValue();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException(e);
+    }
+  }
+
+  String log() {
+    try {
+      return Files.readString(log);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private void signal(String signal) {
+    String pid = Long.toString(process.pid());
+    try {
+      int exit = new ProcessBuilder("kill", "-" + signal, pid).start().waitFor();
+      if (exit != 0) {
+        throw new IllegalStateException("cannot send " + signal + " to " + name);
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-standins/src/test/java/org/knapweedcleat/standins/process/TextFile.java
@@ -0,0 +1,20 @@
+package org.knapweedcleat.standins.process;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** Writes small files. */
+final class TextFile {
+
+  private TextFile() {}
+
+  static void write(Path file, String text) {
+    try {
+      Files.writeString(file, text);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-standins/src/test/java/org/knapweedcleat/standins/process/package-info.java
@@ -0,0 +1,2 @@
+/** Tests with real processes that are killed, paused and cut off. */
+package org.knapweedcleat.standins.process;
