Test what the process tests rely on in an engine

Resumed answers, refused and expired memory, eviction counted as waste, and orders with an old fencing number; in a process of its own, as the deployments use it.

--- /dev/null
+++ b/knapweedcleat-standins/src/test/java/org/knapweedcleat/standins/process/EngineProcessTest.java
@@ -0,0 +1,136 @@
+package org.knapweedcleat.standins.process;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+import io.vertx.core.json.JsonObject;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestInstance;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The engines that the other process tests rely on. */
+@Tag("process")
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class EngineProcessTest {
+
+  private static final String PROMPT = "a prompt";
+  private static final int EVICT_MILLIS = 400;
+
+  private final int prefillPort = FreePorts.next();
+  private final int decodePort = FreePorts.next();
+  private Proc proc;
+
+  @BeforeAll
+  void start(@TempDir Path folder) {
+    String prefill = "id=p,host=127.0.0.1,port=%d,evictMillis=%d";
+    String decode = "id=d,host=127.0.0.1,port=%d";
+    List<String> arguments =
+        List.of(
+            "engine",
+            "--checks-fencing",
+            "--engine",
+            prefill.formatted(prefillPort, EVICT_MILLIS),
+            "--engine",
+            decode.formatted(decodePort));
+    proc = Proc.java(folder, "engines", "target/standins.jar", arguments);
+    Await.until("decode answers", () -> Http.get(decodePort, "/v1/load").status() == 200);
+  }
+
+  @AfterAll
+  void stop() {
+    proc.kill();
+  }
+
+  @Test
+  void resumedAnswerHasTheSameTokens() {
+    reserve("whole", 1, 10_000);
+    imports("whole", prefill("whole"));
+    String whole = decode("whole", 0);
+    reserve("resumed", 1, 10_000);
+    imports("resumed", prefill("resumed"));
+    String rest = decode("resumed", 4);
+
+    assertThat(whole, containsString(rest));
+    assertThat(whole.split("event: token", -1).length, is(9));
+    assertThat(rest.split("event: token", -1).length, is(5));
+    assertThat(held(), is("[]"));
+  }
+
+  @Test
+  void memoryIsRefusedWhenFullAndReleasedByCancelAndByTime() {
+    assertThat(reserve("big", 20, 60_000).status(), is(200));
+    assertThat(reserve("small", 1, 60_000).status(), is(409));
+    assertThat(cancel("big").getBoolean("released"), is(true));
+    assertThat(cancel("big").getBoolean("released"), is(false));
+    assertThat(reserve("forgotten", 20, 50).status(), is(200));
+    Await.until("the reservation expires", () -> held().equals("[]"));
+  }
+
+  @Test
+  void unclaimedPrefillIsEvictedAndCounted() {
+    reserve("late", 1, 60_000);
+    String handle = prefill("late");
+    Await.until("eviction", () -> counts(prefillPort).getLong("wastedPrefills") == 1);
+
+    assertThat(imports("late", handle).status(), is(410));
+    assertThat(cancel("late").getBoolean("released"), is(true));
+  }
+
+  @Test
+  void oldFencingNumberIsRefused() {
+    assertThat(order(7).status(), is(200));
+    assertThat(order(6).text(), containsString("OLD_FENCING_NUMBER"));
+    assertThat(order(7).status(), is(200));
+  }
+
+  private Http.Reply reserve(String request, int pieces, long holdMillis) {
+    JsonObject body = body(request).put("pieces", pieces).put("holdMillis", holdMillis);
+    return post(decodePort, "reserve", body);
+  }
+
+  private String prefill(String request) {
+    JsonObject body = body(request).put("prompt", PROMPT);
+    return post(prefillPort, "prefill", body).json().getString("handle");
+  }
+
+  private Http.Reply imports(String request, String handle) {
+    JsonObject body = body(request).put("handle", handle).put("sourceHost", "127.0.0.1");
+    return post(decodePort, "import", body.put("sourcePort", prefillPort));
+  }
+
+  private String decode(String request, int fromPosition) {
+    JsonObject body = body(request).put("fromPosition", fromPosition).put("maxTokens", 8);
+    return post(decodePort, "decode", body).text();
+  }
+
+  private JsonObject cancel(String request) {
+    return post(decodePort, "cancel", body(request)).json();
+  }
+
+  private Http.Reply order(long fencingNumber) {
+    JsonObject body = new JsonObject().put("kind", "LOAD_MODEL").put("subject", "horn-7b");
+    return post(decodePort, "orders", body.put("fencingNumber", fencingNumber));
+  }
+
+  private String held() {
+    return counts(decodePort).getJsonArray("held").encode();
+  }
+
+  private static JsonObject counts(int port) {
+    return Http.get(port, "/standin/counts").json();
+  }
+
+  private static JsonObject body(String request) {
+    return new JsonObject().put("request", request).put("attempt", 1);
+  }
+
+  private static Http.Reply post(int port, String stage, JsonObject body) {
+    return Http.send("POST", port, "/v1/" + stage, body.encode());
+  }
+}
