Show operators an instance's state and serve only by the highest document in reach

Cause: an instance that starts beside a stale platform must not serve by an old document. Change: Readiness shows the document to callers only after the instance has listened to others for a heartbeat timeout and no higher revision is announced; the operators' port shows state, status, metrics and audit.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/RouterMain.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/RouterMain.java
@@ -12,6 +12,8 @@
 import org.knapweedcleat.core.config.InstanceSettingsParser;
 import org.knapweedcleat.router.node.NodeContext;
 import org.knapweedcleat.router.node.RouterNode;
+import org.knapweedcleat.router.operator.Logs;
+import org.knapweedcleat.router.operator.RingAuditTrail;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
@@ -21,6 +23,7 @@
 /** The program {@code knapweedcleatd}: one instance of the router. */
 public final class RouterMain {
 
+  private static final int AUDIT_ENTRIES = 10_000;
   private static final int USAGE = 2;
   private static final int FAILED = 1;
   private static final Logger LOG = LoggerFactory.getLogger(RouterMain.class);
@@ -59,7 +62,8 @@
   private void run() {
     InstanceSettings settings = readSettings();
     Vertx vertx = Vertx.vertx();
-    NodeContext context = NodeContext.of(settings, new MetricRegistry(), event -> {});
+    RingAuditTrail audit = RingAuditTrail.of(AUDIT_ENTRIES, System::currentTimeMillis);
+    NodeContext context = NodeContext.of(settings, new MetricRegistry(), audit);
     RouterNode.start(vertx, context)
         .onSuccess(node -> Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(node))))
         .onSuccess(node -> LOG.info("{} listens", context.incarnation()))
@@ -98,5 +102,6 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
+    Logs.flush();
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/NodeContext.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/NodeContext.java
@@ -3,11 +3,11 @@
 import com.codahale.metrics.MetricRegistry;
 import java.security.SecureRandom;
 import java.util.concurrent.TimeUnit;
-import org.knapweedcleat.core.audit.AuditTrail;
 import org.knapweedcleat.core.config.InstanceSettings;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.invariant.InvariantMonitor;
 import org.knapweedcleat.core.membership.Member;
+import org.knapweedcleat.router.operator.RingAuditTrail;
 
 /**
  * What the parts of one run of an instance share.
@@ -24,7 +24,7 @@
     IncarnationId incarnation,
     MetricRegistry metrics,
     InvariantMonitor monitor,
-    AuditTrail audit,
+    RingAuditTrail audit,
     SecureRandom random) {
 
   private static final int RANDOM_BITS = 20;
@@ -38,7 +38,7 @@
    * @return the context
    */
   public static NodeContext of(
-      InstanceSettings settings, MetricRegistry metrics, AuditTrail audit) {
+      InstanceSettings settings, MetricRegistry metrics, RingAuditTrail audit) {
     SecureRandom random = new SecureRandom();
     long startNumber = System.currentTimeMillis() << RANDOM_BITS;
     long number = startNumber | random.nextInt(1 << RANDOM_BITS);
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
@@ -16,6 +16,7 @@
 import org.knapweedcleat.core.config.FleetSnapshot;
 import org.knapweedcleat.core.config.InstanceSettings;
 import org.knapweedcleat.core.config.RevisionOutcome;
+import org.knapweedcleat.core.id.AccountId;
 import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.PoolId;
@@ -41,6 +42,9 @@
 import org.knapweedcleat.router.gate.DocumentKeyCheck;
 import org.knapweedcleat.router.lifecycle.Closer;
 import org.knapweedcleat.router.limit.LimitDesk;
+import org.knapweedcleat.router.operator.InstanceState;
+import org.knapweedcleat.router.operator.InstanceStatus;
+import org.knapweedcleat.router.operator.OperatorServer;
 import org.knapweedcleat.router.peer.DocumentRequest;
 import org.knapweedcleat.router.peer.Hello;
 import org.knapweedcleat.router.peer.PeerAddress;
@@ -70,8 +74,11 @@
   private final LimitDesk limits;
   private final CallerServer callers;
   private final PlatformReader platform;
+  private final Readiness readiness;
+  private final OperatorServer operators;
   private final EngineCanceller canceller;
   private final Incarnations incarnations = Incarnations.create();
+  private Promise<Integer> draining;
 
   private RouterNode(Vertx vertx, NodeContext context) {
     this.vertx = vertx;
@@ -93,6 +100,8 @@
             context.audit(),
             context::nowMillis,
             this::onDocument);
+    this.readiness =
+        Readiness.of(keeper, context::nowMillis, settings.peers().heartbeatTimeoutMillis());
     this.fetch = PeerDocumentFetch.of(keeper, this::askForDocument);
     this.canceller = EngineCanceller.create(vertx, keeper, context.metrics());
     this.schedulers =
@@ -110,6 +119,9 @@
     this.callers =
         CallerServer.create(vertx, callerContext(), settings.host(), settings.callerPort());
     this.platform = PlatformReader.create(vertx, context, keeper, this::onListed);
+    NodeOperators sources = NodeOperators.of(this, context);
+    this.operators =
+        OperatorServer.create(vertx, sources, settings.host(), settings.operatorPort());
   }
 
   /**
@@ -160,18 +172,64 @@
   /**
    * Stops as planned: takes nothing new, finishes what runs, hands over and closes.
    *
-   * @return the requests that were cut, normally 0
+   * @return the requests that were cut, normally 0; the same for each call
    */
   public Future<Integer> drain() {
     Promise<Integer> drained = Promise.promise();
-    loop.runOnContext(ignored -> leave(drained));
+    loop.runOnContext(ignored -> leave().onComplete(drained));
     return drained.future();
   }
 
-  private void leave(Promise<Integer> drained) {
-    run(membership.leave(context.nowMillis()));
-    callers.beginDrain();
-    callers.drained().subscribe().with(cut -> finish(cut, drained), drained::fail);
+  /** Tells how far the instance is; may be called on any thread. */
+  InstanceState state() {
+    if (draining != null) {
+      return InstanceState.DRAINING;
+    }
+    if (readiness.isReady()) {
+      return InstanceState.READY;
+    }
+    return keeper.current().isPresent() ? InstanceState.JOINING : InstanceState.STARTING;
+  }
+
+  /** Gathers the status on the event loop. */
+  Uni<InstanceStatus> status() {
+    return callers.running().map(this::statusWith);
+  }
+
+  private InstanceStatus statusWith(Set<RequestId> running) {
+    Optional<FleetSnapshot> snapshot = keeper.current();
+    return new InstanceStatus(
+        context.incarnation().instance(),
+        context.incarnation(),
+        context.settings().domain(),
+        state(),
+        keeper.revision(),
+        snapshot.map(FleetSnapshot::digest).orElse(""),
+        keeper.unconfirmedMillis(),
+        membership.view().live(),
+        poolsScheduledBy(scheduler -> scheduler.equals(context.incarnation())),
+        accountsKept(snapshot),
+        running.size(),
+        context.monitor().violations());
+  }
+
+  private List<AccountId> accountsKept(Optional<FleetSnapshot> snapshot) {
+    MemberView view = membership.view();
+    return snapshot.stream()
+        .flatMap(known -> known.document().accounts().keySet().stream())
+        .filter(account -> view.homeOf(account).filter(view.self()::equals).isPresent())
+        .sorted()
+        .toList();
+  }
+
+  private Future<Integer> leave() {
+    if (draining == null) {
+      draining = Promise.promise();
+      run(membership.leave(context.nowMillis()));
+      callers.beginDrain();
+      callers.drained().subscribe().with(cut -> finish(cut, draining), draining::fail);
+    }
+    return draining.future();
   }
 
   private Future<RouterNode> begin() {
@@ -179,16 +237,19 @@
     closer.add(poller::close);
     closer.add(canceller::close);
     closer.add(platform::close);
+    closer.addLater(
+        () -> Future.fromCompletionStage(operators.close().subscribeAsCompletionStage()));
     InstanceSettings settings = context.settings();
     return transport
         .listen(settings.host(), settings.peerPort())
-        .compose(port -> startCallers())
+        .compose(port -> listening(callers.start()))
+        .compose(port -> listening(operators.start()))
         .map(port -> started());
   }
 
-  private Future<Integer> startCallers() {
+  private static Future<Integer> listening(Uni<Integer> start) {
     Promise<Integer> listening = Promise.promise();
-    callers.start().subscribe().with(listening::complete, listening::fail);
+    start.subscribe().with(listening::complete, listening::fail);
     return listening.future();
   }
 
@@ -232,8 +293,8 @@
     return new CallerContext(
         context.incarnation(),
         context.settings().domain(),
-        keeper,
-        DocumentKeyCheck.of(keeper),
+        readiness,
+        DocumentKeyCheck.of(readiness),
         limits,
         placements,
         addresses,
@@ -251,6 +312,7 @@
       return;
     }
     run(membership.heartbeat(context.nowMillis(), heartbeat));
+    readiness.announced(heartbeat.revision());
     fetch.announced(from, heartbeat.revision());
   }
 
