Confirm the list of instances again whenever the platform answers

Cause: an instance earns its share only after a list that it received a quiet time after its start, and the watch brought the list once: every request was refused with OVER_RATE (limit.denied.no_share 4 of 4, two instances, by hand). Change: the last list is handed on whenever the platform confirms it, and an instance that is not listed yet reads like one with the duty. After: by hand, two instances, platform, engines and plain service as separate processes: one streamed note, one collected note, one booking answered. Ruled out: counting a list from before the quiet time, since shares of the dead could be earned twice.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/NodeTimes.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/NodeTimes.java
@@ -24,6 +24,8 @@
   static final long DOCUMENT_TIMEOUT_MILLIS = 5000;
 
   private static final long IDLE_POLL_MILLIS = 30_000;
+  private static final long IDLE_LIST_POLL_MILLIS = 10_000;
+  private static final long MIN_LIST_WAIT_MILLIS = 200;
   private static final int DOMAIN_INTERVAL_FACTOR = 10;
   private static final int HEARTBEAT_BYTES_PER_SECOND = 1200;
   private static final int RENEWALS_PER_LEASE = 4;
@@ -54,6 +56,11 @@
     return new PlatformWatch.WatchTimes(platform.watchWaitMillis(), IDLE_POLL_MILLIS);
   }
 
+  static PlatformWatch.WatchTimes listWatch(InstanceSettings.Peers peers) {
+    return new PlatformWatch.WatchTimes(
+        Math.max(MIN_LIST_WAIT_MILLIS, peers.listLagMillis()), IDLE_LIST_POLL_MILLIS);
+  }
+
   /** Returns how long an instance that is neither heard nor listed may still be at work. */
   static long quietMillis(InstanceSettings.Peers peers) {
     long leases = 2L * peers.leaseMillis();
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/PlatformReader.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/PlatformReader.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Vertx;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.knapweedcleat.core.audit.DocumentSource;
 import org.knapweedcleat.core.config.InstanceSettings;
@@ -32,12 +33,13 @@
       Vertx vertx,
       NodeContext context,
       DocumentKeeper keeper,
-      Consumer<PublishedValue<List<ListedInstance>>> onList) {
+      Consumer<List<ListedInstance>> onList) {
     InstanceSettings.Platform settings = context.settings().platform();
     PlatformClient client =
         PlatformClient.create(vertx, settings.host(), settings.port(), context.metrics());
     PublishedDocument document = PublishedDocument.of(client, settings.document());
     PlatformWatch.WatchTimes times = NodeTimes.watch(settings);
+    ConfirmedList list = new ConfirmedList(onList);
     return new PlatformReader(
         client,
         PlatformWatch.create(
@@ -48,7 +50,12 @@
             found -> keeper.offer(found.revision(), found.value(), DocumentSource.PLATFORM),
             keeper::confirmed),
         PlatformWatch.create(
-            vertx, client::instances, times, context.random()::nextLong, onList, () -> {}));
+            vertx,
+            client::instances,
+            NodeTimes.listWatch(context.settings().peers()),
+            context.random()::nextLong,
+            list::take,
+            list::confirm));
   }
 
   void start() {
@@ -56,9 +63,10 @@
     lists.start();
   }
 
-  void setReader(boolean isReader) {
+  /** Takes over whether the instance has the duty to read; the list is read until it is listed. */
+  void setDuty(boolean isReader, boolean isListed) {
     documents.setReader(isReader);
-    lists.setReader(isReader);
+    lists.setReader(isReader || !isListed);
   }
 
   void close() {
@@ -66,4 +74,23 @@
     lists.close();
     client.close();
   }
+
+  /** Hands the last list on again whenever the platform confirms that there is no newer one. */
+  private static final class ConfirmedList {
+    private final Consumer<List<ListedInstance>> onList;
+    private Optional<List<ListedInstance>> last = Optional.empty();
+
+    ConfirmedList(Consumer<List<ListedInstance>> onList) {
+      this.onList = onList;
+    }
+
+    void take(PublishedValue<List<ListedInstance>> list) {
+      last = Optional.of(list.value());
+      onList.accept(list.value());
+    }
+
+    void confirm() {
+      last.ifPresent(onList);
+    }
+  }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
@@ -54,7 +54,6 @@
 import org.knapweedcleat.router.placement.LoadPoller;
 import org.knapweedcleat.router.placement.LocalSchedulers;
 import org.knapweedcleat.router.placement.PlacementDesk;
-import org.knapweedcleat.router.platform.PublishedValue;
 
 /** One run of an instance: all its parts on one event loop. */
 public final class RouterNode implements PeerHandler {
@@ -316,8 +315,8 @@
     fetch.announced(from, heartbeat.revision());
   }
 
-  private void onListed(PublishedValue<List<ListedInstance>> list) {
-    run(membership.listed(context.nowMillis(), list.value()));
+  private void onListed(List<ListedInstance> list) {
+    run(membership.listed(context.nowMillis(), list));
   }
 
   private void onDocument(RevisionOutcome.Applied applied) {
@@ -348,7 +347,7 @@
     limits.members(view);
     incarnations.endedIn(view).forEach(schedulers::incarnationEnded);
     placements.members(view);
-    platform.setReader(ReaderDuty.isReader(view));
+    platform.setDuty(ReaderDuty.isReader(view), view.listed());
   }
 
   private List<EndpointSpec> scheduledEngines() {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/platform/PlatformWatch.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/platform/PlatformWatch.java
@@ -109,8 +109,8 @@
       return;
     }
     failures = 0;
-    confirmed.run();
     answer.filter(found -> found.revision().isAfter(known)).ifPresent(this::onNewer);
+    confirmed.run();
     schedule(jittered(reader ? MIN_RETRY_MILLIS : times.idlePollMillis()));
   }
 
