Add ./measure: the four measures in virtual time, with baselines

Cause: no figure yet says how well the scheduler decides.

Change: a bench module that runs the shipped scheduler against a fake prefill engine, a fake decode engine and a fake link, with ten scenarios, and in the same run the baselines least reported load, first come first served, fixed 1/N limits and each instance alone.

--- /dev/null
+++ b/knapweedcleat-bench/src/main/java/org/knapweedcleat/bench/BenchFleet.java
@@ -0,0 +1,207 @@
+package org.knapweedcleat.bench;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.knapweedcleat.core.config.AccountSpec;
+import org.knapweedcleat.core.config.EndpointRole;
+import org.knapweedcleat.core.config.EndpointSpec;
+import org.knapweedcleat.core.config.EndpointState;
+import org.knapweedcleat.core.config.FailureDomainSpec;
+import org.knapweedcleat.core.config.FleetDocument;
+import org.knapweedcleat.core.config.LinkSpec;
+import org.knapweedcleat.core.config.PoolKind;
+import org.knapweedcleat.core.config.PoolSpec;
+import org.knapweedcleat.core.config.RegionSpec;
+import org.knapweedcleat.core.config.ServiceSpec;
+import org.knapweedcleat.core.id.AccountId;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.InstanceId;
+import org.knapweedcleat.core.id.PoolId;
+import org.knapweedcleat.core.id.RegionId;
+import org.knapweedcleat.core.id.ServiceId;
+import org.knapweedcleat.core.id.TeamId;
+
+/**
+ * A fleet of the size of one of the users of today.
+ *
+ * @param document what its operators declared
+ * @param pool the pool of engines
+ * @param instanceDomains the failure domain of each instance
+ * @param accountShares the share of the traffic of each client account, in tenths
+ */
+record BenchFleet(
+    FleetDocument document,
+    PoolId pool,
+    List<FailureDomainId> instanceDomains,
+    Map<AccountId, Integer> accountShares) {
+
+  private static final TeamId TEAM = TeamId.of("operators");
+  private static final int MEMORY_PIECES = 60;
+  private static final int KV_BYTES_PER_TOKEN = 100_000;
+  private static final int EVICTION_MILLIS = 800;
+  private static final int BURST_SECONDS = 20;
+  private static final int LINK_KILOBITS_PER_SECOND = 20_000;
+  private static final int LINK_DELAY_MILLIS = 30;
+  private static final List<Integer> SHARES = List.of(4, 3, 1, 1, 1);
+
+  static BenchFleet school() {
+    Map<String, String> domains = new LinkedHashMap<>();
+    domains.put("kayseri-a", "anatolia-central");
+    domains.put("kayseri-b", "anatolia-central");
+    domains.put("bursa-a", "marmara");
+    PoolId pool = PoolId.of("horn-tutor");
+    List<EndpointSpec> endpoints = new ArrayList<>();
+    addEngines(endpoints, pool, "kayseri-a", 2, 3);
+    addEngines(endpoints, pool, "kayseri-b", 1, 3);
+    addEngines(endpoints, pool, "bursa-a", 1, 2);
+    List<ServiceSpec> services =
+        List.of(
+            service(pool, "kiosk", 1_000, 50, 1_000, 20, 7),
+            service(pool, "lesson-notes", 8_000, 60, 60_000, 200, 3));
+    return of("school", domains, pool, endpoints, services, 60_000, 3);
+  }
+
+  static BenchFleet cooperative() {
+    Map<String, String> domains = new LinkedHashMap<>();
+    domains.put("cali-norte", "valle");
+    domains.put("palmira", "valle");
+    domains.put("medellin-sur", "antioquia");
+    PoolId pool = PoolId.of("nota-asistente");
+    List<EndpointSpec> endpoints = new ArrayList<>();
+    addEngines(endpoints, pool, "cali-norte", 1, 2);
+    addEngines(endpoints, pool, "palmira", 1, 2);
+    List<ServiceSpec> services =
+        List.of(service(pool, "reconciliation-notes", 8_000, 60, 60_000, 200, 3));
+    return of("cooperative", domains, pool, endpoints, services, 30_000, 3);
+  }
+
+  IncarnationId incarnation(int instance) {
+    return IncarnationId.of(InstanceId.of("instance-" + instance), 1);
+  }
+
+  List<EndpointSpec> endpoints(EndpointRole role) {
+    return document.endpoints().values().stream()
+        .filter(endpoint -> endpoint.role() == role)
+        .sorted((one, other) -> one.id().compareTo(other.id()))
+        .toList();
+  }
+
+  private static BenchFleet of(
+      String name,
+      Map<String, String> domains,
+      PoolId pool,
+      List<EndpointSpec> endpoints,
+      List<ServiceSpec> services,
+      int tokensPerSecond,
+      int instancesPerDomain) {
+    Map<AccountId, Integer> shares = new LinkedHashMap<>();
+    Map<AccountId, AccountSpec> accounts = new LinkedHashMap<>();
+    for (int index = 0; index < SHARES.size(); index++) {
+      AccountId id = AccountId.of("account-" + (index + 1));
+      int rate = tokensPerSecond * SHARES.get(index) / 10;
+      shares.put(id, SHARES.get(index));
+      accounts.put(
+          id,
+          new AccountSpec(
+              id, rate, (long) rate * BURST_SECONDS, SHARES.get(index), Map.of(), TEAM));
+    }
+    List<FailureDomainId> instanceDomains = new ArrayList<>();
+    for (String domain : domains.keySet()) {
+      for (int count = 0; count < instancesPerDomain; count++) {
+        instanceDomains.add(FailureDomainId.of(domain));
+      }
+    }
+    return new BenchFleet(
+        document(name, domains, pool, endpoints, services, accounts),
+        pool,
+        instanceDomains,
+        shares);
+  }
+
+  private static FleetDocument document(
+      String name,
+      Map<String, String> domains,
+      PoolId pool,
+      List<EndpointSpec> endpoints,
+      List<ServiceSpec> services,
+      Map<AccountId, AccountSpec> accounts) {
+    Map<RegionId, RegionSpec> regions =
+        domains.values().stream()
+            .distinct()
+            .map(region -> new RegionSpec(RegionId.of(region), TEAM))
+            .collect(Collectors.toMap(RegionSpec::id, Function.identity()));
+    Map<FailureDomainId, FailureDomainSpec> domainSpecs =
+        domains.entrySet().stream()
+            .map(
+                entry ->
+                    new FailureDomainSpec(
+                        FailureDomainId.of(entry.getKey()), RegionId.of(entry.getValue()), TEAM))
+            .collect(Collectors.toMap(FailureDomainSpec::id, Function.identity()));
+    List<RegionId> ends = domains.values().stream().distinct().map(RegionId::of).toList();
+    LinkSpec link =
+        new LinkSpec(ends.get(0), ends.get(1), LINK_KILOBITS_PER_SECOND, LINK_DELAY_MILLIS, TEAM);
+    PoolSpec poolSpec =
+        new PoolSpec(pool, PoolKind.SPLIT, "model", KV_BYTES_PER_TOKEN, EVICTION_MILLIS, TEAM);
+    return new FleetDocument(
+        name,
+        regions,
+        domainSpecs,
+        List.of(link),
+        Map.of(pool, poolSpec),
+        services.stream().collect(Collectors.toMap(ServiceSpec::id, Function.identity())),
+        List.of(),
+        accounts,
+        List.of(),
+        endpoints.stream().collect(Collectors.toMap(EndpointSpec::id, Function.identity())));
+  }
+
+  private static void addEngines(
+      List<EndpointSpec> endpoints, PoolId pool, String domain, int prefills, int decodes) {
+    for (int number = 1; number <= prefills; number++) {
+      endpoints.add(endpoint(pool, domain, EndpointRole.PREFILL, "prefill-" + number));
+    }
+    for (int number = 1; number <= decodes; number++) {
+      endpoints.add(endpoint(pool, domain, EndpointRole.DECODE, "decode-" + number));
+    }
+  }
+
+  private static EndpointSpec endpoint(PoolId pool, String domain, EndpointRole role, String name) {
+    return new EndpointSpec(
+        EndpointId.of(domain + "-" + name),
+        pool,
+        role,
+        FailureDomainId.of(domain),
+        "127.0.0.1",
+        1,
+        MEMORY_PIECES,
+        true,
+        EndpointState.ACTIVE,
+        TEAM);
+  }
+
+  private static ServiceSpec service(
+      PoolId pool,
+      String name,
+      int firstTokenMillis,
+      int gapMillis,
+      int deadlineMillis,
+      int queueLimit,
+      int priority) {
+    return new ServiceSpec(
+        ServiceId.of(name),
+        pool,
+        firstTokenMillis,
+        gapMillis,
+        deadlineMillis,
+        queueLimit,
+        priority,
+        0,
+        TEAM);
+  }
+}
--- /dev/null
+++ b/knapweedcleat-bench/src/main/java/org/knapweedcleat/bench/EventQueue.java
@@ -0,0 +1,58 @@
+package org.knapweedcleat.bench;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** Virtual time: runs tasks in the order of their times, and of their entry at equal times. */
+final class EventQueue {
+
+  private static final long MICROS_PER_MILLI = 1_000;
+
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          Comparator.comparingLong(Event::atMicros).thenComparingLong(Event::number));
+  private long nowMicros;
+  private long entered;
+
+  private EventQueue() {}
+
+  static EventQueue create() {
+    return new EventQueue();
+  }
+
+  long nowMicros() {
+    return nowMicros;
+  }
+
+  long nowMillis() {
+    return nowMicros / MICROS_PER_MILLI;
+  }
+
+  void at(long atMicros, Runnable task) {
+    events.add(new Event(Math.max(atMicros, nowMicros), entered++, task));
+  }
+
+  void after(long delayMicros, Runnable task) {
+    at(nowMicros + delayMicros, task);
+  }
+
+  void afterMillis(long delayMillis, Runnable task) {
+    after(delayMillis * MICROS_PER_MILLI, task);
+  }
+
+  /** Runs a task now and then again and again. */
+  void everyMillis(long intervalMillis, Runnable task) {
+    task.run();
+    afterMillis(intervalMillis, () -> everyMillis(intervalMillis, task));
+  }
+
+  void runUntil(long endMicros) {
+    while (!events.isEmpty() && events.peek().atMicros() <= endMicros) {
+      Event event = events.poll();
+      nowMicros = event.atMicros();
+      event.task().run();
+    }
+  }
+
+  private record Event(long atMicros, long number, Runnable task) {}
+}
--- /dev/null
+++ b/knapweedcleat-bench/src/main/java/org/knapweedcleat/bench/LeastLoadPolicy.java
@@ -0,0 +1,115 @@
+package org.knapweedcleat.bench;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToIntFunction;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.knapweedcleat.core.config.EndpointRole;
+import org.knapweedcleat.core.config.EndpointSpec;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.RegionId;
+import org.knapweedcleat.core.schedule.EndpointLoad;
+import org.knapweedcleat.core.schedule.PlacementDecision;
+import org.knapweedcleat.core.schedule.PlacementProgress;
+import org.knapweedcleat.core.schedule.PlacementRequest;
+import org.knapweedcleat.core.schedule.PlacementStage;
+import org.knapweedcleat.core.schedule.ScheduleAction;
+import org.knapweedcleat.core.schedule.ScheduleAction.Decide;
+
+/** Baseline: each request goes at once to the engines of the region that report the least load. */
+final class LeastLoadPolicy implements Policy {
+
+  private static final long FAILURE_MILLIS = 5_000;
+
+  private final BenchFleet fleet;
+  private final Map<EndpointId, EndpointLoad> loads = new HashMap<>();
+  private final Map<EndpointId, Long> failedAt = new HashMap<>();
+  private final Map<String, EndpointId> decodeOfAttempt = new HashMap<>();
+  private final UniformRandomProvider random;
+
+  private LeastLoadPolicy(BenchFleet fleet, long seed) {
+    this.fleet = fleet;
+    this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+  }
+
+  static LeastLoadPolicy of(BenchFleet fleet, long seed) {
+    return new LeastLoadPolicy(fleet, seed);
+  }
+
+  @Override
+  public List<ScheduleAction> submit(long now, FailureDomainId domain, PlacementRequest request) {
+    RegionId region = fleet.document().domains().get(domain).region();
+    EndpointSpec decode =
+        least(
+            fleet.endpoints(EndpointRole.DECODE).stream()
+                .filter(spec -> regionOf(spec).equals(region))
+                .filter(
+                    spec ->
+                        now - failedAt.getOrDefault(spec.id(), -FAILURE_MILLIS) >= FAILURE_MILLIS)
+                .toList(),
+            EndpointLoad::usedPieces);
+    EndpointSpec prefill =
+        least(
+            fleet.endpoints(EndpointRole.PREFILL).stream()
+                .filter(spec -> spec.domain().equals(decode.domain()))
+                .toList(),
+            EndpointLoad::queuedPrefillTokens);
+    decodeOfAttempt.put(request.request() + "/" + request.attempt(), decode.id());
+    return List.of(
+        new Decide(
+            request.owner(),
+            new PlacementDecision.Split(
+                request.request(), request.attempt(), prefill.id(), decode.id(), 0)));
+  }
+
+  @Override
+  public List<ScheduleAction> progress(
+      long now, FailureDomainId domain, IncarnationId owner, PlacementProgress progress) {
+    if (progress.stage() == PlacementStage.ENDPOINT_FAILED) {
+      EndpointId decode = decodeOfAttempt.get(progress.request() + "/" + progress.attempt());
+      failedAt.put(decode, now);
+    }
+    return List.of();
+  }
+
+  @Override
+  public List<ScheduleAction> report(long now, EndpointLoad load) {
+    loads.put(load.endpoint(), load);
+    return List.of();
+  }
+
+  @Override
+  public List<ScheduleAction> tick(long now) {
+    return List.of();
+  }
+
+  @Override
+  public boolean isCentral() {
+    return false;
+  }
+
+  private RegionId regionOf(EndpointSpec spec) {
+    return fleet.document().domains().get(spec.domain()).region();
+  }
+
+  private EndpointSpec least(List<EndpointSpec> specs, ToIntFunction<EndpointLoad> measure) {
+    int[] ties = random.ints(specs.size()).toArray();
+    Comparator<Integer> byLoad = Comparator.comparingInt(index -> load(specs.get(index), measure));
+    return IntStream.range(0, specs.size())
+        .boxed()
+        .min(byLoad.thenComparingInt(index -> ties[index]))
+        .map(specs::get)
+        .orElseThrow();
+  }
+
+  private int load(EndpointSpec spec, ToIntFunction<EndpointLoad> measure) {
+    EndpointLoad load = loads.get(spec.id());
+    return load == null ? 0 : measure.applyAsInt(load);
+  }
+}
--- /dev/null
+++ b/knapweedcleat-bench/src/main/java/org/knapweedcleat/bench/MeasureMain.java
@@ -0,0 +1,45 @@
+package org.knapweedcleat.bench;
+
+import java.util.List;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/** Measures scenarios in virtual time and prints the figures. */
+public final class MeasureMain {
+
+  private static final int USAGE_STATUS = 2;
+
+  @Argument(metaVar = "SCENARIO", usage = "a scenario, or all", required = true)
+  private String scenario;
+
+  @Option(name = "--seed", metaVar = "N", usage = "the seed of all random draws")
+  private long seed = 1;
+
+  private MeasureMain() {}
+
+  /**
+   * Runs the command.
+   *
+   * @param args the command line
+   */
+  public static void main(String[] args) {
+    MeasureMain main = new MeasureMain();
+    CmdLineParser parser = new CmdLineParser(main);
+    try {
+      parser.parseArgument(args);
+      main.scenarios().forEach(each -> Report.print(System.out, each, main.seed));
+    } catch (CmdLineException | IllegalArgumentException e) {
+      System.err.println(e.getMessage());
+      System.err.print("usage: ./measure");
+      parser.printSingleLineUsage(System.err);
+      System.err.println();
+      System.exit(USAGE_STATUS);
+    }
+  }
+
+  private List<Scenario> scenarios() {
+    return scenario.equals("all") ? List.of(Scenario.values()) : List.of(Scenario.parse(scenario));
+  }
+}
