Count only what is served before a request in its estimate

Cause: the estimate of the time to the first token counted the waiting requests of all lanes, so that a kiosk request was refused because of notes behind it.

Change: FairQueue.ahead sums the lanes up to the request's own, and of other accounts as much as their turn covers.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/AccountQueue.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/AccountQueue.java
@@ -3,7 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.Deque;
-import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Set;
 import java.util.TreeMap;
 import org.knapweedcleat.core.id.AccountId;
@@ -16,12 +16,10 @@
       Comparator.comparingDouble(AccountQueue::served).thenComparing(AccountQueue::account);
 
   private final AccountId account;
-  private final Map<QueueLane, Deque<Waiting>> lanes = new TreeMap<>();
+  private final NavigableMap<QueueLane, Deque<Waiting>> lanes = new TreeMap<>();
   private int weight = 1;
   private double served;
   private int size;
-  private long tokens;
-  private long pieces;
 
   private AccountQueue(AccountId account) {
     this.account = account;
@@ -48,12 +46,15 @@
     return size;
   }
 
-  long promptTokens() {
-    return tokens;
-  }
-
-  long pieces() {
-    return pieces;
+  /** Sums what waits in the lanes up to the given one. */
+  QueuedWork workUpTo(QueueLane last) {
+    QueuedWork sum = QueuedWork.NONE;
+    for (Deque<Waiting> waiting : lanes.headMap(last, true).values()) {
+      for (Waiting each : waiting) {
+        sum = sum.plus(each);
+      }
+    }
+    return sum;
   }
 
   Set<QueueLane> lanes() {
@@ -67,7 +68,7 @@
   void add(Waiting waiting) {
     weight = waiting.weight();
     lanes.computeIfAbsent(waiting.lane(), lane -> new ArrayDeque<>()).add(waiting);
-    count(waiting, 1);
+    size++;
   }
 
   void remove(Waiting waiting) {
@@ -78,7 +79,7 @@
     if (deque.isEmpty()) {
       lanes.remove(waiting.lane());
     }
-    count(waiting, -1);
+    size--;
   }
 
   void raiseTo(double floor) {
@@ -88,10 +89,4 @@
   void charge(double pricedTokens) {
     served += pricedTokens / weight;
   }
-
-  private void count(Waiting waiting, int sign) {
-    size += sign;
-    tokens += (long) sign * waiting.request().promptTokens();
-    pieces += (long) sign * waiting.pieces();
-  }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/Admission.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/Admission.java
@@ -27,8 +27,7 @@
   }
 
   /** Estimates the time to the first token, or to the answer of a plain call. */
-  double estimateMillis(
-      long now, PoolKind kind, PlacementRequest request, FairQueue.QueuedWork ahead) {
+  double estimateMillis(long now, PoolKind kind, PlacementRequest request, QueuedWork ahead) {
     if (kind == PoolKind.PLAIN) {
       return plainMillis(now, ahead);
     }
@@ -74,13 +73,13 @@
         .orElse(0);
   }
 
-  private double plainMillis(long now, FairQueue.QueuedWork ahead) {
+  private double plainMillis(long now, QueuedWork ahead) {
     int places = endpoints.active(EndpointRole.PLAIN).size() * policy.plainConcurrency();
     double rounds = ahead.requests() / Math.max(1, places);
     return blockedMillis(now, EndpointRole.PLAIN) + costs.plainMillis().value() * (1 + rounds);
   }
 
-  private double prefillWaitMillis(long now, FairQueue.QueuedWork ahead) {
+  private double prefillWaitMillis(long now, QueuedWork ahead) {
     List<EndpointTrack> prefills = endpoints.usable(now, EndpointRole.PREFILL);
     double least = prefills.stream().mapToDouble(track -> track.backlogMillis(now)).min().orElse(0);
     if (ahead.promptTokens() == 0 || prefills.isEmpty()) {
@@ -90,7 +89,7 @@
     return Math.max(least, (ahead.promptTokens() + backlog) / totalRate(prefills));
   }
 
-  private double memoryWaitMillis(long now, PlacementRequest request, FairQueue.QueuedWork ahead) {
+  private double memoryWaitMillis(long now, PlacementRequest request, QueuedWork ahead) {
     int free = 0;
     for (EndpointTrack track : endpoints.usable(now, EndpointRole.DECODE)) {
       free += Math.max(0, endpoints.freePieces(now, track));
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/Dispatcher.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/Dispatcher.java
@@ -67,7 +67,8 @@
   List<ScheduleAction> admit(long now, PlacementRequest request) {
     ServiceSpec service = document.services().get(request.service());
     int weight = weight(request);
-    FairQueue.QueuedWork ahead = queue.ahead(request.account(), weight);
+    QueueLane lane = QueueLane.of(request, service);
+    QueuedWork ahead = queue.ahead(request, weight, lane);
     double estimate = admission.estimateMillis(now, pool.kind(), request, ahead);
     double likely = admission.likelyMillis(service.id(), estimate);
     long allowed = Math.min(request.remainingMillis(), service.deadlineMillis());
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/FairQueue.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/FairQueue.java
@@ -112,25 +112,20 @@
         .toList();
   }
 
-  /** Sums what is likely to be served before a new request of an account. */
-  QueuedWork ahead(AccountId account, int weight) {
-    AccountQueue own = accounts.get(account);
-    long ownTokens = own == null ? 0 : own.promptTokens();
-    long ownPieces = own == null ? 0 : own.pieces();
-    double requests = own == null ? 0 : own.size();
+  /** Sums what is likely to be served before a new request of an account in a lane. */
+  QueuedWork ahead(PlacementRequest request, int weight, QueueLane lane) {
+    AccountQueue own = accounts.get(request.account());
+    QueuedWork ownWork = own == null ? QueuedWork.NONE : own.workUpTo(lane);
     double served = own == null ? floor : Math.max(floor, own.served());
-    double tokens = ownTokens;
-    double pieces = ownPieces;
+    double turn = (ownWork.promptTokens() + request.promptTokens()) / weight;
+    QueuedWork sum = ownWork;
     for (AccountQueue other : active) {
       if (other != own) {
-        double share = (double) other.weight() / weight;
-        double lead = Math.max(0, served - other.served()) * other.weight();
-        tokens += Math.min(other.promptTokens(), (ownTokens + 1_000) * share + lead);
-        pieces += Math.min(other.pieces(), (ownPieces + 1) * share + lead / 1_000);
-        requests += other.size();
+        double lead = Math.max(0, served - other.served());
+        sum = sum.plus(other.workUpTo(lane).atMost((turn + lead) * other.weight()));
       }
     }
-    return new QueuedWork(requests, tokens, pieces);
+    return sum;
   }
 
   /** Forgets accounts that would start from the floor anyway. */
@@ -159,13 +154,4 @@
       lanes.computeIfAbsent(lane, key -> new TreeSet<>(AccountQueue.LEAST_SERVED)).add(queue);
     }
   }
-
-  /**
-   * Work that waits.
-   *
-   * @param requests how many requests
-   * @param promptTokens prompt tokens to be read
-   * @param pieces engine memory to be reserved
-   */
-  record QueuedWork(double requests, double promptTokens, double pieces) {}
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/QueueLane.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/QueueLane.java
@@ -1,6 +1,7 @@
 package org.knapweedcleat.core.schedule;
 
 import java.util.Comparator;
+import org.knapweedcleat.core.config.ServiceSpec;
 
 /**
  * A class of waiting requests; the least lane is served first.
@@ -13,6 +14,10 @@
   private static final Comparator<QueueLane> ORDER =
       Comparator.comparing(QueueLane::withinRate).thenComparingInt(QueueLane::priority).reversed();
 
+  static QueueLane of(PlacementRequest request, ServiceSpec service) {
+    return new QueueLane(request.withinRate(), service.priority());
+  }
+
   @Override
   public int compareTo(QueueLane other) {
     return ORDER.compare(this, other);
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/Waiting.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/Waiting.java
@@ -39,6 +39,6 @@
   }
 
   QueueLane lane() {
-    return new QueueLane(request.withinRate(), service.priority());
+    return QueueLane.of(request, service);
   }
 }
