Leave alone at an endpoint what a silent owner may still serve

Cause: a scheduler cancelled whatever no incarnation claimed to it for the grace time. In a partition inside a failure domain both sides poll the same engines, and each would cancel the other's running requests. Change: a request's id names the incarnation that took it in; while that owner is silent and not known to have ended, its requests are left alone for 60 s instead of the grace time. What an ended incarnation held is an orphan at once also if it never claimed it; claims of a silent owner lapse after 60 s. Seen failing first: leavesAloneWhatSilentOwnerMayStillServe (cancelled after the grace), cancelsWhatSilentOwnerHasHeldForTooLong (never cancelled), cancelsAtOnceWhatEndedOwnerNeverClaimed (not cancelled). The test of ended incarnations now uses an id that names its owner, since that is where the owner comes from; what it expects is unchanged. Ruled out: cancelling only on certain ends, since with the platform down a killed instance would never count as ended.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/id/RequestId.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/id/RequestId.java
@@ -1,5 +1,7 @@
 package org.knapweedcleat.core.id;
 
+import java.util.Optional;
+
 /**
  * Names a request of a caller; unique over all instances and incarnations.
  *
@@ -24,6 +26,34 @@
     return new RequestId(value);
   }
 
+  /**
+   * Returns the id of a request that an incarnation takes in.
+   *
+   * @param owner the incarnation
+   * @param number a number that no other request of the incarnation has, at least 0
+   * @return the id
+   */
+  public static RequestId of(IncarnationId owner, long number) {
+    return new RequestId(owner + "-" + number);
+  }
+
+  /**
+   * Returns the incarnation that took the request in.
+   *
+   * @return the incarnation, empty if the id was not made by an incarnation
+   */
+  public Optional<IncarnationId> owner() {
+    int dash = value.lastIndexOf('-');
+    if (dash < 1) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(IncarnationId.parse(value.substring(0, dash)));
+    } catch (IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+
   @Override
   public int compareTo(RequestId other) {
     return value.compareTo(other.value);
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/OrphanSweep.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/OrphanSweep.java
@@ -2,10 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.IncarnationId;
@@ -13,19 +12,23 @@
 import org.knapweedcleat.core.schedule.ScheduleAction.CancelOrphan;
 
 /**
- * Finds requests that hold memory at an endpoint although no living incarnation claims them.
+ * Finds requests that hold memory at an endpoint although no living incarnation serves them.
  *
  * <p>A held request that nobody claims is left alone for a grace time, since claims and load
- * reports are late. It is then cancelled, and again after each further grace time, until the
- * endpoint no longer reports it.
+ * reports are late. A request whose owner is silent may still be served on the other side of a
+ * partition, so it is left alone for longer, unless the owner is known to have ended. It is then
+ * cancelled, and again after each further grace time, until the endpoint no longer reports it.
  */
 public final class OrphanSweep {
 
-  private static final long ENDED_MEMORY_MILLIS = 60_000;
+  /** How long what a silent owner may still serve is left alone. */
+  static final long SILENT_OWNER_MILLIS = 60_000;
+
+  private static final long ENDED_MEMORY_MILLIS = 600_000;
 
   private final long graceMillis;
-  private final Map<IncarnationId, Set<RequestId>> claims = new HashMap<>();
-  private final Map<RequestId, Long> ownerEndedAt = new LinkedHashMap<>();
+  private final Map<IncarnationId, Claims> claims = new HashMap<>();
+  private final Map<IncarnationId, Long> endedAtMillis = new HashMap<>();
   private final Map<EndpointId, Map<RequestId, Long>> unclaimedSince = new HashMap<>();
 
   private OrphanSweep(long graceMillis) {
@@ -49,35 +52,37 @@
   /**
    * Takes over what an incarnation runs; replaces what it claimed before.
    *
+   * @param now the time in milliseconds
    * @param owner the incarnation
    * @param running all requests that it runs
    */
-  public void claims(IncarnationId owner, List<RequestId> running) {
-    claims.put(owner, new HashSet<>(running));
+  public void claims(long now, IncarnationId owner, List<RequestId> running) {
+    if (!endedAtMillis.containsKey(owner)) {
+      claims.put(owner, new Claims(now, Set.copyOf(running)));
+    }
   }
 
   /**
-   * Drops the claims of an incarnation that has ended; what only it claimed is an orphan at once.
+   * Drops the claims of an incarnation that has ended; what only it served is an orphan at once.
    *
    * @param now the time in milliseconds
    * @param owner the incarnation
    */
   public void incarnationEnded(long now, IncarnationId owner) {
-    ownerEndedAt.values().removeIf(endedAt -> now - endedAt > ENDED_MEMORY_MILLIS);
-    Set<RequestId> orphans = claims.remove(owner);
-    if (orphans != null) {
-      orphans.forEach(request -> ownerEndedAt.put(request, now));
-    }
+    endedAtMillis.values().removeIf(millis -> now - millis > ENDED_MEMORY_MILLIS);
+    endedAtMillis.put(owner, now);
+    claims.remove(owner);
   }
 
   /**
    * Tells whether a living incarnation claims a request.
    *
+   * @param now the time in milliseconds
    * @param request the request
    * @return true if one does
    */
-  public boolean isClaimed(RequestId request) {
-    return claims.values().stream().anyMatch(running -> running.contains(request));
+  public boolean isClaimed(long now, RequestId request) {
+    return claims.values().stream().anyMatch(claim -> claim.covers(now, request));
   }
 
   /**
@@ -104,9 +109,10 @@
     Map<RequestId, Long> after = new HashMap<>();
     List<ScheduleAction> actions = new ArrayList<>();
     for (RequestId request : held) {
-      if (!isExpected(endpoint, request, expectations)) {
+      Expectation expectation = expectations.of(endpoint, request);
+      if (!isExpected(now, request, expectation)) {
         long since = before.getOrDefault(request, now);
-        boolean due = now - since >= graceMillis || ownerEndedAt.containsKey(request);
+        boolean due = now - since >= waitMillis(request, since, expectation);
         after.put(request, due ? now : since);
         if (due) {
           actions.add(new CancelOrphan(endpoint, request));
@@ -117,14 +123,34 @@
     return actions;
   }
 
-  private boolean isExpected(EndpointId endpoint, RequestId request, Expectations expectations) {
-    return switch (expectations.of(endpoint, request)) {
+  private boolean isExpected(long now, RequestId request, Expectation expectation) {
+    return switch (expectation) {
       case HERE -> true;
       case ELSEWHERE -> false;
-      case UNKNOWN -> isClaimed(request);
+      case UNKNOWN -> isClaimed(now, request);
     };
   }
 
+  private long waitMillis(RequestId request, long since, Expectation expectation) {
+    Optional<IncarnationId> owner = request.owner();
+    if (owner.filter(endedAtMillis::containsKey).isPresent()) {
+      return 0;
+    }
+    boolean mayServe = owner.filter(known -> !hasClaimedAfter(known, since)).isPresent();
+    return mayServe && expectation == Expectation.UNKNOWN ? SILENT_OWNER_MILLIS : graceMillis;
+  }
+
+  private boolean hasClaimedAfter(IncarnationId owner, long millis) {
+    Claims latest = claims.get(owner);
+    return latest != null && latest.atMillis() > millis;
+  }
+
+  private record Claims(long atMillis, Set<RequestId> running) {
+    boolean covers(long now, RequestId request) {
+      return now - atMillis < SILENT_OWNER_MILLIS && running.contains(request);
+    }
+  }
+
   /** What the scheduler knows of a request. */
   public enum Expectation {
     /** It was placed on this endpoint. */
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PoolScheduler.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PoolScheduler.java
@@ -215,7 +215,7 @@
    * @return what is to be done
    */
   public List<ScheduleAction> claims(long now, IncarnationId owner, List<RequestId> running) {
-    orphans.claims(owner, running);
+    orphans.claims(now, owner, running);
     long settledBefore = now - policy.orphanGraceMillis();
     List<Placement> lost =
         book.live(
@@ -240,7 +240,7 @@
     List<ScheduleAction> actions = new ArrayList<>();
     for (Placement placement : book.live(open -> open.waiting().request().owner().equals(owner))) {
       tracker.close(now, placement);
-      if (!orphans.isClaimed(placement.request())) {
+      if (!orphans.isClaimed(now, placement.request())) {
         cancelEverywhere(placement, actions);
       }
     }
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/schedule/OrphanSweepTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/schedule/OrphanSweepTest.java
@@ -33,7 +33,7 @@
 
   @Test
   void leavesClaimedRequestAlone() {
-    sweep.claims(OWNER, List.of(REQUEST));
+    sweep.claims(0, OWNER, List.of(REQUEST));
     assertThat(sweepAt(0), empty());
     assertThat(sweepAt(10 * GRACE), empty());
   }
@@ -41,35 +41,66 @@
   @Test
   void startsGraceAnewAfterClaim() {
     assertThat(sweepAt(0), empty());
-    sweep.claims(OWNER, List.of(REQUEST));
+    sweep.claims(0, OWNER, List.of(REQUEST));
     assertThat(sweepAt(GRACE), empty());
-    sweep.claims(OWNER, List.of());
+    sweep.claims(0, OWNER, List.of());
     assertThat(sweepAt(GRACE + 1), empty());
     assertThat(sweepAt(2 * GRACE + 1), contains(CANCEL));
   }
 
   @Test
   void cancelsAtOnceWhatOnlyEndedIncarnationClaimed() {
-    sweep.claims(OWNER, List.of(REQUEST));
+    RequestId request = RequestId.of(OWNER, 1);
+    sweep.claims(0, OWNER, List.of(request));
     sweep.incarnationEnded(1, OWNER);
-    assertThat(sweepAt(2), contains(CANCEL));
+    assertThat(sweepAt(2, request), contains(new CancelOrphan(ENDPOINT, request)));
   }
 
   @Test
   void keepsWhatAnotherIncarnationTookOver() {
-    sweep.claims(OWNER, List.of(REQUEST));
-    sweep.claims(TestFleet.incarnation(2), List.of(REQUEST));
+    sweep.claims(0, OWNER, List.of(REQUEST));
+    sweep.claims(0, TestFleet.incarnation(2), List.of(REQUEST));
     sweep.incarnationEnded(1, OWNER);
     assertThat(sweepAt(10 * GRACE), empty());
   }
 
   @Test
   void cancelsWhatWasPlacedElsewhereAlthoughItsOwnerLives() {
-    sweep.claims(OWNER, List.of(REQUEST));
+    sweep.claims(0, OWNER, List.of(REQUEST));
     assertThat(sweepAt(0, Expectation.ELSEWHERE), empty());
     assertThat(sweepAt(GRACE, Expectation.ELSEWHERE), contains(CANCEL));
   }
 
+  @Test
+  void leavesAloneWhatSilentOwnerMayStillServe() {
+    RequestId cutOff = RequestId.of(OWNER, 1);
+    assertThat(sweepAt(0, cutOff), empty());
+    assertThat(sweepAt(2 * GRACE, cutOff), empty());
+    sweep.claims(2 * GRACE, OWNER, List.of());
+    assertThat(sweepAt(3 * GRACE, cutOff), contains(new CancelOrphan(ENDPOINT, cutOff)));
+  }
+
+  @Test
+  void cancelsWhatSilentOwnerHasHeldForTooLong() {
+    RequestId cutOff = RequestId.of(OWNER, 1);
+    sweep.claims(0, OWNER, List.of(cutOff));
+    assertThat(sweepAt(OrphanSweep.SILENT_OWNER_MILLIS - 1, cutOff), empty());
+    assertThat(sweepAt(OrphanSweep.SILENT_OWNER_MILLIS, cutOff), empty());
+    long later = 2 * OrphanSweep.SILENT_OWNER_MILLIS;
+    assertThat(sweepAt(later, cutOff), contains(new CancelOrphan(ENDPOINT, cutOff)));
+  }
+
+  @Test
+  void cancelsAtOnceWhatEndedOwnerNeverClaimed() {
+    RequestId request = RequestId.of(OWNER, 1);
+    sweep.incarnationEnded(1, OWNER);
+    assertThat(sweepAt(2, request), contains(new CancelOrphan(ENDPOINT, request)));
+  }
+
+  private List<ScheduleAction> sweepAt(long now, RequestId request) {
+    return sweep.sweep(now, ENDPOINT, List.of(request), (endpoint, id) -> Expectation.UNKNOWN);
+  }
+
   private List<ScheduleAction> sweepAt(long now) {
     return sweepAt(now, Expectation.UNKNOWN);
   }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Serving.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Serving.java
@@ -99,7 +99,7 @@
   /** Returns an id that no request of another incarnation has, as incarnations differ. */
   RequestId nextRequest() {
     lastRequest++;
-    return RequestId.of(context.incarnation() + "-" + lastRequest);
+    return RequestId.of(context.incarnation(), lastRequest);
   }
 
   Optional<EndpointSpec> endpoint(EndpointId id) {
