Order engines to load the model and take the role that the document declares

Cause: engines have to be told; some refuse orders with an old fencing number, others do not. Duties holds who schedules what. Ruled out: remembering acceptance across document changes, since an engine may have restarted; all orders are repeated under a new number.

--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/Duties.java
@@ -0,0 +1,79 @@
+package org.knapweedcleat.router.node;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.knapweedcleat.core.config.EndpointSpec;
+import org.knapweedcleat.core.config.FleetDocument;
+import org.knapweedcleat.core.config.FleetSnapshot;
+import org.knapweedcleat.core.id.AccountId;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.PoolId;
+import org.knapweedcleat.core.membership.Member;
+import org.knapweedcleat.core.membership.MemberView;
+import org.knapweedcleat.router.gate.FleetView;
+
+/** Tells which duties the instances of the own failure domain have. */
+final class Duties {
+
+  private final FleetView fleet;
+  private MemberView view;
+
+  private Duties(FleetView fleet, MemberView view) {
+    this.fleet = fleet;
+    this.view = view;
+  }
+
+  static Duties of(FleetView fleet, MemberView view) {
+    return new Duties(fleet, view);
+  }
+
+  void members(MemberView newView) {
+    view = newView;
+  }
+
+  /** Lists the pools that this instance schedules. */
+  List<PoolId> scheduledPools() {
+    IncarnationId self = view.self().incarnation();
+    return pools().filter(pool -> schedulerOf(pool).filter(self::equals).isPresent()).toList();
+  }
+
+  /** Lists the engines of the pools that this instance schedules. */
+  List<EndpointSpec> scheduledEngines() {
+    FailureDomainId domain = view.self().domain();
+    return scheduledPools().stream()
+        .flatMap(
+            pool -> document().stream().flatMap(known -> known.endpoints(pool, domain).stream()))
+        .filter(endpoint -> endpoint.role().isEngine())
+        .toList();
+  }
+
+  /** Returns the instances that schedule any pool in the own failure domain. */
+  Set<IncarnationId> schedulers() {
+    return pools().flatMap(pool -> schedulerOf(pool).stream()).collect(Collectors.toSet());
+  }
+
+  /** Lists the client accounts whose tokens this instance keeps for its failure domain. */
+  List<AccountId> accountsKept() {
+    return document().stream()
+        .flatMap(known -> known.accounts().keySet().stream())
+        .filter(account -> view.homeOf(account).filter(view.self()::equals).isPresent())
+        .sorted()
+        .toList();
+  }
+
+  private Stream<PoolId> pools() {
+    return document().stream().flatMap(known -> known.pools().keySet().stream());
+  }
+
+  private Optional<IncarnationId> schedulerOf(PoolId pool) {
+    return view.schedulerOf(pool, view.self().domain()).map(Member::incarnation);
+  }
+
+  private Optional<FleetDocument> document() {
+    return fleet.current().map(FleetSnapshot::document);
+  }
+}
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
@@ -5,21 +5,15 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
 import org.knapweedcleat.core.config.EndpointSpec;
-import org.knapweedcleat.core.config.FleetDocument;
 import org.knapweedcleat.core.config.FleetSnapshot;
 import org.knapweedcleat.core.config.InstanceSettings;
 import org.knapweedcleat.core.config.RevisionOutcome;
-import org.knapweedcleat.core.id.AccountId;
 import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.IncarnationId;
-import org.knapweedcleat.core.id.PoolId;
 import org.knapweedcleat.core.id.RequestId;
 import org.knapweedcleat.core.limit.LimitMessage;
 import org.knapweedcleat.core.limit.ShareLimiter;
@@ -45,6 +39,7 @@
 import org.knapweedcleat.router.operator.InstanceState;
 import org.knapweedcleat.router.operator.InstanceStatus;
 import org.knapweedcleat.router.operator.OperatorServer;
+import org.knapweedcleat.router.order.OrderDesk;
 import org.knapweedcleat.router.peer.DocumentRequest;
 import org.knapweedcleat.router.peer.Hello;
 import org.knapweedcleat.router.peer.PeerAddress;
@@ -69,6 +64,7 @@
   private final PeerDocumentFetch fetch;
   private final LocalSchedulers schedulers;
   private final LoadPoller poller;
+  private final OrderDesk orders;
   private final PlacementDesk placements;
   private final LimitDesk limits;
   private final CallerServer callers;
@@ -76,6 +72,7 @@
   private final Readiness readiness;
   private final OperatorServer operators;
   private final EngineCanceller canceller;
+  private final Duties duties;
   private final Incarnations incarnations = Incarnations.create();
   private Promise<Integer> draining;
 
@@ -99,6 +96,7 @@
             context.audit(),
             context::nowMillis,
             this::onDocument);
+    this.duties = Duties.of(keeper, view);
     this.readiness =
         Readiness.of(keeper, context::nowMillis, settings.peers().heartbeatTimeoutMillis());
     this.fetch = PeerDocumentFetch.of(keeper, this::askForDocument);
@@ -112,6 +110,7 @@
             context::nowMillis,
             canceller);
     this.poller = LoadPoller.create(vertx, schedulers, context.metrics());
+    this.orders = OrderDesk.create(vertx, context.metrics(), context.audit(), context::nowMillis);
     this.placements =
         PlacementDesk.of(view, schedulers, addresses, context::nowMillis, context.metrics());
     this.limits = newLimitDesk();
@@ -206,21 +205,12 @@
         snapshot.map(FleetSnapshot::digest).orElse(""),
         keeper.unconfirmedMillis(),
         membership.view().live(),
-        poolsScheduledBy(scheduler -> scheduler.equals(context.incarnation())),
-        accountsKept(snapshot),
+        duties.scheduledPools(),
+        duties.accountsKept(),
         running.size(),
         context.monitor().violations());
   }
 
-  private List<AccountId> accountsKept(Optional<FleetSnapshot> snapshot) {
-    MemberView view = membership.view();
-    return snapshot.stream()
-        .flatMap(known -> known.document().accounts().keySet().stream())
-        .filter(account -> view.homeOf(account).filter(view.self()::equals).isPresent())
-        .sorted()
-        .toList();
-  }
-
   private Future<Integer> leave() {
     if (draining == null) {
       draining = Promise.promise();
@@ -234,6 +224,7 @@
   private Future<RouterNode> begin() {
     closer.addLater(transport::close);
     closer.add(poller::close);
+    closer.add(orders::close);
     closer.add(canceller::close);
     closer.add(platform::close);
     closer.addLater(
@@ -256,7 +247,7 @@
     platform.start();
     every(NodeTimes.TICK_MILLIS, this::tick);
     every(NodeTimes.MEMBERSHIP_TICK_MILLIS, () -> run(membership.tick(context.nowMillis())));
-    every(NodeTimes.POLL_MILLIS, () -> poller.poll(scheduledEngines()));
+    every(NodeTimes.POLL_MILLIS, this::lookAfterEngines);
     every(NodeTimes.CLAIM_MILLIS, this::sendClaims);
     return this;
   }
@@ -344,33 +335,18 @@
 
   private void onView(MemberView view) {
     addresses.members(view);
+    duties.members(view);
     limits.members(view);
     incarnations.endedIn(view).forEach(schedulers::incarnationEnded);
     placements.members(view);
     platform.setDuty(ReaderDuty.isReader(view), view.listed());
   }
 
-  private List<EndpointSpec> scheduledEngines() {
-    Optional<FleetDocument> document = keeper.current().map(FleetSnapshot::document);
-    FailureDomainId domain = context.settings().domain();
-    List<EndpointSpec> engines = new ArrayList<>();
-    for (PoolId pool : poolsScheduledBy(self -> self.equals(context.incarnation()))) {
-      document.orElseThrow().endpoints(pool, domain).stream()
-          .filter(endpoint -> endpoint.role().isEngine())
-          .forEach(engines::add);
-    }
-    return engines;
-  }
-
-  private List<PoolId> poolsScheduledBy(Predicate<IncarnationId> wanted) {
-    FailureDomainId domain = context.settings().domain();
-    MemberView view = membership.view();
-    return keeper.current().stream()
-        .flatMap(snapshot -> snapshot.document().pools().keySet().stream())
-        .filter(
-            pool ->
-                view.schedulerOf(pool, domain).map(Member::incarnation).filter(wanted).isPresent())
-        .toList();
+  private void lookAfterEngines() {
+    List<EndpointSpec> engines = duties.scheduledEngines();
+    poller.poll(engines);
+    long epoch = membership.view().epoch();
+    keeper.current().ifPresent(snapshot -> orders.step(engines, snapshot, epoch));
   }
 
   private void sendClaims() {
@@ -379,13 +355,7 @@
 
   private void sendClaims(Set<RequestId> running) {
     RunningClaims claims = new RunningClaims(List.copyOf(running));
-    Set<IncarnationId> schedulersNow = new HashSet<>();
-    poolsScheduledBy(
-        scheduler -> {
-          schedulersNow.add(scheduler);
-          return true;
-        });
-    for (IncarnationId scheduler : schedulersNow) {
+    for (IncarnationId scheduler : duties.schedulers()) {
       if (scheduler.equals(context.incarnation())) {
         schedulers.claims(scheduler, claims);
       } else {
