Cancel no request that a living incarnation may still run

A new scheduler had no claims of the paused instance, whose requests it then took for orphans; and a request that two schedulers had placed was cancelled where the second had not put it.

Change: OrphanSweep knows the living incarnations (members) and judges nothing until each has sent its claims; a claimed request is left alone at every endpoint.

Ruled out: a longer grace; it only moves the length of pause that breaks it.

--- a/knapweedcleat-bench/src/main/java/org/knapweedcleat/bench/Policy.java
+++ b/knapweedcleat-bench/src/main/java/org/knapweedcleat/bench/Policy.java
@@ -1,6 +1,7 @@
 package org.knapweedcleat.bench;
 
 import java.util.List;
+import java.util.Set;
 import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.RequestId;
@@ -30,6 +31,9 @@
     return List.of();
   }
 
+  /** Hears which instances live. */
+  default void members(Set<IncarnationId> living) {}
+
   /** Loses the state that it has for a failure domain. */
   default void replaceScheduler(long now, FailureDomainId domain) {}
 
--- a/knapweedcleat-bench/src/main/java/org/knapweedcleat/bench/SchedulerPolicy.java
+++ b/knapweedcleat-bench/src/main/java/org/knapweedcleat/bench/SchedulerPolicy.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.IncarnationId;
@@ -87,6 +88,11 @@
         });
   }
 
+  @Override
+  public void members(Set<IncarnationId> living) {
+    schedulers.values().forEach(scheduler -> scheduler.members(living));
+  }
+
   @Override
   public List<ScheduleAction> claims(long now, IncarnationId owner, List<RequestId> running) {
     List<ScheduleAction> actions = new ArrayList<>();
--- a/knapweedcleat-bench/src/main/java/org/knapweedcleat/bench/Simulation.java
+++ b/knapweedcleat-bench/src/main/java/org/knapweedcleat/bench/Simulation.java
@@ -1,11 +1,14 @@
 package org.knapweedcleat.bench;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.knapweedcleat.core.config.LinkSpec;
 import org.knapweedcleat.core.id.AccountId;
 import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.RequestId;
 import org.knapweedcleat.core.id.ServiceId;
 import org.knapweedcleat.core.schedule.EndpointLoad;
@@ -137,6 +140,11 @@
   }
 
   private void claim() {
+    Set<IncarnationId> living = new HashSet<>();
+    for (int instance = 0; instance < fleet.instanceDomains().size(); instance++) {
+      living.add(fleet.incarnation(instance));
+    }
+    policy.members(living);
     for (int instance = 0; instance < fleet.instanceDomains().size(); instance++) {
       if (!instances.isPaused(instance)) {
         List<RequestId> claims = instances.claims(instance);
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/OrphanSweep.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/OrphanSweep.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.RequestId;
@@ -17,7 +18,8 @@
  *
  * <p>A held request that nobody claims is left alone for a grace time, since claims and load
  * reports are late. It is then cancelled, and again after each further grace time, until the
- * endpoint no longer reports it.
+ * endpoint no longer reports it. A request that is claimed is left alone at every endpoint, even
+ * where the scheduler did not place it: another scheduler may have.
  */
 public final class OrphanSweep {
 
@@ -25,6 +27,7 @@
 
   private final long graceMillis;
   private final Map<IncarnationId, Set<RequestId>> claims = new HashMap<>();
+  private final Set<IncarnationId> silent = new HashSet<>();
   private final Map<RequestId, Long> ownerEndedAt = new LinkedHashMap<>();
   private final Map<EndpointId, Map<RequestId, Long>> unclaimedSince = new HashMap<>();
 
@@ -54,6 +57,19 @@
    */
   public void claims(IncarnationId owner, List<RequestId> running) {
     claims.put(owner, new HashSet<>(running));
+    silent.remove(owner);
+  }
+
+  /**
+   * Takes over which incarnations live; while one of them has not told what it runs, no request is
+   * an orphan but for those whose owner has ended.
+   *
+   * @param living all living incarnations
+   */
+  public void members(Set<IncarnationId> living) {
+    silent.clear();
+    silent.addAll(living);
+    silent.removeAll(claims.keySet());
   }
 
   /**
@@ -64,6 +80,7 @@
    */
   public void incarnationEnded(long now, IncarnationId owner) {
     ownerEndedAt.values().removeIf(endedAt -> now - endedAt > ENDED_MEMORY_MILLIS);
+    silent.remove(owner);
     Set<RequestId> orphans = claims.remove(owner);
     if (orphans != null) {
       orphans.forEach(request -> ownerEndedAt.put(request, now));
@@ -95,18 +112,19 @@
    * @param now the time in milliseconds
    * @param endpoint the endpoint
    * @param held the requests that hold memory there
-   * @param expectations what the scheduler itself knows of each request
+   * @param placed tells which requests the scheduler itself has placed, wherever that is
    * @return the cancellations that are due
    */
   public List<ScheduleAction> sweep(
-      long now, EndpointId endpoint, List<RequestId> held, Expectations expectations) {
+      long now, EndpointId endpoint, List<RequestId> held, Predicate<RequestId> placed) {
     Map<RequestId, Long> before = unclaimedSince.getOrDefault(endpoint, Map.of());
     Map<RequestId, Long> after = new HashMap<>();
     List<ScheduleAction> actions = new ArrayList<>();
     for (RequestId request : held) {
-      if (!isExpected(endpoint, request, expectations)) {
+      if (!placed.test(request) && !isClaimed(request)) {
         long since = before.getOrDefault(request, now);
-        boolean due = now - since >= graceMillis || ownerEndedAt.containsKey(request);
+        boolean waited = silent.isEmpty() && now - since >= graceMillis;
+        boolean due = waited || ownerEndedAt.containsKey(request);
         after.put(request, due ? now : since);
         if (due) {
           actions.add(new CancelOrphan(endpoint, request));
@@ -116,36 +134,4 @@
     unclaimedSince.put(endpoint, after);
     return actions;
   }
-
-  private boolean isExpected(EndpointId endpoint, RequestId request, Expectations expectations) {
-    return switch (expectations.of(endpoint, request)) {
-      case HERE -> true;
-      case ELSEWHERE -> false;
-      case UNKNOWN -> isClaimed(request);
-    };
-  }
-
-  /** What the scheduler knows of a request. */
-  public enum Expectation {
-    /** It was placed on this endpoint. */
-    HERE,
-    /** It was placed, but on other endpoints. */
-    ELSEWHERE,
-    /** The scheduler has no placement of it. */
-    UNKNOWN
-  }
-
-  /** Tells where a request is expected. */
-  @FunctionalInterface
-  public interface Expectations {
-
-    /**
-     * Tells what is known of a request that an endpoint holds.
-     *
-     * @param endpoint the endpoint
-     * @param request the request
-     * @return what is known
-     */
-    Expectation of(EndpointId endpoint, RequestId request);
-  }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PoolScheduler.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PoolScheduler.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import org.knapweedcleat.core.config.EndpointRole;
 import org.knapweedcleat.core.config.FleetDocument;
 import org.knapweedcleat.core.config.PoolKind;
@@ -14,7 +15,6 @@
 import org.knapweedcleat.core.id.PoolId;
 import org.knapweedcleat.core.id.RequestId;
 import org.knapweedcleat.core.invariant.InvariantMonitor;
-import org.knapweedcleat.core.schedule.OrphanSweep.Expectation;
 import org.knapweedcleat.core.schedule.ScheduleAction.CancelOrphan;
 import org.knapweedcleat.core.schedule.ScheduleAction.Decide;
 
@@ -165,7 +165,9 @@
     }
     track.report(now, load);
     List<ScheduleAction> actions =
-        new ArrayList<>(orphans.sweep(now, load.endpoint(), load.held(), this::expectation));
+        new ArrayList<>(
+            orphans.sweep(
+                now, load.endpoint(), load.held(), request -> book.live(request) != null));
     counters.orphansCancelled().inc(actions.size());
     actions.addAll(dispatcher.dispatch(now));
     return actions;
@@ -206,6 +208,15 @@
     }
   }
 
+  /**
+   * Takes over which incarnations live; orphans are judged once each of them has sent its claims.
+   *
+   * @param living all living incarnations of the failure domains that may use the pool
+   */
+  public void members(Set<IncarnationId> living) {
+    orphans.members(living);
+  }
+
   /**
    * Takes over what an incarnation runs; placements of it that it does not claim are ended.
    *
@@ -317,14 +328,6 @@
         : Optional.empty();
   }
 
-  private Expectation expectation(EndpointId endpoint, RequestId request) {
-    Placement placement = book.live(request);
-    if (placement == null) {
-      return Expectation.UNKNOWN;
-    }
-    return placement.uses(endpoint) ? Expectation.HERE : Expectation.ELSEWHERE;
-  }
-
   private static void cancelEverywhere(Placement placement, List<ScheduleAction> actions) {
     actions.add(new CancelOrphan(placement.runner(), placement.request()));
     if (placement.prefill() != null) {
