Follow released memory until the reports have caught up

Cause: with reports that lag by 3 s, memory that had been given back counted as the work of others again after the assumed lag of 1 s, so engines looked full.

Change: a release is remembered until a report that once showed the request lacks it, for at most 30 s, or until the endpoint refuses a reservation. From this the scheduler learns the lag, which it uses for prompts lately read.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/EndpointTable.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/EndpointTable.java
@@ -14,11 +14,13 @@
 final class EndpointTable {
 
   private final SchedulePolicy policy;
+  private final MovingAverage reportLag;
   private final Map<EndpointId, EndpointTrack> tracks = new TreeMap<>();
   private long firstConfiguredMillis = Long.MIN_VALUE / 2;
 
   private EndpointTable(SchedulePolicy policy) {
     this.policy = policy;
+    this.reportLag = MovingAverage.of(policy.reportLagMillis(), policy.learningWeight());
   }
 
   static EndpointTable of(SchedulePolicy policy) {
@@ -35,7 +37,7 @@
       gone.remove(spec.id());
       EndpointTrack track = tracks.get(spec.id());
       if (track == null) {
-        tracks.put(spec.id(), EndpointTrack.of(spec, policy));
+        tracks.put(spec.id(), EndpointTrack.of(spec, policy, reportLag));
       } else {
         track.respecify(spec);
       }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/EndpointTrack.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/EndpointTrack.java
@@ -1,9 +1,14 @@
 package org.knapweedcleat.core.schedule;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.knapweedcleat.core.config.EndpointSpec;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.RequestId;
@@ -16,10 +21,15 @@
  */
 final class EndpointTrack {
 
+  private static final long RELEASED_MEMORY_MILLIS = 30_000;
+  private static final double LAG_MARGIN = 1.5;
+
   private final SchedulePolicy policy;
+  private final MovingAverage reportLag;
   private final ThroughputMeter prefillMeter;
   private final Map<RequestId, Integer> placedPieces = new HashMap<>();
-  private final Map<RequestId, Released> released = new LinkedHashMap<>();
+  private final Map<RequestId, Released> released = new HashMap<>();
+  private final Deque<ReadPrompt> readPrompts = new ArrayDeque<>();
   private final Map<RequestId, Integer> prefillTokens = new LinkedHashMap<>();
   private EndpointSpec spec;
   private int totalPieces;
@@ -35,15 +45,17 @@
   private long blockedUntilMillis = Long.MIN_VALUE / 2;
   private int failures;
 
-  private EndpointTrack(EndpointSpec spec, SchedulePolicy policy) {
+  private EndpointTrack(EndpointSpec spec, SchedulePolicy policy, MovingAverage reportLag) {
     this.policy = policy;
+    this.reportLag = reportLag;
     this.prefillMeter =
         ThroughputMeter.of(policy.prefillTokensPerSecond(), policy.learningWeight());
     respecify(spec);
   }
 
-  static EndpointTrack of(EndpointSpec spec, SchedulePolicy policy) {
-    return new EndpointTrack(spec, policy);
+  /** Returns the track of an endpoint; it learns the lag of reports together with the others. */
+  static EndpointTrack of(EndpointSpec spec, SchedulePolicy policy, MovingAverage reportLag) {
+    return new EndpointTrack(spec, policy, reportLag);
   }
 
   void respecify(EndpointSpec newSpec) {
@@ -93,9 +105,9 @@
     if (load.totalPieces() > 0) {
       totalPieces = load.totalPieces();
     }
-    forgetReleased(now);
+    confirmReleased(now, new HashSet<>(load.held()));
     countForeign(load.usedPieces(), load.held());
-    int known = queuedTokens + recentlyReadTokens();
+    int known = queuedTokens + recentlyReadTokens(now);
     foreignQueuedTokens = Math.max(0, load.queuedPrefillTokens() - known);
   }
 
@@ -108,7 +120,7 @@
     Integer pieces = placedPieces.remove(request);
     if (pieces != null) {
       reservedPieces -= pieces;
-      released.put(request, new Released(now, pieces, 0));
+      released.put(request, new Released(now, pieces, false));
     }
   }
 
@@ -121,7 +133,7 @@
     Integer tokens = prefillTokens.remove(request);
     if (tokens != null) {
       queuedTokens -= tokens;
-      released.put(request, new Released(now, 0, tokens));
+      readPrompts.add(new ReadPrompt(now, tokens));
     }
   }
 
@@ -160,6 +172,11 @@
     block(now + Math.min(backoff, policy.maxFailureBackoffMillis()));
   }
 
+  /** Believes the reports alone again, after they were right about memory in use. */
+  void distrustReleases() {
+    released.clear();
+  }
+
   void succeeded() {
     failures = 0;
   }
@@ -184,13 +201,38 @@
     foreignPieces = Math.max(0, usedPieces - known);
   }
 
-  private int recentlyReadTokens() {
-    return released.values().stream().mapToInt(Released::prefillTokens).sum();
+  private int recentlyReadTokens(long now) {
+    double since = now - LAG_MARGIN * reportLag.value();
+    while (!readPrompts.isEmpty() && readPrompts.peek().atMillis() < since) {
+      readPrompts.poll();
+    }
+    return readPrompts.stream().mapToInt(ReadPrompt::tokens).sum();
+  }
+
+  /** Forgets a release once it shows in a report, and learns from that how late reports are. */
+  private void confirmReleased(long now, Set<RequestId> held) {
+    released.replaceAll((request, old) -> held.contains(request) ? old.seen() : old);
+    Iterator<Map.Entry<RequestId, Released>> entries = released.entrySet().iterator();
+    while (entries.hasNext()) {
+      Map.Entry<RequestId, Released> entry = entries.next();
+      long age = now - entry.getValue().atMillis();
+      boolean confirmed = entry.getValue().wasSeen() && !held.contains(entry.getKey());
+      if (confirmed) {
+        reportLag.observe(age);
+      }
+      if (confirmed || age > RELEASED_MEMORY_MILLIS) {
+        entries.remove();
+      }
+    }
   }
 
-  private void forgetReleased(long now) {
-    released.values().removeIf(old -> now - old.atMillis() > policy.reportLagMillis());
+  /** Memory that was given back; reports may still show it. */
+  private record Released(long atMillis, int pieces, boolean wasSeen) {
+
+    Released seen() {
+      return new Released(atMillis, pieces, true);
+    }
   }
 
-  private record Released(long atMillis, int pieces, int prefillTokens) {}
+  private record ReadPrompt(long atMillis, int tokens) {}
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PlacementTracker.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PlacementTracker.java
@@ -190,6 +190,7 @@
     EndpointTrack prefill = endpoints.get(placement.prefill());
     if (stage == PlacementStage.RESERVATION_REFUSED && runner != null) {
       runner.block(now + REFUSED_MEMORY_BLOCK_MILLIS);
+      runner.distrustReleases();
     }
     if (stage == PlacementStage.PREFILL_FAILED && prefill != null) {
       prefill.failed(now);
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/SchedulePolicy.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/SchedulePolicy.java
@@ -14,7 +14,7 @@
  * @param prefillAheadMillis how much work may wait at a prefill endpoint
  * @param warmUpMillis how long a new scheduler waits for an endpoint's first report, and keeps half
  *     of the free memory unused
- * @param reportLagMillis how old a load report may be
+ * @param reportLagMillis how late load reports are assumed to be
  * @param orphanGraceMillis how long unclaimed memory is left alone
  * @param decisionMemoryMillis how long a decision is remembered after its request has ended
  * @param silentPlacementMillis how long a placement may go without progress before it is forgotten
