Ask the other failure domains of the region before waiting long

Change: PlacementLeg lists whom a request asks: each failure domain of the region for a place inside the target for the first token, then the same with all the time left, then other regions. The fake instance follows it.

Ruled out: one scheduler for a region, which a cut would take away.

--- a/knapweedcleat-bench/src/main/java/org/knapweedcleat/bench/RequestRun.java
+++ b/knapweedcleat-bench/src/main/java/org/knapweedcleat/bench/RequestRun.java
@@ -1,15 +1,13 @@
 package org.knapweedcleat.bench;
 
-import java.util.ArrayList;
 import java.util.List;
-import org.knapweedcleat.core.config.EndpointRole;
-import org.knapweedcleat.core.config.EndpointSpec;
 import org.knapweedcleat.core.config.ServiceSpec;
 import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.RegionId;
 import org.knapweedcleat.core.id.RequestId;
 import org.knapweedcleat.core.schedule.PlacementDecision;
+import org.knapweedcleat.core.schedule.PlacementLeg;
 import org.knapweedcleat.core.schedule.PlacementProgress;
 import org.knapweedcleat.core.schedule.PlacementRequest;
 import org.knapweedcleat.core.schedule.PlacementStage;
@@ -27,8 +25,9 @@
   private final Arrival arrival;
   private final RequestId request;
   private final IncarnationId owner;
-  private final List<FailureDomainId> domains;
-  private int domainIndex;
+  private final FailureDomainId home;
+  private List<PlacementLeg> legs = List.of();
+  private int legIndex;
   private int attempt;
   private boolean waiting;
   private PlacementRequest asked;
@@ -43,7 +42,7 @@
     this.arrival = arrival;
     this.request = RequestId.of("r" + arrival.number());
     this.owner = simulation.fleet().incarnation(arrival.instance());
-    this.domains = domainOrder(simulation.fleet(), arrival.instance());
+    this.home = simulation.fleet().instanceDomains().get(arrival.instance());
   }
 
   static RequestRun of(Simulation simulation, Arrival arrival) {
@@ -81,7 +80,7 @@
     simulation
         .events()
         .after(Math.max(0, deadlineMicros - elapsedMicros), () -> later(this::deadlinePassed));
-    ask();
+    askFirst();
   }
 
   /** Takes a decision; one for an attempt that is over is handed back. */
@@ -140,26 +139,39 @@
   /** Tries again where that is allowed. */
   void attemptFailed(PlacementStage stage) {
     running = null;
-    domainIndex = 0;
     if (over) {
       return;
     }
     if (stage == PlacementStage.RESERVATION_REFUSED) {
-      simulation.events().afterMillis(RESERVATION_RETRY_MILLIS, () -> later(this::ask));
+      simulation.events().afterMillis(RESERVATION_RETRY_MILLIS, () -> later(this::askFirst));
       return;
     }
     if (simulation.budget(arrival.service().id()).trySpend()) {
       simulation.outcomes().retried();
-      ask();
+      askFirst();
     } else {
       end(Verdict.FAILED);
     }
   }
 
-  private void ask() {
+  private void askFirst() {
     if (over) {
       return;
     }
+    ServiceSpec service = arrival.service();
+    long targetMillis = service.firstTokenTargetMillis() - service.deadlineMillis();
+    legs =
+        PlacementLeg.plan(
+            simulation.fleet().document(),
+            service,
+            home,
+            targetMillis + remainingMillis(),
+            remainingMillis());
+    legIndex = 0;
+    ask();
+  }
+
+  private void ask() {
     if (attempt >= MAX_ATTEMPTS && receivedTokens > 0) {
       end(Verdict.FAILED);
       return;
@@ -177,7 +189,7 @@
             promptTokens(),
             arrival.maxOutputTokens() - receivedTokens,
             arrival.hashes(),
-            remainingMillis());
+            Math.min(remainingMillis(), legs.get(legIndex).allowedMillis()));
     send(asked);
   }
 
@@ -200,8 +212,8 @@
   }
 
   private void refused() {
-    if (domainIndex + 1 < domains.size()) {
-      domainIndex++;
+    if (legIndex + 1 < legs.size()) {
+      legIndex++;
       ask();
       return;
     }
@@ -262,36 +274,14 @@
   }
 
   private FailureDomainId domain() {
-    return domains.get(domainIndex);
+    return legs.get(legIndex).domain();
   }
 
   private boolean isRemote(FailureDomainId domain) {
     BenchFleet fleet = simulation.fleet();
-    FailureDomainId home = fleet.instanceDomains().get(instance());
     return !region(fleet, home).equals(region(fleet, domain));
   }
 
-  /** Orders the failure domains that have engines: the own one, its region's, the others. */
-  private static List<FailureDomainId> domainOrder(BenchFleet fleet, int instance) {
-    FailureDomainId home = fleet.instanceDomains().get(instance);
-    List<FailureDomainId> order = new ArrayList<>();
-    fleet.endpoints(EndpointRole.DECODE).stream()
-        .map(EndpointSpec::domain)
-        .distinct()
-        .sorted(
-            (one, other) ->
-                Integer.compare(distance(fleet, home, one), distance(fleet, home, other)))
-        .forEach(order::add);
-    return order;
-  }
-
-  private static int distance(BenchFleet fleet, FailureDomainId home, FailureDomainId other) {
-    if (home.equals(other)) {
-      return 0;
-    }
-    return region(fleet, home).equals(region(fleet, other)) ? 1 : 2;
-  }
-
   private static RegionId region(BenchFleet fleet, FailureDomainId domain) {
     return fleet.document().domains().get(domain).region();
   }
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PlacementLeg.java
@@ -0,0 +1,89 @@
+package org.knapweedcleat.core.schedule;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.knapweedcleat.core.config.EndpointRole;
+import org.knapweedcleat.core.config.EndpointSpec;
+import org.knapweedcleat.core.config.FleetDocument;
+import org.knapweedcleat.core.config.PoolKind;
+import org.knapweedcleat.core.config.ServiceSpec;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.PoolId;
+import org.knapweedcleat.core.id.RegionId;
+
+/**
+ * One scheduler to ask for a place, and the time that it may take.
+ *
+ * <p>A request first asks its own failure domain and then the others of the region for a place
+ * inside the target for the first token; only if none has one does it ask again, with all the time
+ * that is left, and at last in other regions. What is placed stays in one failure domain, so that
+ * KV cache never crosses regions.
+ *
+ * @param domain the failure domain whose scheduler is asked
+ * @param allowedMillis the time to the first token that is still acceptable
+ */
+public record PlacementLeg(FailureDomainId domain, long allowedMillis) {
+
+  private static final int NEAR = 1;
+  private static final int FAR = 2;
+
+  /**
+   * Lists whom a request asks, in order, until one does not refuse.
+   *
+   * @param document the document in force
+   * @param service the service asked for
+   * @param home the failure domain of the instance that serves the caller
+   * @param targetMillis the time left until the target for the first token is missed; may be
+   *     negative
+   * @param remainingMillis the time left until the deadline
+   * @return the legs; empty if no failure domain has active endpoints for the service
+   */
+  public static List<PlacementLeg> plan(
+      FleetDocument document,
+      ServiceSpec service,
+      FailureDomainId home,
+      long targetMillis,
+      long remainingMillis) {
+    List<FailureDomainId> domains = servingDomains(document, service.pool(), home);
+    List<PlacementLeg> legs = new ArrayList<>();
+    if (targetMillis > 0 && targetMillis < remainingMillis) {
+      domains.stream()
+          .filter(domain -> distance(document, home, domain) < FAR)
+          .forEach(domain -> legs.add(new PlacementLeg(domain, targetMillis)));
+    }
+    domains.forEach(domain -> legs.add(new PlacementLeg(domain, remainingMillis)));
+    return legs;
+  }
+
+  private static List<FailureDomainId> servingDomains(
+      FleetDocument document, PoolId pool, FailureDomainId home) {
+    return document.domains().keySet().stream()
+        .filter(domain -> serves(document, pool, domain))
+        .sorted(
+            Comparator.<FailureDomainId>comparingInt(domain -> distance(document, home, domain))
+                .thenComparing(FailureDomainId::value))
+        .toList();
+  }
+
+  private static boolean serves(FleetDocument document, PoolId pool, FailureDomainId domain) {
+    List<EndpointSpec> endpoints = document.endpoints(pool, domain);
+    if (document.pools().get(pool).kind() == PoolKind.PLAIN) {
+      return hasActive(endpoints, EndpointRole.PLAIN);
+    }
+    return hasActive(endpoints, EndpointRole.PREFILL) && hasActive(endpoints, EndpointRole.DECODE);
+  }
+
+  private static boolean hasActive(List<EndpointSpec> endpoints, EndpointRole role) {
+    return endpoints.stream()
+        .anyMatch(endpoint -> endpoint.role() == role && endpoint.state().takesNewWork());
+  }
+
+  private static int distance(FleetDocument document, FailureDomainId home, FailureDomainId other) {
+    if (home.equals(other)) {
+      return 0;
+    }
+    RegionId homeRegion = document.domains().get(home).region();
+    return document.domains().get(other).region().equals(homeRegion) ? NEAR : FAR;
+  }
+}
