--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/OrphanSweep.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/OrphanSweep.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.RequestId;
@@ -28,6 +30,7 @@
 
   private final long graceMillis;
   private final Map<IncarnationId, Claims> claims = new HashMap<>();
+  private final Set<IncarnationId> silent = new HashSet<>();
   private final Map<IncarnationId, Long> endedAtMillis = new HashMap<>();
   private final Map<EndpointId, Map<RequestId, Long>> unclaimedSince = new HashMap<>();
 
@@ -59,9 +62,22 @@
   public void claims(long now, IncarnationId owner, List<RequestId> running) {
     if (!endedAtMillis.containsKey(owner)) {
       claims.put(owner, new Claims(now, Set.copyOf(running)));
+      silent.remove(owner);
     }
   }
 
+  /**
+   * Takes over which incarnations live; while one of them has not told what it runs, requests whose
+   * owner is not known may be its.
+   *
+   * @param living all living incarnations
+   */
+  public void members(Set<IncarnationId> living) {
+    silent.clear();
+    silent.addAll(living);
+    silent.removeAll(claims.keySet());
+  }
+
   /**
    * Drops the claims of an incarnation that has ended; what only it served is an orphan at once.
    *
@@ -72,6 +88,7 @@
     endedAtMillis.values().removeIf(millis -> now - millis > ENDED_MEMORY_MILLIS);
     endedAtMillis.put(owner, now);
     claims.remove(owner);
+    silent.remove(owner);
   }
 
   /**
@@ -100,19 +117,18 @@
    * @param now the time in milliseconds
    * @param endpoint the endpoint
    * @param held the requests that hold memory there
-   * @param expectations what the scheduler itself knows of each request
+   * @param placed tells which requests the scheduler itself has placed, wherever that is
    * @return the cancellations that are due
    */
   public List<ScheduleAction> sweep(
-      long now, EndpointId endpoint, List<RequestId> held, Expectations expectations) {
+      long now, EndpointId endpoint, List<RequestId> held, Predicate<RequestId> placed) {
     Map<RequestId, Long> before = unclaimedSince.getOrDefault(endpoint, Map.of());
     Map<RequestId, Long> after = new HashMap<>();
     List<ScheduleAction> actions = new ArrayList<>();
     for (RequestId request : held) {
-      Expectation expectation = expectations.of(endpoint, request);
-      if (!isExpected(now, request, expectation)) {
+      if (!placed.test(request) && !isClaimed(now, request)) {
         long since = before.getOrDefault(request, now);
-        boolean due = now - since >= waitMillis(request, since, expectation);
+        boolean due = now - since >= waitMillis(request, since);
         after.put(request, due ? now : since);
         if (due) {
           actions.add(new CancelOrphan(endpoint, request));
@@ -123,21 +139,14 @@
     return actions;
   }
 
-  private boolean isExpected(long now, RequestId request, Expectation expectation) {
-    return switch (expectation) {
-      case HERE -> true;
-      case ELSEWHERE -> false;
-      case UNKNOWN -> isClaimed(now, request);
-    };
-  }
-
-  private long waitMillis(RequestId request, long since, Expectation expectation) {
+  private long waitMillis(RequestId request, long since) {
     Optional<IncarnationId> owner = request.owner();
     if (owner.filter(endedAtMillis::containsKey).isPresent()) {
       return 0;
     }
-    boolean mayServe = owner.filter(known -> !hasClaimedAfter(known, since)).isPresent();
-    return mayServe && expectation == Expectation.UNKNOWN ? SILENT_OWNER_MILLIS : graceMillis;
+    boolean mayBeServed =
+        owner.map(known -> !hasClaimedAfter(known, since)).orElse(!silent.isEmpty());
+    return mayBeServed ? SILENT_OWNER_MILLIS : graceMillis;
   }
 
   private boolean hasClaimedAfter(IncarnationId owner, long millis) {
@@ -150,28 +159,4 @@
       return now - atMillis < SILENT_OWNER_MILLIS && running.contains(request);
     }
   }
-
-  /** What the scheduler knows of a request. */
-  public enum Expectation {
-    /** It was placed on this endpoint. */
-    HERE,
-    /** It was placed, but on other endpoints. */
-    ELSEWHERE,
-    /** The scheduler has no placement of it. */
-    UNKNOWN
-  }
-
-  /** Tells where a request is expected. */
-  @FunctionalInterface
-  public interface Expectations {
-
-    /**
-     * Tells what is known of a request that an endpoint holds.
-     *
-     * @param endpoint the endpoint
-     * @param request the request
-     * @return what is known
-     */
-    Expectation of(EndpointId endpoint, RequestId request);
-  }
 }
