--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/attempt/SplitAttempt.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/attempt/SplitAttempt.java
@@ -385,6 +385,7 @@
 
   private void abandon(long now, PlacementStage why) {
     report(why, 0);
+    assembler.close();
     cancelHeld();
     placement = null;
     if (!mayPlaceAgain(now)) {
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/attempt/StreamAssembler.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/attempt/StreamAssembler.java
@@ -16,6 +16,8 @@
  */
 public final class StreamAssembler {
 
+  private static final int NO_STREAM = 0;
+
   private final RequestId request;
   private final int limit;
   private final InvariantMonitor monitor;
@@ -56,6 +58,12 @@
     held.clear();
   }
 
+  /** Ends the time of the open stream; its late tokens are dropped. */
+  public void close() {
+    stream = NO_STREAM;
+    held.clear();
+  }
+
   /**
    * Takes a token.
    *
