--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/attempt/SplitAttempt.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/attempt/SplitAttempt.java
@@ -27,6 +27,7 @@
   private static final int MAX_PLACEMENTS = 12;
   private static final long MAX_HOLD_MILLIS = 10_000;
   private static final long RELEASE_WAIT_MILLIS = 250;
+  private static final long RETRY_AFTER_MILLIS = 500;
   private static final long RESUME_PAUSE_MILLIS = 100;
 
   private final SplitPlan plan;
@@ -389,9 +390,9 @@
     cancelHeld();
     placement = null;
     if (!mayPlaceAgain(now)) {
-      fail(CallerError.NO_ENDPOINT, 0, "no placement worked out: " + why);
+      fail(CallerError.NO_ENDPOINT, RETRY_AFTER_MILLIS, "no placement worked out: " + why);
     } else if (!begun && !budget.tryTake()) {
-      fail(CallerError.RETRY_BUDGET, RESUME_PAUSE_MILLIS, "the retry budget is used up");
+      fail(CallerError.RETRY_BUDGET, RETRY_AFTER_MILLIS, "the retry budget is used up");
     } else {
       place(now);
     }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/CallerServer.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/CallerServer.java
@@ -162,6 +162,7 @@
         .setMaxHeaderSize(context.limits().maxHeaderBytes())
         .setMaxInitialLineLength(MAX_LINE_BYTES)
         .setHttp2ClearTextEnabled(false)
+        .setHandle100ContinueAutomatically(true)
         .setIdleTimeout(IDLE_SECONDS);
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/PlainRun.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/PlainRun.java
@@ -20,8 +20,10 @@
 import org.knapweedcleat.core.config.EndpointSpec;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.RequestId;
+import org.knapweedcleat.core.invariant.Invariant;
 import org.knapweedcleat.core.once.CallOutcome;
 import org.knapweedcleat.core.once.PlainAnswer;
+import org.knapweedcleat.core.schedule.PlacementDecision;
 import org.knapweedcleat.router.endpoint.EndpointCall;
 import org.knapweedcleat.router.endpoint.EndpointReply;
 import org.knapweedcleat.router.gate.CheckedKey;
@@ -139,8 +141,7 @@
 
   private void perform(PlainAction action) {
     if (action instanceof PlainAction.Place place) {
-      Unis.toFuture(serving.context().placements().place(place.request()), serving.loop())
-          .onSuccess(decision -> feed(new PlainEvent.Decided(decision)));
+      serving.place(place.request()).onSuccess(this::onDecision);
     } else if (action instanceof PlainAction.Report report) {
       serving.context().placements().report(report.progress());
     } else if (action instanceof PlainAction.Call call) {
@@ -154,13 +155,21 @@
     }
   }
 
+  private void onDecision(PlacementDecision decision) {
+    feed(
+        serving.keyStillWorks(this, plan.account())
+            ? new PlainEvent.Decided(decision)
+            : new PlainEvent.GivenUp(GiveUpCause.KEY_WITHDRAWN));
+  }
+
   private void call(int which, EndpointId id) {
     Optional<EndpointSpec> endpoint = serving.endpointForNewWork(id);
-    if (endpoint.isEmpty() || !serving.keyStillWorks(this, plan.account())) {
+    if (endpoint.isEmpty()) {
       feed(new PlainEvent.Failed(which, CallFailure.NOT_SENT));
       return;
     }
     boolean once = plan.safety() == CallSafety.AT_MOST_ONCE;
+    serving.context().monitor().check(!once || record.isClean(), Invariant.AT_MOST_ONCE, id());
     EndpointCall call = endpointCall(endpoint.get(), once);
     Future<Either<CallFailure, EndpointReply>> result =
         once ? serving.endpoints().sendAlone(call, record) : serving.endpoints().send(call, record);
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Serving.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Serving.java
@@ -2,9 +2,11 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Context;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.knapweedcleat.core.attempt.AttemptBudget;
 import org.knapweedcleat.core.attempt.CallerFailure;
 import org.knapweedcleat.core.attempt.CancelLedger;
@@ -15,16 +17,22 @@
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.RequestId;
 import org.knapweedcleat.core.invariant.Invariant;
+import org.knapweedcleat.core.schedule.PlacementDecision;
+import org.knapweedcleat.core.schedule.PlacementRequest;
+import org.knapweedcleat.core.schedule.RefusalReason;
 import org.knapweedcleat.router.endpoint.CancelSender;
 import org.knapweedcleat.router.endpoint.EndpointClient;
 import org.knapweedcleat.router.endpoint.EngineClient;
 import org.knapweedcleat.router.gate.CheckedKey;
+import org.knapweedcleat.router.vertx.Unis;
 
 /** What all requests of an instance share; used on its event loop only. */
 final class Serving {
 
   private static final int RETRY_PERCENT = 20;
   private static final int RETRY_BURST = 50;
+  private static final long PLACE_PATIENCE_MILLIS = 1_000;
+  private static final long PLACE_RETRY_MILLIS = 500;
 
   private final Vertx vertx;
   private final Context loop;
@@ -93,7 +101,11 @@
   }
 
   void count(String name) {
-    context.metrics().counter(MetricRegistry.name("caller", name)).inc();
+    count(name, 1);
+  }
+
+  void count(String name, long number) {
+    context.metrics().counter(MetricRegistry.name("caller", name)).inc(number);
   }
 
   /** Returns an id that no request of another incarnation has, as incarnations differ. */
@@ -122,21 +134,30 @@
     context.monitor().check(truthful, Invariant.NOT_RUN_IS_TRUE, request);
   }
 
-  /** Checks, before bytes leave, that the key of a request still stands for its account. */
+  /** Tells, before bytes leave, whether the key of a request still stands for its account. */
   boolean keyStillWorks(RunningCall call, AccountId account) {
-    boolean works =
-        call.key()
-            .map(key -> stillStandsFor(key, account))
-            .orElse(account.equals(Admitted.OPEN_ACCOUNT));
-    return context.monitor().check(works, Invariant.KEY_MATCHES_ACCOUNT, call.id());
-  }
-
-  private boolean stillStandsFor(CheckedKey key, AccountId account) {
-    return context
-        .keys()
-        .find(key.digest())
-        .map(CheckedKey::account)
-        .filter(account::equals)
-        .isPresent();
+    Optional<CheckedKey> key = call.key();
+    if (key.isEmpty()) {
+      return context
+          .monitor()
+          .check(account.equals(Admitted.OPEN_ACCOUNT), Invariant.KEY_MATCHES_ACCOUNT, call.id());
+    }
+    Optional<CheckedKey> now = context.keys().find(key.get().digest());
+    boolean same = now.map(CheckedKey::account).filter(account::equals).isPresent();
+    context.monitor().check(now.isEmpty() || same, Invariant.KEY_MATCHES_ACCOUNT, call.id());
+    return same;
+  }
+
+  /** Asks the scheduler; an answer that fails or stays away becomes a refusal. */
+  Future<PlacementDecision> place(PlacementRequest request) {
+    if (request.attempt() > 1) {
+      count("retries");
+    }
+    PlacementDecision refusal =
+        new PlacementDecision.Refused(
+            request.request(), request.attempt(), RefusalReason.NO_ENDPOINT, PLACE_RETRY_MILLIS);
+    return Unis.toFuture(context.placements().place(request), loop)
+        .timeout(request.remainingMillis() + PLACE_PATIENCE_MILLIS, TimeUnit.MILLISECONDS)
+        .otherwise(refusal);
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/SplitCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/SplitCall.java
@@ -115,25 +115,26 @@
 
   private void begin() {
     admitted = true;
-    perform(attempt.start(serving.now()));
+    carryOut(attempt.start(serving.now()));
   }
 
   private void feed(SplitEvent event) {
     events.add(event);
-    if (performing) {
-      return;
-    }
-    while (!events.isEmpty()) {
-      perform(attempt.on(serving.now(), events.remove()));
+    if (!performing) {
+      carryOut(List.of());
     }
   }
 
-  private void perform(List<SplitAction> actions) {
+  /** Carries out actions and then what follows from events that came meanwhile, in order. */
+  private void carryOut(List<SplitAction> actions) {
     performing = true;
-    actions.forEach(this::perform);
-    performing = false;
-    if (!events.isEmpty()) {
-      feed(events.remove());
+    try {
+      actions.forEach(this::perform);
+      while (!events.isEmpty()) {
+        attempt.on(serving.now(), events.remove()).forEach(this::perform);
+      }
+    } finally {
+      performing = false;
     }
   }
 
@@ -190,14 +191,20 @@
   }
 
   private void place(SplitAction.Place place) {
-    Unis.toFuture(serving.context().placements().place(place.request()), serving.loop())
-        .onSuccess(decision -> feed(new SplitEvent.Decided(decision)));
+    serving
+        .place(place.request())
+        .onSuccess(
+            decision ->
+                feed(
+                    serving.keyStillWorks(this, input.plan().account())
+                        ? new SplitEvent.Decided(decision)
+                        : new SplitEvent.GivenUp(GiveUpCause.KEY_WITHDRAWN)));
   }
 
   private void reserve(SplitAction.Reserve action) {
     int which = action.attempt();
     Optional<EndpointSpec> decode = serving.endpointForNewWork(action.decode());
-    if (decode.isEmpty() || !serving.keyStillWorks(this, input.plan().account())) {
+    if (decode.isEmpty()) {
       feed(new SplitEvent.ReserveFailed(which, CallFailure.NOT_SENT));
       return;
     }
@@ -253,6 +260,9 @@
   private void decode(SplitAction.Decode action) {
     decoding.ifPresent(DecodeStream::close);
     int stream = action.stream();
+    if (stream > 1) {
+      serving.count("resumes");
+    }
     Optional<EndpointSpec> decode = serving.endpoint(action.decode());
     if (decode.isEmpty()) {
       feed(new SplitEvent.StreamBroken(stream, CallFailure.NOT_SENT));
@@ -298,6 +308,7 @@
 
   private void finish() {
     over = true;
+    serving.count("tokens.dropped", attempt.droppedTokens());
     serving.vertx().cancelTimer(deadlineTimer);
     decoding.ifPresent(DecodeStream::close);
     serving.running().remove(this);
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/endpoint/DecodeStream.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/endpoint/DecodeStream.java
@@ -47,6 +47,7 @@
       return;
     }
     response = result.get();
+    response.exceptionHandler(failure -> breakOff(CallFailure.UNKNOWN));
     if (over) {
       response.request().reset();
     } else if (response.statusCode() != 200) {
@@ -62,7 +63,6 @@
     RecordParser parser = RecordParser.newDelimited("\n\n", this::event);
     parser.maxRecordSize(MAX_EVENT_BYTES);
     parser.exceptionHandler(failure -> breakOff(CallFailure.UNKNOWN));
-    response.exceptionHandler(failure -> breakOff(CallFailure.UNKNOWN));
     response.endHandler(ended -> breakOff(CallFailure.UNKNOWN));
     response.handler(parser);
   }
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/CallerFixture.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/CallerFixture.java
@@ -13,7 +13,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import org.knapweedcleat.core.account.KeyDigest;
 import org.knapweedcleat.core.audit.AuditEvent;
@@ -57,6 +59,7 @@
   final FakeGates gates = new FakeGates();
   final MetricRegistry metrics = new MetricRegistry();
   final InvariantMonitor monitor = InvariantMonitor.of(metrics);
+  final AtomicLong clockSkipMillis = new AtomicLong();
   final List<AuditEvent> audit = new CopyOnWriteArrayList<>();
   final CallerServer server;
   final int port;
@@ -78,8 +81,8 @@
             gates,
             gates,
             gates,
-            () -> System.nanoTime() / 1_000_000,
-            new java.util.Random(5)::nextLong,
+            () -> System.nanoTime() / 1_000_000 + clockSkipMillis.get(),
+            new Random(5)::nextLong,
             metrics,
             monitor,
             audit::add,
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/FakeGates.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/FakeGates.java
@@ -30,6 +30,7 @@
   final List<PlacementRequest> placements = new CopyOnWriteArrayList<>();
   volatile Optional<FleetSnapshot> snapshot = Optional.empty();
   volatile long unconfirmedMillis;
+  volatile Runnable beforeNextPlacement = () -> {};
   volatile Optional<IncarnationId> home = Optional.empty();
   volatile Function<PeerMessage, Uni<PeerMessage>> peer;
   private volatile Optional<EndpointId> nextPrefill = Optional.empty();
@@ -88,6 +89,7 @@
   @Override
   public Uni<PlacementDecision> place(PlacementRequest request) {
     placements.add(request);
+    beforeNextPlacement.run();
     if (request.maxOutputTokens() == 0) {
       EndpointId endpoint = nextPlain.orElse(plain);
       nextPlain = Optional.empty();
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/SplitCallTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/SplitCallTest.java
@@ -206,6 +206,16 @@
     assertThat(decode.count("/v1/reserve"), is(0));
   }
 
+  @Test
+  void sendsNothingForKeysThatWereWithdrawnWhileTheRequestWasPlaced() {
+    fixture.gates.beforeNextPlacement = () -> fixture.withdraw("one");
+
+    HttpResponse<String> response = fixture.post("/notes", CallerFixture.prompt(6, true));
+
+    assertError(response, 401, "UNKNOWN_KEY", "no");
+    assertThat(decode.count("/v1/reserve"), is(0));
+  }
+
   private static List<Integer> positions(String stream) {
     List<Integer> positions = new ArrayList<>();
     for (String event : stream.split("\n\n")) {
