--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/OrphanSweep.java
@@ -0,0 +1,177 @@
+package org.knapweedcleat.core.schedule;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.RequestId;
+import org.knapweedcleat.core.schedule.ScheduleAction.CancelOrphan;
+
+/**
+ * Finds requests that hold memory at an endpoint although no living incarnation serves them.
+ *
+ * <p>A held request that nobody claims is left alone for a grace time, since claims and load
+ * reports are late. A request whose owner is silent may still be served on the other side of a
+ * partition, so it is left alone for longer, unless the owner is known to have ended. It is then
+ * cancelled, and again after each further grace time, until the endpoint no longer reports it.
+ */
+public final class OrphanSweep {
+
+  /** How long what a silent owner may still serve is left alone. */
+  static final long SILENT_OWNER_MILLIS = 60_000;
+
+  private static final long ENDED_MEMORY_MILLIS = 600_000;
+
+  private final long graceMillis;
+  private final Map<IncarnationId, Claims> claims = new HashMap<>();
+  private final Map<IncarnationId, Long> endedAtMillis = new HashMap<>();
+  private final Map<EndpointId, Map<RequestId, Long>> unclaimedSince = new HashMap<>();
+
+  private OrphanSweep(long graceMillis) {
+    this.graceMillis = graceMillis;
+  }
+
+  /**
+   * Returns a sweep that has seen nothing.
+   *
+   * @param graceMillis how long unclaimed memory is left alone, at least 0
+   * @return the sweep
+   * @throws IllegalArgumentException if the time is negative
+   */
+  public static OrphanSweep of(long graceMillis) {
+    if (graceMillis < 0) {
+      throw new IllegalArgumentException("grace of " + graceMillis + " ms");
+    }
+    return new OrphanSweep(graceMillis);
+  }
+
+  /**
+   * Takes over what an incarnation runs; replaces what it claimed before.
+   *
+   * @param now the time in milliseconds
+   * @param owner the incarnation
+   * @param running all requests that it runs
+   */
+  public void claims(long now, IncarnationId owner, List<RequestId> running) {
+    if (!endedAtMillis.containsKey(owner)) {
+      claims.put(owner, new Claims(now, Set.copyOf(running)));
+    }
+  }
+
+  /**
+   * Drops the claims of an incarnation that has ended; what only it served is an orphan at once.
+   *
+   * @param now the time in milliseconds
+   * @param owner the incarnation
+   */
+  public void incarnationEnded(long now, IncarnationId owner) {
+    endedAtMillis.values().removeIf(millis -> now - millis > ENDED_MEMORY_MILLIS);
+    endedAtMillis.put(owner, now);
+    claims.remove(owner);
+  }
+
+  /**
+   * Tells whether a living incarnation claims a request.
+   *
+   * @param now the time in milliseconds
+   * @param request the request
+   * @return true if one does
+   */
+  public boolean isClaimed(long now, RequestId request) {
+    return claims.values().stream().anyMatch(claim -> claim.covers(now, request));
+  }
+
+  /**
+   * Forgets an endpoint that is gone or has restarted.
+   *
+   * @param endpoint the endpoint
+   */
+  public void forget(EndpointId endpoint) {
+    unclaimedSince.remove(endpoint);
+  }
+
+  /**
+   * Compares what an endpoint holds with what is claimed.
+   *
+   * @param now the time in milliseconds
+   * @param endpoint the endpoint
+   * @param held the requests that hold memory there
+   * @param expectations what the scheduler itself knows of each request
+   * @return the cancellations that are due
+   */
+  public List<ScheduleAction> sweep(
+      long now, EndpointId endpoint, List<RequestId> held, Expectations expectations) {
+    Map<RequestId, Long> before = unclaimedSince.getOrDefault(endpoint, Map.of());
+    Map<RequestId, Long> after = new HashMap<>();
+    List<ScheduleAction> actions = new ArrayList<>();
+    for (RequestId request : held) {
+      Expectation expectation = expectations.of(endpoint, request);
+      if (!isExpected(now, request, expectation)) {
+        long since = before.getOrDefault(request, now);
+        boolean due = now - since >= waitMillis(request, since, expectation);
+        after.put(request, due ? now : since);
+        if (due) {
+          actions.add(new CancelOrphan(endpoint, request));
+        }
+      }
+    }
+    unclaimedSince.put(endpoint, after);
+    return actions;
+  }
+
+  private boolean isExpected(long now, RequestId request, Expectation expectation) {
+    return switch (expectation) {
+      case HERE -> true;
+      case ELSEWHERE -> false;
+      case UNKNOWN -> isClaimed(now, request);
+    };
+  }
+
+  private long waitMillis(RequestId request, long since, Expectation expectation) {
+    Optional<IncarnationId> owner = request.owner();
+    if (owner.filter(endedAtMillis::containsKey).isPresent()) {
+      return 0;
+    }
+    boolean mayServe = owner.filter(known -> !hasClaimedAfter(known, since)).isPresent();
+    return mayServe && expectation == Expectation.UNKNOWN ? SILENT_OWNER_MILLIS : graceMillis;
+  }
+
+  private boolean hasClaimedAfter(IncarnationId owner, long millis) {
+    Claims latest = claims.get(owner);
+    return latest != null && latest.atMillis() > millis;
+  }
+
+  private record Claims(long atMillis, Set<RequestId> running) {
+    boolean covers(long now, RequestId request) {
+      return now - atMillis < SILENT_OWNER_MILLIS && running.contains(request);
+    }
+  }
+
+  /** What the scheduler knows of a request. */
+  public enum Expectation {
+    /** It was placed on this endpoint. */
+    HERE,
+    /** It was placed, but on other endpoints. */
+    ELSEWHERE,
+    /** The scheduler has no placement of it. */
+    UNKNOWN
+  }
+
+  /** Tells where a request is expected. */
+  @FunctionalInterface
+  public interface Expectations {
+
+    /**
+     * Tells what is known of a request that an endpoint holds.
+     *
+     * @param endpoint the endpoint
+     * @param request the request
+     * @return what is known
+     */
+    Expectation of(EndpointId endpoint, RequestId request);
+  }
+}
