Ask the schedulers of other failure domains, and place plain calls at once

Cause: PlacementLeg says whom a request asks, and the router asked only its own failure domain. A fresh scheduler left out endpoints without a load report for its warm-up; plain services never report, so that each call after a change of scheduler waited a second. The audit entry of a withdrawn key was made after its streams had ended. Change: PlacementDesk asks one scheduler after the other; an instance of another failure domain relays to the scheduler of its own, with progress and claims. Plain endpoints need no report. A withdrawal is recorded first. Ruled out: spreading views of all failure domains, since a relay costs one hop and no control traffic.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/EndpointTable.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/EndpointTable.java
@@ -64,7 +64,7 @@
   List<EndpointTrack> usable(long now, EndpointRole role) {
     return tracks.values().stream()
         .filter(track -> track.spec().role() == role && track.takesNewWork(now))
-        .filter(track -> track.isReported() || !isWarmingUp(now))
+        .filter(track -> !role.isEngine() || track.isReported() || !isWarmingUp(now))
         .toList();
   }
 
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PlacementDecision.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PlacementDecision.java
@@ -21,6 +21,14 @@
    */
   int attempt();
 
+  /**
+   * Returns the same decision under another attempt.
+   *
+   * @param newAttempt the count, from 1
+   * @return the decision
+   */
+  PlacementDecision as(int newAttempt);
+
   /**
    * A split request runs on two engines.
    *
@@ -36,7 +44,12 @@
       EndpointId prefill,
       EndpointId decode,
       long prefillDelayMillis)
-      implements PlacementDecision {}
+      implements PlacementDecision {
+    @Override
+    public Split as(int newAttempt) {
+      return new Split(request, newAttempt, prefill, decode, prefillDelayMillis);
+    }
+  }
 
   /**
    * A plain call runs on one endpoint.
@@ -45,7 +58,12 @@
    * @param attempt counts the placements of this request, from 1
    * @param endpoint where the call goes
    */
-  record Plain(RequestId request, int attempt, EndpointId endpoint) implements PlacementDecision {}
+  record Plain(RequestId request, int attempt, EndpointId endpoint) implements PlacementDecision {
+    @Override
+    public Plain as(int newAttempt) {
+      return new Plain(request, newAttempt, endpoint);
+    }
+  }
 
   /**
    * The request is refused and has not run.
@@ -56,5 +74,10 @@
    * @param retryAfterMillis when asking again may succeed
    */
   record Refused(RequestId request, int attempt, RefusalReason reason, long retryAfterMillis)
-      implements PlacementDecision {}
+      implements PlacementDecision {
+    @Override
+    public Refused as(int newAttempt) {
+      return new Refused(request, newAttempt, reason, retryAfterMillis);
+    }
+  }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PlacementRequest.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PlacementRequest.java
@@ -40,15 +40,16 @@
   }
 
   /**
-   * Returns the same question with another time left.
+   * Returns the same question under another attempt and with another time left.
    *
-   * @param millis the time left until the caller's deadline
+   * @param newAttempt the count under which it is asked
+   * @param millis the time left
    * @return the question
    */
-  public PlacementRequest withRemainingMillis(long millis) {
+  public PlacementRequest as(int newAttempt, long millis) {
     return new PlacementRequest(
         request,
-        attempt,
+        newAttempt,
         owner,
         service,
         account,
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Withdrawals.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Withdrawals.java
@@ -1,6 +1,7 @@
 package org.knapweedcleat.router.caller;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.knapweedcleat.core.account.KeyDigest;
 import org.knapweedcleat.core.attempt.GiveUpCause;
@@ -32,24 +33,24 @@
     revision = snapshot.revision();
     Map<KeyDigest, KeySpec> before = keys;
     keys = byDigest(snapshot);
-    Map<KeyDigest, Integer> ended = endWithdrawn();
+    List<RunningCall> ending = withdrawnCalls();
     before.values().stream()
         .filter(key -> !stands(key))
-        .forEach(key -> record(key, ended.getOrDefault(key.digest(), 0)));
+        .forEach(key -> record(key, count(ending, key)));
+    ending.forEach(call -> call.giveUp(GiveUpCause.KEY_WITHDRAWN));
   }
 
-  private Map<KeyDigest, Integer> endWithdrawn() {
-    Map<KeyDigest, Integer> ended = new HashMap<>();
-    for (RunningCall call : serving.running().all()) {
-      call.key()
-          .filter(key -> !stands(key))
-          .ifPresent(
-              key -> {
-                call.giveUp(GiveUpCause.KEY_WITHDRAWN);
-                ended.merge(key.digest(), 1, Integer::sum);
-              });
-    }
-    return ended;
+  private List<RunningCall> withdrawnCalls() {
+    return serving.running().all().stream()
+        .filter(call -> call.key().filter(key -> !stands(key)).isPresent())
+        .toList();
+  }
+
+  private static int count(List<RunningCall> calls, KeySpec key) {
+    return (int)
+        calls.stream()
+            .filter(call -> call.key().filter(own -> own.digest().equals(key.digest())).isPresent())
+            .count();
   }
 
   private boolean stands(CheckedKey key) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/Duties.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/Duties.java
@@ -1,5 +1,6 @@
 package org.knapweedcleat.router.node;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -31,7 +32,7 @@
     return new Duties(fleet, view);
   }
 
-  void members(MemberView newView) {
+  void update(MemberView newView) {
     view = newView;
   }
 
@@ -53,7 +54,19 @@
 
   /** Returns the instances that schedule any pool in the own failure domain. */
   Set<IncarnationId> schedulers() {
-    return pools().flatMap(pool -> schedulerOf(pool).stream()).collect(Collectors.toSet());
+    return pools()
+        .flatMap(pool -> schedulerOf(pool).stream())
+        .collect(Collectors.toCollection(HashSet::new));
+  }
+
+  /** Returns the live incarnations of the own failure domain. */
+  Set<IncarnationId> members() {
+    return view.domainMembers().stream().map(Member::incarnation).collect(Collectors.toSet());
+  }
+
+  /** Tells whether an incarnation is a live one of the own failure domain. */
+  boolean isInDomain(IncarnationId incarnation) {
+    return members().contains(incarnation);
   }
 
   /** Lists the client accounts whose tokens this instance keeps for its failure domain. */
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
@@ -149,8 +149,9 @@
       limits.receive(from, limitMessage);
     } else if (message instanceof PlacementProgress progress) {
       schedulers.progress(progress);
+      placements.report(progress);
     } else if (message instanceof RunningClaims claims) {
-      schedulers.claims(from, claims);
+      onClaims(from, claims);
     } else {
       context.metrics().counter("peer.messages.unexpected").inc();
     }
@@ -159,7 +160,8 @@
   @Override
   public Uni<PeerMessage> onQuestion(IncarnationId from, PeerMessage question) {
     if (question instanceof PlacementRequest request) {
-      return schedulers.submit(request).map(decision -> decision);
+      boolean near = duties.isInDomain(from);
+      return (near ? schedulers.submit(request) : placements.relay(request)).map(found -> found);
     }
     if (question instanceof DocumentRequest request) {
       return Uni.createFrom().item(keeper.part(request));
@@ -335,8 +337,9 @@
 
   private void onView(MemberView view) {
     addresses.members(view);
-    duties.members(view);
+    duties.update(view);
     limits.members(view);
+    schedulers.members(duties.members());
     incarnations.endedIn(view).forEach(schedulers::incarnationEnded);
     placements.members(view);
     platform.setDuty(ReaderDuty.isReader(view), view.listed());
@@ -354,13 +357,25 @@
   }
 
   private void sendClaims(Set<RequestId> running) {
-    RunningClaims claims = new RunningClaims(List.copyOf(running));
-    for (IncarnationId scheduler : duties.schedulers()) {
-      if (scheduler.equals(context.incarnation())) {
-        schedulers.claims(scheduler, claims);
-      } else {
-        addresses.tell(scheduler, claims);
-      }
+    RunningClaims claims = new RunningClaims(context.incarnation(), List.copyOf(running));
+    Set<IncarnationId> receivers = duties.schedulers();
+    receivers.addAll(placements.placers());
+    receivers.forEach(receiver -> pass(receiver, claims));
+  }
+
+  /** Takes claims, and brings those of another failure domain to the schedulers of this one. */
+  private void onClaims(IncarnationId from, RunningClaims claims) {
+    schedulers.claims(claims);
+    if (!duties.isInDomain(from)) {
+      duties.schedulers().forEach(scheduler -> pass(scheduler, claims));
+    }
+  }
+
+  private void pass(IncarnationId receiver, RunningClaims claims) {
+    if (receiver.equals(context.incarnation())) {
+      schedulers.claims(claims);
+      return;
     }
+    addresses.tell(receiver, claims);
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/LocalSchedulers.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/LocalSchedulers.java
@@ -11,9 +11,11 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.knapweedcleat.core.config.FleetDocument;
+import org.knapweedcleat.core.config.ServiceSpec;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.IncarnationId;
@@ -23,6 +25,7 @@
 import org.knapweedcleat.core.schedule.CacheHint;
 import org.knapweedcleat.core.schedule.EndpointLoad;
 import org.knapweedcleat.core.schedule.PlacementDecision;
+import org.knapweedcleat.core.schedule.PlacementLeg;
 import org.knapweedcleat.core.schedule.PlacementProgress;
 import org.knapweedcleat.core.schedule.PlacementRequest;
 import org.knapweedcleat.core.schedule.PoolScheduler;
@@ -91,6 +94,7 @@
   public void configure(FleetDocument newDocument) {
     document = newDocument;
     schedulers.keySet().retainAll(newDocument.pools().keySet());
+    newDocument.pools().keySet().forEach(this::scheduler);
     each(scheduler -> scheduler.configure(nowMillis.getAsLong(), newDocument));
   }
 
@@ -131,6 +135,22 @@
         .map(spec -> spec.pool());
   }
 
+  /**
+   * Lists whom a request may ask, in order.
+   *
+   * @param request the question
+   * @return the failure domains with the time that each may take
+   */
+  public List<PlacementLeg> legs(PlacementRequest request) {
+    ServiceSpec service = document == null ? null : document.services().get(request.service());
+    if (service == null) {
+      return List.of();
+    }
+    boolean firstTime = request.attempt() == 1;
+    long targetMillis = firstTime ? service.firstTokenTargetMillis() : 0;
+    return PlacementLeg.plan(document, service, domain, targetMillis, request.remainingMillis());
+  }
+
   /**
    * Takes note of how far a placement has come.
    *
@@ -173,11 +193,20 @@
   /**
    * Takes note of what an incarnation still serves.
    *
-   * @param owner the incarnation
    * @param claims its requests
    */
-  public void claims(IncarnationId owner, RunningClaims claims) {
-    each(scheduler -> scheduler.claims(nowMillis.getAsLong(), owner, claims.running()));
+  public void claims(RunningClaims claims) {
+    long now = nowMillis.getAsLong();
+    each(scheduler -> scheduler.claims(now, claims.owner(), claims.running()));
+  }
+
+  /**
+   * Takes over which incarnations live.
+   *
+   * @param living the incarnations of the failure domain
+   */
+  public void members(Set<IncarnationId> living) {
+    schedulers.values().forEach(scheduler -> scheduler.members(living));
   }
 
   /**
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/OpenQuestion.java
@@ -0,0 +1,112 @@
+package org.knapweedcleat.router.placement;
+
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.util.List;
+import java.util.Optional;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.schedule.PlacementDecision;
+import org.knapweedcleat.core.schedule.PlacementLeg;
+import org.knapweedcleat.core.schedule.PlacementRequest;
+import org.knapweedcleat.core.schedule.RefusalReason;
+
+/** A placement that is asked for and not decided; asks one scheduler after the other. */
+final class OpenQuestion {
+
+  /** The most schedulers that one question asks. */
+  static final int MAX_LEGS = 8;
+
+  private static final long NO_ENDPOINT_RETRY_MILLIS = 1000;
+
+  private final PlacementRequest request;
+  private final long deadlineMillis;
+  private final List<PlacementLeg> legs;
+  private final UniEmitter<? super PlacementDecision> emitter;
+  private int leg;
+  private IncarnationId scheduler;
+  private PlacementDecision.Refused refusal;
+
+  private OpenQuestion(
+      PlacementRequest request,
+      long deadlineMillis,
+      List<PlacementLeg> legs,
+      UniEmitter<? super PlacementDecision> emitter) {
+    this.request = request;
+    this.deadlineMillis = deadlineMillis;
+    this.legs = legs;
+    this.emitter = emitter;
+    this.refusal = refused(request, RefusalReason.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS);
+  }
+
+  static OpenQuestion of(
+      PlacementRequest request,
+      long nowMillis,
+      List<PlacementLeg> legs,
+      UniEmitter<? super PlacementDecision> emitter) {
+    List<PlacementLeg> bounded = legs.subList(0, Math.min(legs.size(), MAX_LEGS));
+    long deadlineMillis = nowMillis + request.remainingMillis();
+    return new OpenQuestion(request, deadlineMillis, bounded, emitter);
+  }
+
+  PlacementRequest request() {
+    return request;
+  }
+
+  AttemptId id() {
+    return AttemptId.of(request);
+  }
+
+  /** Returns the name under which the current scheduler knows the question. */
+  AttemptId legId() {
+    return new AttemptId(request.request(), request.attempt() * MAX_LEGS + leg);
+  }
+
+  boolean hasLeg() {
+    return leg < legs.size();
+  }
+
+  FailureDomainId domain() {
+    return legs.get(leg).domain();
+  }
+
+  Optional<IncarnationId> scheduler() {
+    return Optional.ofNullable(scheduler);
+  }
+
+  boolean isOverdue(long nowMillis) {
+    return nowMillis >= deadlineMillis;
+  }
+
+  /** Returns the question as the current leg's scheduler gets it. */
+  PlacementRequest askedOf(IncarnationId newScheduler, long nowMillis) {
+    scheduler = newScheduler;
+    long leftMillis = Math.max(1, deadlineMillis - nowMillis);
+    long allowedMillis = Math.min(leftMillis, legs.get(leg).allowedMillis());
+    return request.as(legId().attempt(), allowedMillis);
+  }
+
+  /** Goes on to the next scheduler, remembering the refusal that is over soonest. */
+  void nextLeg(Optional<PlacementDecision.Refused> newRefusal) {
+    boolean first = leg == 0;
+    newRefusal
+        .filter(found -> first || found.retryAfterMillis() < refusal.retryAfterMillis())
+        .ifPresent(found -> refusal = refused(request, found.reason(), found.retryAfterMillis()));
+    leg++;
+    scheduler = null;
+  }
+
+  /** Answers with the best refusal. */
+  void refuse() {
+    emitter.complete(refusal);
+  }
+
+  void complete(PlacementDecision decision) {
+    emitter.complete(decision);
+  }
+
+  private static PlacementDecision.Refused refused(
+      PlacementRequest request, RefusalReason reason, long retryAfterMillis) {
+    return new PlacementDecision.Refused(
+        request.request(), request.attempt(), reason, retryAfterMillis);
+  }
+}
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/PlacementDesk.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/PlacementDesk.java
@@ -4,10 +4,12 @@
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.PoolId;
@@ -15,31 +17,31 @@
 import org.knapweedcleat.core.membership.MemberView;
 import org.knapweedcleat.core.message.PeerMessage;
 import org.knapweedcleat.core.schedule.PlacementDecision;
+import org.knapweedcleat.core.schedule.PlacementLeg;
 import org.knapweedcleat.core.schedule.PlacementProgress;
 import org.knapweedcleat.core.schedule.PlacementRequest;
 import org.knapweedcleat.core.schedule.PlacementStage;
-import org.knapweedcleat.core.schedule.RefusalReason;
 import org.knapweedcleat.router.gate.PlacementGate;
 
 /**
- * Brings each question to the scheduler of its pool and the first answer back.
+ * Brings each question to the schedulers that may place it, one after the other, and the first
+ * decision that is no refusal back.
  *
- * <p>When the scheduler cannot be reached the instance places alone, a few requests at a time. When
- * another instance becomes scheduler, open questions are asked there again; a second decision is
- * cancelled where it was made.
+ * <p>When the scheduler of the own failure domain cannot be reached the instance places alone, a
+ * few requests at a time. When another instance becomes scheduler, open questions are asked there
+ * again; a decision that comes too late is cancelled where it was made.
  */
 public final class PlacementDesk implements PlacementGate {
 
   private static final int MAX_PLACEMENTS_ALONE = 4;
-  private static final long RETRY_ALONE_MILLIS = 1000;
 
   private final IncarnationId self;
   private final LocalSchedulers local;
   private final SchedulerLink link;
   private final LongSupplier nowMillis;
   private final MetricRegistry metrics;
-  private final Map<AttemptId, Pending> pending = new HashMap<>();
-  private final Map<AttemptId, IncarnationId> placedBy = new HashMap<>();
+  private final Map<AttemptId, OpenQuestion> pending = new HashMap<>();
+  private final Map<AttemptId, Placed> placed = new HashMap<>();
   private MemberView view;
 
   private PlacementDesk(
@@ -77,20 +79,31 @@
 
   @Override
   public Uni<PlacementDecision> place(PlacementRequest request) {
-    return Uni.createFrom().emitter(emitter -> open(request, emitter));
+    return question(request, local.legs(request));
+  }
+
+  /**
+   * Brings a question of an instance in another failure domain to the scheduler of this one.
+   *
+   * @param request the question
+   * @return the decision
+   */
+  public Uni<PlacementDecision> relay(PlacementRequest request) {
+    return question(
+        request, List.of(new PlacementLeg(view.self().domain(), request.remainingMillis())));
   }
 
   @Override
   public void report(PlacementProgress progress) {
     AttemptId id = AttemptId.of(progress);
     boolean terminal = progress.stage().isTerminal();
-    IncarnationId scheduler = terminal ? placedBy.remove(id) : placedBy.get(id);
-    if (scheduler != null) {
-      tell(scheduler, progress);
+    Placed known = terminal ? placed.remove(id) : placed.get(id);
+    if (known != null) {
+      tell(known, progress);
     }
-    Pending open = terminal ? pending.remove(id) : null;
-    if (open != null && open.scheduler != null) {
-      tell(open.scheduler, progress);
+    OpenQuestion open = terminal ? pending.remove(id) : null;
+    if (open != null) {
+      withdraw(open);
     }
   }
 
@@ -101,10 +114,10 @@
    */
   public void members(MemberView newView) {
     view = newView;
-    for (Pending open : List.copyOf(pending.values())) {
-      IncarnationId scheduler = schedulerOf(open.request).orElse(self);
-      if (!scheduler.equals(open.scheduler)) {
-        ask(open, scheduler);
+    for (OpenQuestion open : List.copyOf(pending.values())) {
+      Optional<IncarnationId> scheduler = schedulerOf(open);
+      if (isOpen(open) && scheduler.isPresent() && !scheduler.equals(open.scheduler())) {
+        ask(open, scheduler.get());
       }
     }
   }
@@ -112,131 +125,147 @@
   /** Refuses the questions whose deadline has passed without a decision. */
   public void tick() {
     long now = nowMillis.getAsLong();
-    for (Pending open : List.copyOf(pending.values())) {
-      if (now >= open.deadlineMillis) {
+    for (OpenQuestion open : List.copyOf(pending.values())) {
+      if (open.isOverdue(now) && pending.remove(open.id(), open)) {
         withdraw(open);
-        resolve(open, refuse(open.request, RefusalReason.DEADLINE));
+        open.refuse();
       }
     }
   }
 
-  private void open(PlacementRequest request, UniEmitter<? super PlacementDecision> emitter) {
-    long deadlineMillis = nowMillis.getAsLong() + request.remainingMillis();
-    Pending open = new Pending(request, deadlineMillis, emitter);
-    pending.put(AttemptId.of(request), open);
-    ask(open, schedulerOf(request).orElse(self));
+  /**
+   * Returns the incarnations that hold placements of this instance.
+   *
+   * @return a copy
+   */
+  public Set<IncarnationId> placers() {
+    Set<IncarnationId> placers = new HashSet<>();
+    placed.values().forEach(known -> placers.add(known.scheduler()));
+    return placers;
+  }
+
+  private Uni<PlacementDecision> question(PlacementRequest request, List<PlacementLeg> legs) {
+    return Uni.createFrom().emitter(emitter -> open(request, legs, emitter));
+  }
+
+  private void open(
+      PlacementRequest request,
+      List<PlacementLeg> legs,
+      UniEmitter<? super PlacementDecision> emitter) {
+    OpenQuestion open = OpenQuestion.of(request, nowMillis.getAsLong(), legs, emitter);
+    pending.put(open.id(), open);
+    askLeg(open);
+  }
+
+  private void askLeg(OpenQuestion open) {
+    while (open.hasLeg()) {
+      Optional<IncarnationId> scheduler = schedulerOf(open);
+      if (scheduler.isPresent()) {
+        ask(open, scheduler.get());
+        return;
+      }
+      open.nextLeg(Optional.empty());
+    }
+    if (pending.remove(open.id(), open)) {
+      open.refuse();
+    }
   }
 
-  private Optional<IncarnationId> schedulerOf(PlacementRequest request) {
-    Optional<PoolId> pool = local.poolOf(request.service());
-    return pool.flatMap(known -> view.schedulerOf(known, view.self().domain()))
-        .map(Member::incarnation);
+  private Optional<IncarnationId> schedulerOf(OpenQuestion open) {
+    Optional<PoolId> pool = local.poolOf(open.request().service());
+    return pool.flatMap(known -> view.schedulerOf(known, open.domain())).map(Member::incarnation);
   }
 
-  private void ask(Pending open, IncarnationId scheduler) {
-    open.scheduler = scheduler;
-    PlacementRequest request = open.remaining(nowMillis.getAsLong());
+  private void ask(OpenQuestion open, IncarnationId scheduler) {
+    PlacementRequest asked = open.askedOf(scheduler, nowMillis.getAsLong());
+    Placed leg = new Placed(scheduler, open.legId());
     if (scheduler.equals(self)) {
-      local.submit(request).subscribe().with(decision -> onDecision(open, self, decision));
+      local.submit(asked).subscribe().with(decision -> onDecision(open, leg, decision));
       return;
     }
-    link.ask(scheduler, request, request.remainingMillis())
+    link.ask(scheduler, asked, asked.remainingMillis())
         .subscribe()
-        .with(answer -> onAnswer(open, scheduler, answer), lost -> onLost(open, scheduler));
+        .with(answer -> onAnswer(open, leg, answer), lost -> onLost(open, leg));
   }
 
-  private void onAnswer(Pending open, IncarnationId scheduler, PeerMessage answer) {
+  private void onAnswer(OpenQuestion open, Placed leg, PeerMessage answer) {
     if (answer instanceof PlacementDecision decision) {
-      onDecision(open, scheduler, decision);
+      onDecision(open, leg, decision);
       return;
     }
-    onLost(open, scheduler);
+    onLost(open, leg);
   }
 
-  private void onDecision(Pending open, IncarnationId scheduler, PlacementDecision decision) {
-    AttemptId id = AttemptId.of(open.request);
-    if (pending.get(id) != open) {
-      cancelUnused(scheduler, decision);
+  private void onDecision(OpenQuestion open, Placed leg, PlacementDecision decision) {
+    boolean refused = decision instanceof PlacementDecision.Refused;
+    boolean expected = isOpen(open) && open.legId().equals(leg.legId());
+    if (!expected) {
+      cancelUnused(open, leg, refused);
       return;
     }
-    if (!(decision instanceof PlacementDecision.Refused)) {
-      placedBy.put(id, scheduler);
+    if (refused) {
+      open.nextLeg(Optional.of((PlacementDecision.Refused) decision));
+      askLeg(open);
+      return;
     }
-    resolve(open, decision);
+    pending.remove(open.id());
+    placed.put(open.id(), leg);
+    open.complete(decision.as(open.request().attempt()));
   }
 
-  private void cancelUnused(IncarnationId scheduler, PlacementDecision decision) {
-    if (decision instanceof PlacementDecision.Refused) {
-      return;
-    }
-    AttemptId id = AttemptId.of(decision);
-    if (scheduler.equals(placedBy.get(id))) {
+  private void cancelUnused(OpenQuestion open, Placed leg, boolean refused) {
+    if (refused || leg.equals(placed.get(open.id()))) {
       return;
     }
     metrics.counter("placement.decisions.unused").inc();
-    tell(scheduler, cancelled(id));
+    cancel(leg);
   }
 
-  private void onLost(Pending open, IncarnationId scheduler) {
-    boolean current = pending.get(AttemptId.of(open.request)) == open;
-    if (!current || !scheduler.equals(open.scheduler)) {
+  private void onLost(OpenQuestion open, Placed leg) {
+    boolean current = isOpen(open) && open.legId().equals(leg.legId());
+    if (!current || !open.scheduler().equals(Optional.of(leg.scheduler()))) {
       return;
     }
-    metrics.counter("placement.alone").inc();
-    PoolId pool = local.poolOf(open.request.service()).orElse(null);
-    if (pool == null || local.placements(pool) >= MAX_PLACEMENTS_ALONE) {
-      resolve(open, refuse(open.request, RefusalReason.NO_ENDPOINT));
+    if (open.domain().equals(view.self().domain()) && mayPlaceAlone(open)) {
+      metrics.counter("placement.alone").inc();
+      ask(open, self);
       return;
     }
-    ask(open, self);
+    open.nextLeg(Optional.empty());
+    askLeg(open);
   }
 
-  private void withdraw(Pending open) {
-    if (open.scheduler != null) {
-      tell(open.scheduler, cancelled(AttemptId.of(open.request)));
-    }
-  }
-
-  private void tell(IncarnationId scheduler, PlacementProgress progress) {
-    if (scheduler.equals(self)) {
-      local.progress(progress);
-      return;
-    }
-    link.tell(scheduler, progress);
+  private boolean mayPlaceAlone(OpenQuestion open) {
+    return local
+        .poolOf(open.request().service())
+        .filter(pool -> local.placements(pool) < MAX_PLACEMENTS_ALONE)
+        .isPresent();
   }
 
-  private void resolve(Pending open, PlacementDecision decision) {
-    if (pending.remove(AttemptId.of(open.request), open)) {
-      open.emitter.complete(decision);
-    }
+  private boolean isOpen(OpenQuestion open) {
+    return pending.get(open.id()) == open;
   }
 
-  private static PlacementProgress cancelled(AttemptId id) {
-    return new PlacementProgress(id.request(), id.attempt(), PlacementStage.CANCELLED, 0);
+  private void withdraw(OpenQuestion open) {
+    open.scheduler().ifPresent(scheduler -> cancel(new Placed(scheduler, open.legId())));
   }
 
-  private static PlacementDecision refuse(PlacementRequest request, RefusalReason reason) {
-    return new PlacementDecision.Refused(
-        request.request(), request.attempt(), reason, RETRY_ALONE_MILLIS);
+  private void cancel(Placed leg) {
+    AttemptId id = leg.legId();
+    tell(leg, new PlacementProgress(id.request(), id.attempt(), PlacementStage.CANCELLED, 0));
   }
 
-  private static final class Pending {
-    private final PlacementRequest request;
-    private final long deadlineMillis;
-    private final UniEmitter<? super PlacementDecision> emitter;
-    private IncarnationId scheduler;
-
-    Pending(
-        PlacementRequest request,
-        long deadlineMillis,
-        UniEmitter<? super PlacementDecision> emitter) {
-      this.request = request;
-      this.deadlineMillis = deadlineMillis;
-      this.emitter = emitter;
-    }
-
-    PlacementRequest remaining(long now) {
-      return request.withRemainingMillis(Math.max(1, deadlineMillis - now));
+  private void tell(Placed leg, PlacementProgress progress) {
+    PlacementProgress named =
+        new PlacementProgress(
+            progress.request(), leg.legId().attempt(), progress.stage(), progress.tokens());
+    if (leg.scheduler().equals(self)) {
+      local.progress(named);
+      return;
     }
+    link.tell(leg.scheduler(), named);
   }
+
+  /** Where a placement was made, and the name under which it is known there. */
+  private record Placed(IncarnationId scheduler, AttemptId legId) {}
 }
--- /dev/null
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/document/DocumentKeeperTest.java
@@ -0,0 +1,92 @@
+package org.knapweedcleat.router.document;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import com.codahale.metrics.MetricRegistry;
+import io.smallrye.mutiny.Uni;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.knapweedcleat.core.audit.AuditEvent;
+import org.knapweedcleat.core.audit.DocumentSource;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.InstanceId;
+import org.knapweedcleat.core.id.Revision;
+import org.knapweedcleat.core.invariant.InvariantMonitor;
+import org.knapweedcleat.core.message.PeerMessage;
+import org.knapweedcleat.router.peer.DocumentRequest;
+
+class DocumentKeeperTest {
+
+  private static final IncarnationId PEER = IncarnationId.of(InstanceId.of("b"), 1);
+
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final List<AuditEvent> audit = new ArrayList<>();
+  private final List<Revision> applied = new ArrayList<>();
+  private final DocumentKeeper keeper = newKeeper(applied);
+
+  @Test
+  void neverRevertsAndNeverAppliesWhatDoesNotCheck() {
+    keeper.offer(Revision.of(5), document("five"), DocumentSource.PLATFORM);
+    keeper.offer(Revision.of(4), document("four"), DocumentSource.PLATFORM);
+    keeper.offer(Revision.of(6), "[no such section]", DocumentSource.PEER);
+    assertThat(keeper.revision(), is(Revision.of(5)));
+    assertThat(applied, contains(Revision.of(5)));
+    assertThat(audit, hasSize(2));
+    assertThat(audit.get(1).getClass(), is(AuditEvent.DocumentRejected.class));
+  }
+
+  @Test
+  void bringsLargeDocumentsOverInParts() {
+    String large = document("large") + "# padding\n".repeat(DocumentKeeper.PART_BYTES / 4);
+    keeper.offer(Revision.of(7), large, DocumentSource.PLATFORM);
+    List<Revision> copied = new ArrayList<>();
+    DocumentKeeper other = newKeeper(copied);
+    List<DocumentRequest> asked = new ArrayList<>();
+    PeerDocumentFetch fetch =
+        PeerDocumentFetch.of(
+            other,
+            (peer, request) -> {
+              asked.add(request);
+              return Uni.createFrom().<PeerMessage>item(keeper.part(request));
+            });
+    fetch.announced(PEER, Revision.of(7));
+    assertThat(copied, contains(Revision.of(7)));
+    assertThat(asked, hasSize(3));
+    assertThat(other.current().orElseThrow().digest(), is(keeper.current().get().digest()));
+  }
+
+  @Test
+  void startsAnewWhenTheOtherInstanceMovedOnWhileCopying() {
+    keeper.offer(Revision.of(7), document("seven"), DocumentSource.PLATFORM);
+    List<Revision> copied = new ArrayList<>();
+    PeerDocumentFetch fetch =
+        PeerDocumentFetch.of(
+            newKeeper(copied),
+            (peer, request) -> Uni.createFrom().<PeerMessage>item(keeper.part(request)));
+    fetch.announced(PEER, Revision.of(6));
+    assertThat(copied, hasSize(0));
+    fetch.announced(PEER, Revision.of(7));
+    assertThat(copied, contains(Revision.of(7)));
+  }
+
+  private DocumentKeeper newKeeper(List<Revision> revisions) {
+    return DocumentKeeper.of(
+        "fleet",
+        InvariantMonitor.of(metrics),
+        metrics,
+        audit::add,
+        () -> 0,
+        outcome -> revisions.add(outcome.snapshot().revision()));
+  }
+
+  private static String document(String name) {
+    return "[deployment "
+        + name
+        + "]\nteam = t\n[region r]\nteam = t\n[domain d]\nteam = t\n"
+        + "region = r\n";
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/node/ReadinessTest.java
@@ -0,0 +1,72 @@
+package org.knapweedcleat.router.node;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.knapweedcleat.core.config.FleetDocument;
+import org.knapweedcleat.core.config.FleetSnapshot;
+import org.knapweedcleat.core.id.Revision;
+import org.knapweedcleat.router.gate.FleetView;
+
+class ReadinessTest {
+
+  private static final long LISTEN_MILLIS = 1_000;
+
+  private final FakeFleet fleet = new FakeFleet();
+  private long nowMillis;
+  private final Readiness readiness = Readiness.of(fleet, () -> nowMillis, LISTEN_MILLIS);
+
+  @Test
+  void showsNothingBeforeItHasListened() {
+    fleet.apply(3);
+    nowMillis = LISTEN_MILLIS - 1;
+    assertThat(readiness.current().isPresent(), is(false));
+    nowMillis = LISTEN_MILLIS;
+    assertThat(readiness.current().isPresent(), is(true));
+  }
+
+  @Test
+  void waitsForTheHighestRevisionInReach() {
+    fleet.apply(3);
+    readiness.announced(Revision.of(5));
+    nowMillis = 10 * LISTEN_MILLIS;
+    assertThat(readiness.isReady(), is(false));
+    fleet.apply(5);
+    assertThat(readiness.isReady(), is(true));
+  }
+
+  @Test
+  void staysReadyWhenOthersMoveOn() {
+    fleet.apply(3);
+    nowMillis = LISTEN_MILLIS;
+    assertThat(readiness.isReady(), is(true));
+    readiness.announced(Revision.of(9));
+    assertThat(readiness.isReady(), is(true));
+  }
+
+  private static final class FakeFleet implements FleetView {
+    private FleetSnapshot snapshot;
+
+    void apply(long revision) {
+      FleetDocument document =
+          new FleetDocument(
+              "d", Map.of(), Map.of(), List.of(), Map.of(), Map.of(), List.of(), Map.of(),
+              List.of(), Map.of());
+      snapshot = new FleetSnapshot(Revision.of(revision), "", document);
+    }
+
+    @Override
+    public Optional<FleetSnapshot> current() {
+      return Optional.ofNullable(snapshot);
+    }
+
+    @Override
+    public long unconfirmedMillis() {
+      return 0;
+    }
+  }
+}
