Check long documents in linear time and forbid keys that could never be confirmed

Cause: each reference searched all sections, which is quadratic in a document of many endpoints. An account whose weights are all 0 has no tokens anywhere. Change: names are looked up in sets; watchWaitMillis is at most 4 s (default 2 s) and unconfirmedKeyMillis at least 5 s; all weights 0 is a fault; a key written with a colon is told the right form. FleetDocument.share gives an account's part in a failure domain, for the comparison and the command line. Ruled out: comparing the two settings with each other; they are in different files.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/CrossChecks.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/CrossChecks.java
@@ -12,12 +12,14 @@
   private final IniContent content;
   private final List<CheckedSection> sections;
   private final Map<String, CheckedSection> pools;
+  private final Map<String, CheckedSection> services;
 
   private CrossChecks(String fileName, IniContent content, List<CheckedSection> sections) {
     this.fileName = fileName;
     this.content = content;
     this.sections = sections;
-    this.pools = clean(SectionKind.POOL).toMap(CheckedSection::name, Function.identity());
+    this.pools = byName(SectionKind.POOL);
+    this.services = byName(SectionKind.SERVICE);
   }
 
   static CrossChecks of(String fileName, IniContent content, List<CheckedSection> sections) {
@@ -31,6 +33,7 @@
         .appendAll(addresses())
         .appendAll(routes())
         .appendAll(clean(SectionKind.ROUTE).flatMap(this::splitRoute))
+        .appendAll(clean(SectionKind.ACCOUNT).flatMap(CrossChecks::domainWeights))
         .appendAll(digests())
         .appendAll(links());
   }
@@ -139,6 +142,19 @@
         "a digest of its own");
   }
 
+  private static Option<ConfigFault> domainWeights(CheckedSection account) {
+    Map<String, Integer> weights =
+        account.family(DocumentKeys.ACCOUNT_DOMAIN_WEIGHT, Function.identity());
+    boolean nowhere = weights.nonEmpty() && weights.values().forAll(weight -> weight == 0);
+    return Option.when(
+        nowhere,
+        () ->
+            account.fault(
+                FaultKind.UNSUITABLE_VALUE,
+                DocumentKeys.ACCOUNT_DOMAIN_WEIGHT,
+                "a weight above 0 for at least one failure domain"));
+  }
+
   private List<ConfigFault> links() {
     List<CheckedSection> links = clean(SectionKind.LINK);
     List<ConfigFault> loops =
@@ -171,8 +187,8 @@
   private List<ConfigFault> splitRoute(CheckedSection route) {
     String service = route.get(DocumentKeys.ROUTE_SERVICE).value();
     boolean split =
-        clean(SectionKind.SERVICE)
-            .find(section -> section.name().equals(service))
+        services
+            .get(service)
             .flatMap(section -> pools.get(section.get(DocumentKeys.SERVICE_POOL).value()))
             .exists(pool -> pool.get(DocumentKeys.POOL_KIND) == PoolKind.SPLIT);
     if (!split || route.get(DocumentKeys.ROUTE_METHOD).equals("POST")) {
@@ -206,6 +222,10 @@
     return sections.groupBy(identity).values().toList().filter(group -> group.size() > 1);
   }
 
+  private Map<String, CheckedSection> byName(SectionKind kind) {
+    return clean(kind).toMap(CheckedSection::name, Function.identity());
+  }
+
   private List<CheckedSection> clean(SectionKind kind) {
     return sections.filter(section -> section.kind() == kind);
   }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/DocumentKeys.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/DocumentKeys.java
@@ -19,6 +19,12 @@
   /** What stands before the name of a failure domain in the key of its weight. */
   public static final String DOMAIN_WEIGHT_PREFIX = "domainWeight.";
 
+  /**
+   * The shortest time that keys can be accepted without confirmation. It is longer than any watch,
+   * as a document is confirmed only when a watch ends.
+   */
+  static final int MIN_UNCONFIRMED_KEY_MILLIS = 5_000;
+
   private static final int DAY_MILLIS = 86_400_000;
   private static final int MINUTE_MILLIS = 60_000;
   private static final String MILLIS = "milliseconds";
@@ -140,7 +146,7 @@
       optional(
           SectionKind.SERVICE,
           "unconfirmedKeyMillis",
-          ValueRules.whole(0, DAY_MILLIS),
+          ValueRules.whole(MIN_UNCONFIRMED_KEY_MILLIS, DAY_MILLIS),
           MILLIS,
           "60000",
           "how long keys are accepted in a failure domain that nothing newer can reach");
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/FleetDocument.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/FleetDocument.java
@@ -235,6 +235,23 @@
     return index.endpoints(pool, domain);
   }
 
+  /**
+   * Returns the part of a client account's rate and burst that belongs to a failure domain.
+   *
+   * @param account the client account
+   * @param domain the failure domain
+   * @return 0 to 1; 0 for a failure domain that is not declared
+   */
+  public double share(AccountSpec account, FailureDomainId domain) {
+    if (!domains.containsKey(domain)) {
+      return 0;
+    }
+    int total = account.domainWeights().values().stream().mapToInt(Integer::intValue).sum();
+    return account.domainWeights().isEmpty()
+        ? 1.0 / domains.size()
+        : account.domainWeights().getOrDefault(domain, 0) / (double) Math.max(1, total);
+  }
+
   @Override
   public boolean equals(Object other) {
     return other instanceof FleetDocument document && parts().equals(document.parts());
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/IniContent.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/IniContent.java
@@ -13,8 +13,4 @@
   List<IniSection> of(SectionKind kind) {
     return sections.filter(section -> section.kind() == kind);
   }
-
-  List<String> names(SectionKind kind) {
-    return of(kind).map(IniSection::name);
-  }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/InstanceKeys.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/InstanceKeys.java
@@ -11,6 +11,9 @@
 public final class InstanceKeys {
 
   private static final int HOUR_MILLIS = 3_600_000;
+  private static final int SLACK_MILLIS = 1_000;
+  private static final int MAX_WATCH_WAIT_MILLIS =
+      DocumentKeys.MIN_UNCONFIRMED_KEY_MILLIS - SLACK_MILLIS;
   private static final String MILLIS = "milliseconds";
   private static final String BYTES = "bytes";
 
@@ -71,9 +74,9 @@
       optional(
           SectionKind.PLATFORM,
           "watchWaitMillis",
-          ValueRules.whole(100, 600_000),
+          ValueRules.whole(100, MAX_WATCH_WAIT_MILLIS),
           MILLIS,
-          "30000",
+          "2000",
           "how long one watch waits for something newer");
 
   static final SettingKey<Integer> MAX_BODY =
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/NearestName.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/NearestName.java
@@ -6,14 +6,21 @@
 import org.apache.commons.text.similarity.LevenshteinDistance;
 
 /** Finds the known name that a mistyped one probably stands for. */
-final class NearestName {
+public final class NearestName {
 
   private static final int LONGEST_COMPARED = 64;
   private static final int MIN_DISTANCE = 2;
 
   private NearestName() {}
 
-  static Option<String> of(String written, Seq<String> known) {
+  /**
+   * Finds the nearest name.
+   *
+   * @param written the name as written
+   * @param known the names that there are
+   * @return the nearest one, if any is near
+   */
+  public static Option<String> of(String written, Seq<String> known) {
     if (written.length() > LONGEST_COMPARED) {
       return Option.none();
     }
@@ -24,8 +31,14 @@
         .filter(name -> distance(written, name) <= limit);
   }
 
-  /** Returns a question for operators that ends in a space, or nothing. */
-  static String hint(String written, Seq<String> known) {
+  /**
+   * Returns a question for operators.
+   *
+   * @param written the name as written
+   * @param known the names that there are
+   * @return a question that ends in a space, empty if no name is near
+   */
+  public static String hint(String written, Seq<String> known) {
     return of(written, known).map(name -> "did you mean " + name + "? ").getOrElse("");
   }
 
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SectionChecker.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SectionChecker.java
@@ -1,6 +1,9 @@
 package org.knapweedcleat.core.config;
 
+import io.vavr.collection.HashSet;
 import io.vavr.collection.List;
+import io.vavr.collection.Map;
+import io.vavr.collection.Set;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 
@@ -9,12 +12,17 @@
 
   private final String fileName;
   private final List<SettingKey<?>> keys;
-  private final IniContent content;
+  private final Map<SectionKind, Set<String>> declared;
 
   private SectionChecker(String fileName, List<SettingKey<?>> keys, IniContent content) {
     this.fileName = fileName;
     this.keys = keys;
-    this.content = content;
+    this.declared =
+        content
+            .sections()
+            .filter(section -> section.names().size() == 1)
+            .groupBy(IniSection::kind)
+            .mapValues(sections -> sections.map(IniSection::name).toSet());
   }
 
   static SectionChecker of(String fileName, List<SettingKey<?>> keys, IniContent content) {
@@ -59,7 +67,14 @@
         entry.line(),
         hideName ? ConfigFault.HIDDEN : name,
         mayBeSecret ? ConfigFault.HIDDEN : entry.text(),
-        NearestName.hint(name, names) + "keys here are " + names.mkString(", "));
+        unknownKeyHint(name, names) + "keys here are " + names.mkString(", "));
+  }
+
+  private static String unknownKeyHint(String name, List<String> names) {
+    String firstWord = name.split("[:\\s]", 2)[0];
+    return !firstWord.equals(name) && names.contains(firstWord)
+        ? "write " + firstWord + " = value; "
+        : NearestName.hint(name, names);
   }
 
   private ConfigFault badValue(IniSection section, SettingKey<?> key, String name, IniEntry entry) {
@@ -89,16 +104,17 @@
 
   private Option<ConfigFault> undeclared(
       IniSection section, SectionKind target, String found, int line, String key) {
-    List<String> declared = content.names(target);
-    if (declared.contains(found)) {
+    Set<String> names = declared.getOrElse(target, HashSet.empty());
+    if (names.contains(found)) {
       return Option.none();
     }
     String allowed =
-        NearestName.hint(found, declared)
-            + "the name of a "
+        NearestName.hint(found, names.toList())
+            + "the name of a section "
             + target.form()
-            + " section of this file";
-    boolean hide = section.kind() == SectionKind.KEY && NearestName.of(found, declared).isEmpty();
+            + " of this file";
+    boolean hide =
+        section.kind() == SectionKind.KEY && NearestName.of(found, names.toList()).isEmpty();
     String shown = hide ? ConfigFault.HIDDEN : found;
     return Option.some(fault(FaultKind.UNRESOLVED_REFERENCE, section, line, key, shown, allowed));
   }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SettingKey.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SettingKey.java
@@ -105,7 +105,7 @@
    */
   public String allowed() {
     if (refersTo.isDefined()) {
-      return "the name of a " + refersTo.get().form() + " section";
+      return "the name of a section " + refersTo.get().form();
     }
     return unit.isEmpty() ? rule.allowed() : rule.allowed() + " (" + unit + ")";
   }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ValueRules.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ValueRules.java
@@ -8,7 +8,7 @@
 import org.knapweedcleat.core.account.KeyDigest;
 
 /** The rules that keys share. */
-final class ValueRules {
+public final class ValueRules {
 
   private static final int MAX_PORT = 65_535;
   private static final Pattern WHOLE = Pattern.compile("[0-9]{1,18}");
@@ -36,15 +36,23 @@
                 .filter(number -> number >= lowest && number <= highest));
   }
 
-  static ValueRule<Integer> port() {
+  /**
+   * Returns the rule for TCP ports.
+   *
+   * @return the rule
+   */
+  public static ValueRule<Integer> port() {
     return whole(1, MAX_PORT);
   }
 
-  static ValueRule<String> name() {
+  /**
+   * Returns the rule for names of anything that is declared.
+   *
+   * @return the rule
+   */
+  public static ValueRule<String> name() {
     return matching(
-        "a name of 1 to 63 letters, digits, dots, hyphens and underscores, the first a letter or"
-            + " digit",
-        NAME);
+        "a name of at most 63 letters, digits and . _ -, beginning with a letter or digit", NAME);
   }
 
   static ValueRule<String> modelName() {
@@ -59,7 +67,12 @@
     return ValueRule.of("one of " + METHODS.mkString(", "), text -> METHODS.find(text::equals));
   }
 
-  static ValueRule<String> ipNumber() {
+  /**
+   * Returns the rule for IP numbers.
+   *
+   * @return the rule
+   */
+  public static ValueRule<String> ipNumber() {
     return ValueRule.of(
         "an IP number such as 127.0.0.1, no host name",
         text -> Option.of(text).filter(ValueRules::isIpNumber));
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/diff/DangerRules.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/diff/DangerRules.java
@@ -13,7 +13,6 @@
 import org.knapweedcleat.core.config.PoolSpec;
 import org.knapweedcleat.core.config.RouteSpec;
 import org.knapweedcleat.core.config.ServiceSpec;
-import org.knapweedcleat.core.id.FailureDomainId;
 
 /** Finds what is dangerous about the change of one section. */
 final class DangerRules {
@@ -103,18 +102,7 @@
   private static boolean lowersShare(
       FleetDocument old, AccountSpec before, FleetDocument now, AccountSpec after) {
     return List.ofAll(old.domains().keySet())
-        .exists(domain -> share(now, after, domain) < share(old, before, domain));
-  }
-
-  /** Returns the part of the account's rate that a failure domain has. */
-  private static double share(FleetDocument document, AccountSpec account, FailureDomainId domain) {
-    if (!document.domains().containsKey(domain)) {
-      return 0;
-    }
-    int total = account.domainWeights().values().stream().mapToInt(Integer::intValue).sum();
-    return total == 0
-        ? 1.0 / document.domains().size()
-        : account.domainWeights().getOrDefault(domain, 0) / (double) total;
+        .exists(domain -> now.share(after, domain) < old.share(before, domain));
   }
 
   private static List<Object> place(EndpointSpec endpoint) {
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/config/FleetDocumentParserTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/config/FleetDocumentParserTest.java
@@ -89,6 +89,7 @@
         TEXT.replace("path = /bookings", "path = /notes")
                 .replace("port = 9201", "port = 9102")
                 .replace("kvBytesPerToken = 131072", "kvBytesPerToken = 0")
+                .replace("domainWeight.west-a = 3", "domainWeight.west-a = 0")
             + "\n[key copy]\nteam = office\naccount = families\ndigest = "
             + KeyDigest.ofKey("example")
             + "\n[link east west]\nteam = office\nrateKilobitsPerSecond = 1\ndelayMillis = 1\n"
@@ -99,6 +100,7 @@
         contains(
             FaultKind.UNSUITABLE_VALUE,
             FaultKind.ROUTE_CLASH,
+            FaultKind.UNSUITABLE_VALUE,
             FaultKind.REPEATED_ADDRESS,
             FaultKind.REPEATED_DIGEST,
             FaultKind.REPEATED_LINK,
