Add the operators' command line, its launcher and the operators' pages

Cause: operators come once a week and keep nothing in their heads; they need to check, compare and explain documents and to ask instances.

--- /dev/null
+++ b/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/AuditCommand.java
@@ -0,0 +1,73 @@
+package org.knapweedcleat.cli;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.time.Instant;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+
+/** Shows the changes that an instance has seen. */
+final class AuditCommand extends Command {
+
+  private static final Set<String> HEAD = Set.of("number", "atMillis", "kind");
+
+  @Argument(required = true, metaVar = "HOST:PORT", usage = "the instance's operators' port")
+  private String address;
+
+  @Option(
+      name = "--after",
+      metaVar = "N",
+      usage = "the number of the last event already seen; 0 if left out")
+  private long after;
+
+  @Option(name = "--json", usage = "answers in JSON, one event a line")
+  private boolean json;
+
+  @Override
+  ExitCode run(Console console) throws CliException {
+    HostPort instance = HostPort.parse(address);
+    boolean complete = true;
+    try (OperatorClient client = OperatorClient.create()) {
+      long next = Math.max(0, after);
+      JsonObject page = client.audit(instance, next);
+      while (!entries(page).isEmpty()) {
+        complete &= reportGap(console, page);
+        print(console, entries(page));
+        next = page.getLong("next", next);
+        page = client.audit(instance, next);
+      }
+    }
+    return ExitCode.foundIf(!complete);
+  }
+
+  private static JsonArray entries(JsonObject page) {
+    return page.getJsonArray("entries", new JsonArray());
+  }
+
+  private static boolean reportGap(Console console, JsonObject page) {
+    long missed = page.getLong("missed", 0L);
+    if (missed > 0) {
+      console.error(missed + " earlier events are no longer kept by the instance; see its log");
+    }
+    return missed == 0;
+  }
+
+  private void print(Console console, JsonArray entries) {
+    for (int i = 0; i < entries.size(); i++) {
+      JsonObject entry = entries.getJsonObject(i);
+      console.line(json ? entry.encode() : text(entry));
+    }
+  }
+
+  private static String text(JsonObject entry) {
+    String details =
+        entry.stream()
+            .filter(field -> !HEAD.contains(field.getKey()))
+            .map(field -> field.getKey() + "=" + field.getValue())
+            .collect(Collectors.joining(" "));
+    Instant at = Instant.ofEpochMilli(entry.getLong("atMillis", 0L));
+    return entry.getLong("number") + " " + at + " " + entry.getString("kind") + " " + details;
+  }
+}
--- /dev/null
+++ b/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/Documents.java
@@ -0,0 +1,31 @@
+package org.knapweedcleat.cli;
+
+import java.io.IOException;
+import java.nio.charset.CharacterCodingException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.knapweedcleat.core.config.FleetDocument;
+import org.knapweedcleat.core.config.FleetDocumentParser;
+
+/** Reads files that operators name. */
+final class Documents {
+
+  private Documents() {}
+
+  static String text(Path file) throws CliException {
+    try {
+      return Files.readString(file);
+    } catch (CharacterCodingException e) {
+      throw CliException.of(CliFault.NOT_TEXT, file.toString(), e);
+    } catch (IOException e) {
+      throw CliException.of(CliFault.FILE, file.toString(), e);
+    }
+  }
+
+  /** Returns a document, or reports that it has faults, which are for another command to show. */
+  static FleetDocument read(Path file) throws CliException {
+    return FleetDocumentParser.parse(file.toString(), text(file))
+        .toEither()
+        .getOrElseThrow(faults -> CliException.faulty(file, faults));
+  }
+}
--- /dev/null
+++ b/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/Explainer.java
@@ -0,0 +1,156 @@
+package org.knapweedcleat.cli;
+
+import io.vavr.collection.List;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.Locale;
+import org.knapweedcleat.cli.Explanation.DomainPart;
+import org.knapweedcleat.cli.Explanation.Refusal;
+import org.knapweedcleat.cli.Explanation.Target;
+import org.knapweedcleat.core.config.AccountSpec;
+import org.knapweedcleat.core.config.EndpointSpec;
+import org.knapweedcleat.core.config.FailureDomainSpec;
+import org.knapweedcleat.core.config.FleetDocument;
+import org.knapweedcleat.core.config.KeySpec;
+import org.knapweedcleat.core.config.NearestName;
+import org.knapweedcleat.core.config.RouteSpec;
+import org.knapweedcleat.core.config.ServiceSpec;
+import org.knapweedcleat.core.id.AccountId;
+
+/** Follows a request through a document. */
+final class Explainer {
+
+  private static final int UNAUTHORIZED = 401;
+  private static final int NOT_FOUND = 404;
+  private static final int UNAVAILABLE = 503;
+
+  private final FleetDocument document;
+
+  private Explainer(FleetDocument document) {
+    this.document = document;
+  }
+
+  static Explainer of(FleetDocument document) {
+    return new Explainer(document);
+  }
+
+  Explanation explain(ExplainQuestion question) {
+    Either<Refusal, Target> target = target(question);
+    Either<Refusal, Option<AccountSpec>> account =
+        target.flatMap(found -> counted(question, found));
+    Option<AccountSpec> counted = account.getOrElse(Option.none());
+    Either<Refusal, List<DomainPart>> domains =
+        account.flatMap(known -> parts(question, target.get(), known));
+    Option<Refusal> refusal =
+        domains.fold(Option::some, parts -> noEndpoint(question, target.get(), parts));
+    return new Explanation(
+        question, refusal, target.toOption(), counted, domains.getOrElse(List.empty()));
+  }
+
+  private Either<Refusal, Target> target(ExplainQuestion question) {
+    String method = question.method().toUpperCase(Locale.ROOT);
+    return Option.ofOptional(document.route(method, question.path()))
+        .map(this::target)
+        .toEither(() -> noRoute(method, question.path()));
+  }
+
+  private Target target(RouteSpec route) {
+    ServiceSpec service = document.services().get(route.service());
+    return new Target(route, service, document.pools().get(service.pool()));
+  }
+
+  private Refusal noRoute(String method, String path) {
+    List<RouteSpec> routes = List.ofAll(document.routes());
+    List<String> methods = routes.filter(route -> route.path().equals(path)).map(RouteSpec::method);
+    String hint =
+        methods.isEmpty()
+            ? NearestName.hint(path, routes.map(RouteSpec::path))
+                + "paths are "
+                + routes.map(RouteSpec::path).distinct().sorted().mkString(", ")
+            : "the path takes " + methods.mkString(", ");
+    return new Refusal(NOT_FOUND, "NO_ROUTE", "no route for " + method + " " + path + "; " + hint);
+  }
+
+  private Either<Refusal, Option<AccountSpec>> counted(ExplainQuestion question, Target target) {
+    if (question.keyName().isDefined()) {
+      return accountOfKey(question.keyName().get()).map(Option::some);
+    }
+    if (question.account().isDefined()) {
+      return accountNamed(question.account().get()).map(Option::some);
+    }
+    return target.route().open()
+        ? Either.right(Option.none())
+        : Either.left(
+            new Refusal(
+                UNAUTHORIZED,
+                "UNKNOWN_KEY",
+                "the route needs a key; say whose with --account or --key-name"));
+  }
+
+  private Either<Refusal, AccountSpec> accountOfKey(String name) {
+    List<KeySpec> keys = List.ofAll(document.keys());
+    return keys.find(key -> key.name().equals(name))
+        .map(key -> document.accounts().get(key.account()))
+        .toEither(() -> unknown("key", name, keys.map(KeySpec::name)));
+  }
+
+  private Either<Refusal, AccountSpec> accountNamed(String name) {
+    List<AccountId> accounts = List.ofAll(document.accounts().keySet()).sorted();
+    return accounts
+        .find(id -> id.value().equals(name))
+        .map(id -> document.accounts().get(id))
+        .toEither(() -> unknown("client account", name, accounts.map(AccountId::value)));
+  }
+
+  private static Refusal unknown(String kind, String name, List<String> known) {
+    String reason = "the document has no " + kind + " \"" + name + "\"; ";
+    String names = NearestName.hint(name, known) + "there are " + known.mkString(", ");
+    return new Refusal(UNAUTHORIZED, "UNKNOWN_KEY", reason + names);
+  }
+
+  private Either<Refusal, List<DomainPart>> parts(
+      ExplainQuestion question, Target target, Option<AccountSpec> account) {
+    List<FailureDomainSpec> all =
+        List.ofAll(document.domains().values()).sortBy(FailureDomainSpec::id);
+    List<FailureDomainSpec> asked =
+        question
+            .domain()
+            .map(name -> all.filter(domain -> domain.id().value().equals(name)))
+            .getOrElse(all);
+    if (asked.isEmpty()) {
+      List<String> names = all.map(domain -> domain.id().value());
+      String reason =
+          "the document has no failure domain \"" + question.domain().getOrElse("") + "\"; ";
+      String hint = NearestName.hint(question.domain().getOrElse(""), names);
+      return Either.left(
+          new Refusal(
+              UNAVAILABLE, "NO_ENDPOINT", reason + hint + "there are " + names.mkString(", ")));
+    }
+    return Either.right(asked.map(domain -> part(domain, target, account)));
+  }
+
+  private DomainPart part(FailureDomainSpec domain, Target target, Option<AccountSpec> account) {
+    List<EndpointSpec> endpoints = List.ofAll(document.endpoints(target.pool().id(), domain.id()));
+    double share = account.map(known -> document.share(known, domain.id())).getOrElse(0.0);
+    return new DomainPart(
+        domain,
+        (long) (account.map(AccountSpec::rateTokensPerSecond).getOrElse(0L) * share),
+        (long) (account.map(AccountSpec::burstTokens).getOrElse(0L) * share),
+        endpoints.filter(endpoint -> endpoint.state().takesNewWork()),
+        endpoints.reject(endpoint -> endpoint.state().takesNewWork()));
+  }
+
+  private static Option<Refusal> noEndpoint(
+      ExplainQuestion question, Target target, List<DomainPart> parts) {
+    if (parts.exists(DomainPart::isServed)) {
+      return Option.none();
+    }
+    String place =
+        question.domain().map(domain -> "failure domain " + domain).getOrElse("no failure domain");
+    String reason =
+        question.domain().isDefined()
+            ? "pool " + target.pool().id() + " has not all it needs in " + place
+            : "pool " + target.pool().id() + " has all it needs in " + place;
+    return Option.some(new Refusal(UNAVAILABLE, "NO_ENDPOINT", reason));
+  }
+}
--- /dev/null
+++ b/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/ExplanationText.java
@@ -0,0 +1,146 @@
+package org.knapweedcleat.cli;
+
+import io.vavr.collection.List;
+import org.knapweedcleat.cli.Explanation.DomainPart;
+import org.knapweedcleat.cli.Explanation.Target;
+import org.knapweedcleat.core.config.AccountSpec;
+import org.knapweedcleat.core.config.EndpointSpec;
+import org.knapweedcleat.core.config.PoolKind;
+import org.knapweedcleat.core.config.ServiceSpec;
+import org.knapweedcleat.core.config.SettingWord;
+
+/** Writes an explanation for operators. */
+final class ExplanationText {
+
+  private ExplanationText() {}
+
+  static List<String> lines(Explanation explanation) {
+    List<String> lines = explanation.target().toList().flatMap(ExplanationText::target);
+    boolean served = explanation.refusal().isEmpty();
+    return lines
+        .appendAll(explanation.account().toList().map(ExplanationText::account))
+        .appendAll(explanation.domains().flatMap(part -> domain(explanation, part)))
+        .appendAll(
+            explanation
+                .target()
+                .filter(target -> served)
+                .toList()
+                .flatMap(target -> refusals(explanation, target)))
+        .appendAll(
+            explanation
+                .refusal()
+                .map(
+                    refusal ->
+                        "This request is refused: "
+                            + refusal.status()
+                            + " "
+                            + refusal.error()
+                            + ": "
+                            + refusal.reason()));
+  }
+
+  private static List<String> target(Target target) {
+    ServiceSpec service = target.service();
+    return List.of(
+        "route    "
+            + target.route().name()
+            + " (team "
+            + target.route().team()
+            + "), "
+            + key(target),
+        "         " + safety(target),
+        "service  "
+            + service.id()
+            + " (team "
+            + service.team()
+            + "), priority "
+            + service.priority()
+            + ", first token within "
+            + service.firstTokenTargetMillis()
+            + " ms, given up after "
+            + service.deadlineMillis()
+            + " ms",
+        "pool     "
+            + target.pool().id()
+            + " (team "
+            + target.pool().team()
+            + "), "
+            + (target.pool().kind() == PoolKind.SPLIT
+                ? "split: prefill on one endpoint, decode on another, model "
+                    + target.pool().model()
+                : "plain: one endpoint answers the whole call"));
+  }
+
+  private static String key(Target target) {
+    return target.route().open() ? "open to all" : "needs a key";
+  }
+
+  private static String safety(Target target) {
+    return target.route().safety().allowsResend()
+        ? "idempotent: sent again to another endpoint when one fails"
+        : "at most once: never sent again; a failure after bytes left is answered \"maybe ran\"";
+  }
+
+  private static String account(AccountSpec account) {
+    return "account  "
+        + account.id()
+        + " (team "
+        + account.team()
+        + "), "
+        + account.rateTokensPerSecond()
+        + " tokens/s and a burst of "
+        + account.burstTokens()
+        + " over the whole fleet, weight "
+        + account.weight();
+  }
+
+  private static List<String> domain(Explanation explanation, DomainPart part) {
+    String limits =
+        explanation.account().isEmpty()
+            ? "no limit by account"
+            : part.rateTokensPerSecond()
+                + " tokens/s and a burst of "
+                + part.burstTokens()
+                + " of its own, more by lease from other failure domains";
+    return List.of("", "in " + part.domain().id() + " (" + part.domain().region() + "): " + limits)
+        .appendAll(part.candidates().map(endpoint -> endpoint(endpoint, "may serve it")))
+        .appendAll(
+            part.passedOver().map(endpoint -> endpoint(endpoint, "leaving: gets no new work")))
+        .appendAll(
+            part.isServed() ? List.empty() : List.of("  ! cannot serve it: NO_ENDPOINT here"));
+  }
+
+  private static String endpoint(EndpointSpec endpoint, String verdict) {
+    return String.format(
+        "  %-28s %-8s %s:%d  %s",
+        endpoint.id(), SettingWord.of(endpoint.role()), endpoint.host(), endpoint.port(), verdict);
+  }
+
+  private static List<String> refusals(Explanation explanation, Target target) {
+    ServiceSpec service = target.service();
+    List<String> keyed =
+        target.route().open()
+            ? List.empty()
+            : List.of(
+                "401 UNKNOWN_KEY: the key's digest is not in the document in force",
+                "429 OVER_RATE: "
+                    + explanation.account().map(account -> account.id().value()).getOrElse("it")
+                    + " has used its rate and burst up",
+                "503 KEY_UNCONFIRMED: neither platform nor peers confirmed the document for "
+                    + service.unconfirmedKeyMillis()
+                    + " ms");
+    return List.of("", "It can be refused, with the time to come back, as")
+        .appendAll(
+            keyed
+                .append(
+                    "503 QUEUE_FULL: "
+                        + service.queueLimit()
+                        + " requests wait in the failure domain already")
+                .append(
+                    "503 DEADLINE: it cannot begin within "
+                        + service.deadlineMillis()
+                        + " ms any more")
+                .append("503 NO_ENDPOINT: no endpoint that it needs takes new work")
+                .map(line -> "  " + line));
+  }
+}
--- /dev/null
+++ b/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/HostPort.java
@@ -0,0 +1,32 @@
+package org.knapweedcleat.cli;
+
+import io.vavr.control.Option;
+import org.knapweedcleat.core.config.ValueRules;
+
+/**
+ * The address of an instance's operators' port.
+ *
+ * @param host an IP number
+ * @param port a TCP port
+ */
+record HostPort(String host, int port) {
+
+  static HostPort parse(String text) throws CliException {
+    int colon = text.lastIndexOf(':');
+    if (colon < 0) {
+      throw CliException.of(CliFault.ADDRESS, text);
+    }
+    String host = text.substring(0, colon).replaceAll("^\\[(.*)]$", "$1");
+    Option<String> ip = ValueRules.ipNumber().read(host);
+    Option<Integer> port = ValueRules.port().read(text.substring(colon + 1));
+    if (ip.isEmpty() || port.isEmpty()) {
+      throw CliException.of(CliFault.ADDRESS, text);
+    }
+    return new HostPort(ip.get(), port.get());
+  }
+
+  @Override
+  public String toString() {
+    return host.contains(":") ? "[" + host + "]:" + port : host + ":" + port;
+  }
+}
--- /dev/null
+++ b/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/KeyTables.java
@@ -0,0 +1,51 @@
+package org.knapweedcleat.cli;
+
+import io.vavr.collection.List;
+import io.vavr.control.Option;
+import org.knapweedcleat.core.config.DocumentKeys;
+import org.knapweedcleat.core.config.InstanceKeys;
+import org.knapweedcleat.core.config.SectionKind;
+import org.knapweedcleat.core.config.SettingKey;
+import org.knapweedcleat.core.config.SettingsFile;
+
+/** Describes every key in tables, as the page on configuration shows them. */
+final class KeyTables {
+
+  private static final String HEAD =
+      "| key | allowed | unit | default | meaning |\n|---|---|---|---|---|\n";
+
+  private KeyTables() {}
+
+  static String of(SettingsFile file) {
+    List<SettingKey<?>> keys =
+        file == SettingsFile.DOCUMENT ? DocumentKeys.all() : InstanceKeys.all();
+    return SectionKind.in(file)
+        .map(kind -> section(kind, keys.filter(key -> key.section() == kind)))
+        .mkString("\n");
+  }
+
+  private static String section(SectionKind kind, List<SettingKey<?>> keys) {
+    return "### `"
+        + kind.form()
+        + "`\n\n"
+        + kind.meaning()
+        + "\n\n"
+        + HEAD
+        + keys.map(KeyTables::row).mkString();
+  }
+
+  private static String row(SettingKey<?> key) {
+    return List.of(
+            "`" + key.name() + (key.isFamily() ? "DOMAIN" : "") + "`",
+            key.refersTo().map(kind -> key.allowed()).getOrElse(() -> key.rule().allowed()),
+            key.unit(),
+            fallback(key.fallback()),
+            key.meaning())
+        .map(cell -> cell.replace("|", "\\|"))
+        .mkString("| ", " | ", " |\n");
+  }
+
+  private static String fallback(Option<String> fallback) {
+    return fallback.map(text -> text.isEmpty() ? "empty" : text).getOrElse("needed");
+  }
+}
--- /dev/null
+++ b/knapweedcleat-cli/src/test/java/org/knapweedcleat/cli/RecordedConsole.java
@@ -0,0 +1,34 @@
+package org.knapweedcleat.cli;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/** Runs commands and keeps what the last one wrote. */
+final class RecordedConsole {
+
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+  private RecordedConsole() {}
+
+  static RecordedConsole create() {
+    return new RecordedConsole();
+  }
+
+  ExitCode run(String... args) {
+    out.reset();
+    err.reset();
+    Console console = new Console(new PrintStream(out, true), new PrintStream(err, true));
+    return CommandLine.of(console).run(List.of(args));
+  }
+
+  String out() {
+    return out.toString(StandardCharsets.UTF_8);
+  }
+
+  String err() {
+    return err.toString(StandardCharsets.UTF_8);
+  }
+}
