Never show in a fault what may be a key pasted at the wrong place

Cause: faults go to logs and the audit trail. A key without its digest in a section whose header lost its bracket, alone on a line, before an equals sign or above the first section was printed as an unknown key or its value. Change: the value of an unknown key is never shown, and its name only where it can hardly be a secret (ShownKey). A line that is no key counts as one fault, not as a repetition too. Ruled out: hiding every unknown name; operators mistype names far more often.

--- a/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/KeyTables.java
+++ b/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/KeyTables.java
@@ -2,8 +2,6 @@
 
 import io.vavr.collection.List;
 import io.vavr.control.Option;
-import org.knapweedcleat.core.config.DocumentKeys;
-import org.knapweedcleat.core.config.InstanceKeys;
 import org.knapweedcleat.core.config.SectionKind;
 import org.knapweedcleat.core.config.SettingKey;
 import org.knapweedcleat.core.config.SettingsFile;
@@ -17,8 +15,7 @@
   private KeyTables() {}
 
   static String of(SettingsFile file) {
-    List<SettingKey<?>> keys =
-        file == SettingsFile.DOCUMENT ? DocumentKeys.all() : InstanceKeys.all();
+    List<SettingKey<?>> keys = SettingKey.in(file);
     return SectionKind.in(file)
         .map(kind -> section(kind, keys.filter(key -> key.section() == kind)))
         .mkString("\n");
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/IniReader.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/IniReader.java
@@ -40,7 +40,7 @@
   }
 
   private IniContent unreadable(Throwable failure) {
-    String found = String.valueOf(failure.getMessage());
+    String found = failure.getClass().getSimpleName();
     return new IniContent(
         List.empty(), List.of(fault(FaultKind.UNREADABLE, 0, "", "", found, "INI text")));
   }
@@ -63,12 +63,13 @@
 
   private ConfigFault outsideSection(ImmutableNode node) {
     String key = node.getNodeName();
+    String shown = ShownKey.nearKnown(key, keyNames());
     return fault(
         FaultKind.KEY_OUTSIDE_SECTION,
         lines.lineOf("", key),
         "",
-        key,
-        String.valueOf(node.getValue()),
+        shown,
+        shown,
         "a section before the first key, such as " + SectionKind.in(kind).head().form());
   }
 
@@ -119,15 +120,27 @@
     boolean wholeSection = place.key().isEmpty();
     int first =
         wholeSection ? lines.lineOf(place.section()) : lines.lineOf(place.section(), place.key());
+    String shown = wholeSection ? "" : shownRepeatedKey(place);
     return fault(
         wholeSection ? FaultKind.REPEATED_SECTION : FaultKind.REPEATED_KEY,
         place.line(),
         place.section(),
-        place.key(),
-        wholeSection ? place.section() : place.key(),
+        shown,
+        wholeSection ? place.section() : shown,
         "once; the first is on line " + first);
   }
 
+  private String shownRepeatedKey(LineIndex.Place place) {
+    return SectionKind.find(kind, place.section().split(" ")[0])
+        .filter(section -> section != SectionKind.KEY)
+        .map(section -> place.key())
+        .getOrElse(() -> ShownKey.nearKnown(place.key(), keyNames()));
+  }
+
+  private List<String> keyNames() {
+    return SettingKey.in(kind).map(SettingKey::name).distinct();
+  }
+
   private ConfigFault fault(
       FaultKind fault, int line, String section, String key, String found, String allowed) {
     return new ConfigFault(fault, fileName, line, section, key, found, allowed);
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/LineIndex.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/LineIndex.java
@@ -54,7 +54,12 @@
       return;
     }
     int separator = line.indexOf('=');
-    put(separator < 0 ? line : line.substring(0, separator).trim(), number);
+    if (separator < 0) {
+      // A line that is no key is a fault of its own, however often it occurs.
+      lines.putIfAbsent(new Place(header, line, 0), number);
+      return;
+    }
+    put(line.substring(0, separator).trim(), number);
   }
 
   private void put(String key, int number) {
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SectionChecker.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SectionChecker.java
@@ -59,22 +59,14 @@
   private ConfigFault unknownKey(
       IniSection section, List<SettingKey<?>> known, String name, IniEntry entry) {
     List<String> names = known.map(SettingKey::name);
-    boolean mayBeSecret = section.kind() == SectionKind.KEY;
-    boolean hideName = mayBeSecret && NearestName.of(name, names).isEmpty();
+    String shown = ShownKey.in(section.kind(), name, entry.text(), names);
     return fault(
         FaultKind.UNKNOWN_KEY,
         section,
         entry.line(),
-        hideName ? ConfigFault.HIDDEN : name,
-        mayBeSecret ? ConfigFault.HIDDEN : entry.text(),
-        unknownKeyHint(name, names) + "keys here are " + names.mkString(", "));
-  }
-
-  private static String unknownKeyHint(String name, List<String> names) {
-    String firstWord = name.split("[:\\s]", 2)[0];
-    return !firstWord.equals(name) && names.contains(firstWord)
-        ? "write " + firstWord + " = value; "
-        : NearestName.hint(name, names);
+        shown,
+        shown,
+        ShownKey.hint(name, names) + "keys here are " + names.mkString(", "));
   }
 
   private ConfigFault badValue(IniSection section, SettingKey<?> key, String name, IniEntry entry) {
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SettingKey.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SettingKey.java
@@ -1,5 +1,6 @@
 package org.knapweedcleat.core.config;
 
+import io.vavr.collection.List;
 import io.vavr.control.Option;
 
 /**
@@ -79,6 +80,16 @@
     return new SettingKey<>(section, name, rule, "", Option.none(), target, meaning);
   }
 
+  /**
+   * Lists every key of a kind of settings.
+   *
+   * @param file the kind of settings
+   * @return the keys, those of a section together
+   */
+  public static List<SettingKey<?>> in(SettingsFile file) {
+    return file == SettingsFile.DOCUMENT ? DocumentKeys.all() : InstanceKeys.all();
+  }
+
   /**
    * Tells whether the name is followed by the name of a failure domain.
    *
