--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SectionChecker.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SectionChecker.java
@@ -1,6 +1,9 @@
 package org.knapweedcleat.core.config;
 
+import io.vavr.collection.HashSet;
 import io.vavr.collection.List;
+import io.vavr.collection.Map;
+import io.vavr.collection.Set;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 
@@ -9,12 +12,17 @@
 
   private final String fileName;
   private final List<SettingKey<?>> keys;
-  private final IniContent content;
+  private final Map<SectionKind, Set<String>> declared;
 
   private SectionChecker(String fileName, List<SettingKey<?>> keys, IniContent content) {
     this.fileName = fileName;
     this.keys = keys;
-    this.content = content;
+    this.declared =
+        content
+            .sections()
+            .filter(section -> section.names().size() == 1)
+            .groupBy(IniSection::kind)
+            .mapValues(sections -> sections.map(IniSection::name).toSet());
   }
 
   static SectionChecker of(String fileName, List<SettingKey<?>> keys, IniContent content) {
@@ -51,15 +59,14 @@
   private ConfigFault unknownKey(
       IniSection section, List<SettingKey<?>> known, String name, IniEntry entry) {
     List<String> names = known.map(SettingKey::name);
-    boolean mayBeSecret = section.kind() == SectionKind.KEY;
-    boolean hideName = mayBeSecret && NearestName.of(name, names).isEmpty();
+    String shown = ShownKey.in(section.kind(), name, entry.text(), names);
     return fault(
         FaultKind.UNKNOWN_KEY,
         section,
         entry.line(),
-        hideName ? ConfigFault.HIDDEN : name,
-        mayBeSecret ? ConfigFault.HIDDEN : entry.text(),
-        NearestName.hint(name, names) + "keys here are " + names.mkString(", "));
+        shown,
+        shown,
+        ShownKey.hint(name, names) + "keys here are " + names.mkString(", "));
   }
 
   private ConfigFault badValue(IniSection section, SettingKey<?> key, String name, IniEntry entry) {
@@ -89,16 +96,17 @@
 
   private Option<ConfigFault> undeclared(
       IniSection section, SectionKind target, String found, int line, String key) {
-    List<String> declared = content.names(target);
-    if (declared.contains(found)) {
+    Set<String> names = declared.getOrElse(target, HashSet.empty());
+    if (names.contains(found)) {
       return Option.none();
     }
     String allowed =
-        NearestName.hint(found, declared)
-            + "the name of a "
+        NearestName.hint(found, names.toList())
+            + "the name of a section "
             + target.form()
-            + " section of this file";
-    boolean hide = section.kind() == SectionKind.KEY && NearestName.of(found, declared).isEmpty();
+            + " of this file";
+    boolean hide =
+        section.kind() == SectionKind.KEY && NearestName.of(found, names.toList()).isEmpty();
     String shown = hide ? ConfigFault.HIDDEN : found;
     return Option.some(fault(FaultKind.UNRESOLVED_REFERENCE, section, line, key, shown, allowed));
   }
