Use the key ring of the document in place of the caller server's own look-up

Forwarded calls and their answers now go through the codec of messages between instances in the tests, and bodies over 3 MiB, which no frame carries, are reported as lost in place of failing in the codec.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/attempt/Continuation.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/attempt/Continuation.java
@@ -6,6 +6,7 @@
 import java.util.Base64;
 import java.util.Optional;
 import org.knapweedcleat.core.account.KeyDigest;
+import org.knapweedcleat.core.account.Sha256;
 import org.knapweedcleat.core.id.AccountId;
 import org.knapweedcleat.core.id.RequestId;
 import org.knapweedcleat.core.id.ServiceId;
@@ -19,15 +20,11 @@
  * @param request the request whose answer broke off
  * @param account the client account
  * @param service the service
- * @param promptDigest the digest of the prompt
+ * @param promptDigest the SHA-256 of the prompt, in hexadecimal
  * @param maxTokens the length limit of the whole answer
  */
 public record Continuation(
-    RequestId request,
-    AccountId account,
-    ServiceId service,
-    KeyDigest promptDigest,
-    int maxTokens) {
+    RequestId request, AccountId account, ServiceId service, String promptDigest, int maxTokens) {
 
   private static final String SEPARATOR = "\n";
   private static final int PARTS = 5;
@@ -86,7 +83,7 @@
    * @return true if both are the same as then
    */
   public boolean hasBody(String prompt, int presentMaxTokens) {
-    return promptDigest.equals(KeyDigest.ofKey(prompt)) && maxTokens == presentMaxTokens;
+    return promptDigest.equals(Sha256.hexOf(prompt)) && maxTokens == presentMaxTokens;
   }
 
   private static Optional<Continuation> checked(byte[] all, KeyDigest key) {
@@ -105,7 +102,7 @@
         RequestId.of(parts[0]),
         AccountId.of(parts[1]),
         ServiceId.of(parts[2]),
-        KeyDigest.of(parts[3]),
+        parts[3],
         Integer.parseInt(parts[4]));
   }
 
@@ -115,7 +112,7 @@
         request.value(),
         account.value(),
         service.value(),
-        promptDigest.hex(),
+        promptDigest,
         Integer.toString(maxTokens));
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Admission.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Admission.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.util.Optional;
 import org.knapweedcleat.core.account.KeyDigest;
+import org.knapweedcleat.core.account.KeyIdentity;
 import org.knapweedcleat.core.attempt.CallerError;
 import org.knapweedcleat.core.attempt.CallerFailure;
 import org.knapweedcleat.core.config.FleetDocument;
@@ -11,11 +12,11 @@
 import org.knapweedcleat.core.config.RouteSpec;
 import org.knapweedcleat.core.config.ServiceSpec;
 import org.knapweedcleat.core.id.AccountId;
-import org.knapweedcleat.router.gate.CheckedKey;
 
 /** Decides whether a request has a route and a key that works. */
 final class Admission {
 
+  private static final String FORWARDED_NAME = "forwarded";
   private static final String SCHEME = "Bearer ";
   private static final long RETRY_MILLIS = 1_000;
 
@@ -40,25 +41,22 @@
   /** Admits a call that another instance passed on, by the digest of the key that came with it. */
   Either<CallerFailure, Admitted> admitForwarded(
       String method, String path, KeyDigest digest, AccountId account) {
+    KeyIdentity identity = new KeyIdentity(account, FORWARDED_NAME, digest);
     return find(method, path)
-        .flatMap(
-            found ->
-                context
-                    .keys()
-                    .find(digest)
-                    .filter(key -> key.account().equals(account))
-                    .<Either<CallerFailure, Admitted>>map(key -> Either.right(found.with(key)))
-                    .orElseGet(() -> refuse(CallerError.UNKNOWN_KEY, 0, "no such key")));
+        .filterOrElse(
+            found -> context.keys().confirms(identity),
+            found -> CallerFailure.notRun(CallerError.UNKNOWN_KEY, 0, "no such key"))
+        .map(found -> found.with(identity));
   }
 
-  Either<CallerFailure, CheckedKey> authenticate(String authorization) {
+  Either<CallerFailure, KeyIdentity> authenticate(String authorization) {
     if (context.fleet().current().isEmpty()) {
       return refuse(CallerError.NOT_READY, RETRY_MILLIS, "no document is in force yet");
     }
-    return present(authorization)
-        .flatMap(context.keys()::authenticate)
-        .<Either<CallerFailure, CheckedKey>>map(Either::right)
-        .orElseGet(() -> refuse(CallerError.UNKNOWN_KEY, 0, "no such key"));
+    return context
+        .keys()
+        .authenticate(present(authorization).orElse(null))
+        .mapLeft(refusal -> CallerFailure.notRun(CallerError.UNKNOWN_KEY, 0, refusal.name()));
   }
 
   private Either<CallerFailure, Admitted> find(String method, String path) {
@@ -76,10 +74,11 @@
     return Either.right(new Admitted(route.get(), service, pool, Optional.empty()));
   }
 
-  private Either<CallerFailure, Optional<CheckedKey>> checkKey(
+  private Either<CallerFailure, Optional<KeyIdentity>> checkKey(
       RouteSpec route, ServiceSpec service, String authorization) {
     if (route.open()) {
-      return Either.right(present(authorization).flatMap(context.keys()::authenticate));
+      String presented = present(authorization).orElse(null);
+      return Either.right(context.keys().authenticate(presented).toJavaOptional());
     }
     if (context.fleet().unconfirmedMillis() > service.unconfirmedKeyMillis()) {
       return refuse(
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Admitted.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Admitted.java
@@ -2,14 +2,14 @@
 
 import java.util.Optional;
 import org.knapweedcleat.core.account.KeyDigest;
+import org.knapweedcleat.core.account.KeyIdentity;
 import org.knapweedcleat.core.config.PoolSpec;
 import org.knapweedcleat.core.config.RouteSpec;
 import org.knapweedcleat.core.config.ServiceSpec;
 import org.knapweedcleat.core.id.AccountId;
-import org.knapweedcleat.router.gate.CheckedKey;
 
 /** A request that may go on: its route, its service and the key that came with it. */
-record Admitted(RouteSpec route, ServiceSpec service, PoolSpec pool, Optional<CheckedKey> key) {
+record Admitted(RouteSpec route, ServiceSpec service, PoolSpec pool, Optional<KeyIdentity> key) {
 
   /** The account that calls on open routes are scheduled under; it has no rate. */
   static final AccountId OPEN_ACCOUNT = AccountId.of("-open-");
@@ -17,15 +17,15 @@
   private static final KeyDigest OPEN_DIGEST = KeyDigest.ofKey("");
 
   /** Returns the same with the key that came with the request. */
-  Admitted with(CheckedKey checked) {
+  Admitted with(KeyIdentity checked) {
     return new Admitted(route, service, pool, Optional.of(checked));
   }
 
   AccountId account() {
-    return key.map(CheckedKey::account).orElse(OPEN_ACCOUNT);
+    return key.map(KeyIdentity::account).orElse(OPEN_ACCOUNT);
   }
 
   KeyDigest digest() {
-    return key.map(CheckedKey::digest).orElse(OPEN_DIGEST);
+    return key.map(KeyIdentity::digest).orElse(OPEN_DIGEST);
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/CallDispatch.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/CallDispatch.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonObject;
 import java.util.Optional;
+import org.knapweedcleat.core.account.KeyIdentity;
 import org.knapweedcleat.core.attempt.CallerError;
 import org.knapweedcleat.core.attempt.CallerFailure;
 import org.knapweedcleat.core.attempt.Continuation;
@@ -17,7 +18,6 @@
 import org.knapweedcleat.core.id.RequestId;
 import org.knapweedcleat.core.once.Ticket;
 import org.knapweedcleat.core.once.TicketBook;
-import org.knapweedcleat.router.gate.CheckedKey;
 
 /** Sends each caller's request on its way. */
 final class CallDispatch {
@@ -80,7 +80,7 @@
 
   /** Gives no tickets once the stop has begun, since the stop waits for those that are out. */
   private void issue(HttpServerRequest request) {
-    Either<CallerFailure, CheckedKey> key =
+    Either<CallerFailure, KeyIdentity> key =
         admission.authenticate(request.getHeader("Authorization"));
     if (key.isLeft()) {
       refuse(request, key.getLeft());
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/ForwardCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/ForwardCall.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.util.Optional;
+import org.knapweedcleat.core.account.KeyIdentity;
 import org.knapweedcleat.core.attempt.CallerError;
 import org.knapweedcleat.core.attempt.CallerFailure;
 import org.knapweedcleat.core.attempt.GiveUpCause;
@@ -13,24 +14,26 @@
 import org.knapweedcleat.core.once.CallOutcome;
 import org.knapweedcleat.core.once.ForwardedAnswer;
 import org.knapweedcleat.core.once.ForwardedCall;
-import org.knapweedcleat.router.gate.CheckedKey;
 import org.knapweedcleat.router.vertx.Unis;
 
 /** Asks the incarnation that remembers a call's outcome to run it; the caller waits here. */
 final class ForwardCall implements RunningCall {
 
+  /** The longest body that a message between instances carries beside its other parts. */
+  static final int MAX_BODY_BYTES = 3 << 20;
+
   private final Serving serving;
   private final RequestId id;
-  private final Optional<CheckedKey> key;
+  private final Optional<KeyIdentity> key;
   private final Promise<CallOutcome> told = Promise.promise();
 
-  private ForwardCall(Serving serving, Optional<CheckedKey> key) {
+  private ForwardCall(Serving serving, Optional<KeyIdentity> key) {
     this.serving = serving;
     this.id = serving.nextRequest();
     this.key = key;
   }
 
-  static ForwardCall of(Serving serving, Optional<CheckedKey> key) {
+  static ForwardCall of(Serving serving, Optional<KeyIdentity> key) {
     return new ForwardCall(serving, key);
   }
 
@@ -40,7 +43,7 @@
   }
 
   @Override
-  public Optional<CheckedKey> key() {
+  public Optional<KeyIdentity> key() {
     return key;
   }
 
@@ -58,7 +61,8 @@
 
   void start(IncarnationId owner, ForwardedCall question) {
     serving.count("forwarded");
-    if (!serving.context().instances().isAlive(owner)) {
+    boolean passable = question.body().length <= MAX_BODY_BYTES;
+    if (!passable || !serving.context().instances().isAlive(owner)) {
       finish(lost(question));
       return;
     }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/OnceCalls.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/OnceCalls.java
@@ -6,8 +6,10 @@
 import io.vertx.core.http.HttpMethod;
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import org.knapweedcleat.core.account.KeyIdentity;
 import org.knapweedcleat.core.attempt.CallerError;
 import org.knapweedcleat.core.attempt.CallerFailure;
+import org.knapweedcleat.core.attempt.Ran;
 import org.knapweedcleat.core.config.CallSafety;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.once.CallDecision;
@@ -18,7 +20,6 @@
 import org.knapweedcleat.core.once.ForwardedCall;
 import org.knapweedcleat.core.once.Ticket;
 import org.knapweedcleat.core.once.TicketBook;
-import org.knapweedcleat.router.gate.CheckedKey;
 
 /** Runs the calls that carry a ticket or a name, here or through the incarnation that knows it. */
 final class OnceCalls {
@@ -41,7 +42,7 @@
     return new OnceCalls(serving, admission);
   }
 
-  Optional<Ticket> issue(CheckedKey key) {
+  Optional<Ticket> issue(KeyIdentity key) {
     return book.issue(serving.now(), key.account());
   }
 
@@ -88,7 +89,7 @@
     long deadline = Math.min(call.remainingMillis(), admitted.get().service().deadlineMillis());
     return decide(call, admitted.get(), input)
         .map(decision -> follow(decision, admitted.get(), input, Math.max(1, deadline)))
-        .map(wait -> wait.told().map(ForwardedAnswer::of))
+        .map(wait -> wait.told().map(OnceCalls::passable).map(ForwardedAnswer::of))
         .orElseGet(() -> Future.succeededFuture(malformedTicket()));
   }
 
@@ -159,6 +160,17 @@
     return CallerWait.over(new CallOutcome.Failed(failure));
   }
 
+  /** An answer that no message between instances can carry is reported without its body. */
+  private static CallOutcome passable(CallOutcome outcome) {
+    boolean large =
+        outcome instanceof CallOutcome.Answered answered
+            && answered.answer().body().length > ForwardCall.MAX_BODY_BYTES;
+    String message = "the call was answered, but the answer is too large to pass on";
+    return large
+        ? new CallOutcome.Failed(new CallerFailure(CallerError.ENDPOINT_LOST, Ran.YES, 0, message))
+        : outcome;
+  }
+
   private static ForwardedAnswer malformedTicket() {
     CallerFailure failure =
         CallerFailure.notRun(CallerError.MALFORMED, 0, "X-Ticket is not a ticket");
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/PlainRun.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/PlainRun.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Promise;
 import java.util.List;
 import java.util.Optional;
+import org.knapweedcleat.core.account.KeyIdentity;
 import org.knapweedcleat.core.attempt.CallFailure;
 import org.knapweedcleat.core.attempt.CallerError;
 import org.knapweedcleat.core.attempt.CallerFailure;
@@ -26,7 +27,6 @@
 import org.knapweedcleat.core.schedule.PlacementDecision;
 import org.knapweedcleat.router.endpoint.EndpointCall;
 import org.knapweedcleat.router.endpoint.EndpointReply;
-import org.knapweedcleat.router.gate.CheckedKey;
 import org.knapweedcleat.router.gate.LimitOutcome;
 import org.knapweedcleat.router.vertx.Unis;
 
@@ -75,7 +75,7 @@
   }
 
   @Override
-  public Optional<CheckedKey> key() {
+  public Optional<KeyIdentity> key() {
     return admitted.key();
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/RunningCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/RunningCall.java
@@ -1,9 +1,9 @@
 package org.knapweedcleat.router.caller;
 
 import java.util.Optional;
+import org.knapweedcleat.core.account.KeyIdentity;
 import org.knapweedcleat.core.attempt.GiveUpCause;
 import org.knapweedcleat.core.id.RequestId;
-import org.knapweedcleat.router.gate.CheckedKey;
 
 /** A request that this incarnation owns. */
 interface RunningCall {
@@ -12,7 +12,7 @@
   RequestId id();
 
   /** Returns the key that came with it, none on open routes. */
-  Optional<CheckedKey> key();
+  Optional<KeyIdentity> key();
 
   /** Ends it early; its caller gets the final answer at once. */
   void giveUp(GiveUpCause cause);
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Serving.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Serving.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.knapweedcleat.core.account.KeyIdentity;
 import org.knapweedcleat.core.attempt.AttemptBudget;
 import org.knapweedcleat.core.attempt.CallerFailure;
 import org.knapweedcleat.core.attempt.CancelLedger;
@@ -23,7 +24,6 @@
 import org.knapweedcleat.router.endpoint.CancelSender;
 import org.knapweedcleat.router.endpoint.EndpointClient;
 import org.knapweedcleat.router.endpoint.EngineClient;
-import org.knapweedcleat.router.gate.CheckedKey;
 import org.knapweedcleat.router.vertx.Unis;
 
 /** What all requests of an instance share; used on its event loop only. */
@@ -136,16 +136,10 @@
 
   /** Tells, before bytes leave, whether the key of a request still stands for its account. */
   boolean keyStillWorks(RunningCall call, AccountId account) {
-    Optional<CheckedKey> key = call.key();
-    if (key.isEmpty()) {
-      return context
-          .monitor()
-          .check(account.equals(Admitted.OPEN_ACCOUNT), Invariant.KEY_MATCHES_ACCOUNT, call.id());
-    }
-    Optional<CheckedKey> now = context.keys().find(key.get().digest());
-    boolean same = now.map(CheckedKey::account).filter(account::equals).isPresent();
-    context.monitor().check(now.isEmpty() || same, Invariant.KEY_MATCHES_ACCOUNT, call.id());
-    return same;
+    Optional<KeyIdentity> key = call.key();
+    AccountId owner = key.map(KeyIdentity::account).orElse(Admitted.OPEN_ACCOUNT);
+    context.monitor().check(owner.equals(account), Invariant.KEY_MATCHES_ACCOUNT, call.id());
+    return key.isEmpty() || context.keys().confirms(key.get());
   }
 
   /** Asks the scheduler; an answer that fails or stays away becomes a refusal. */
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/SplitCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/SplitCall.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
+import org.knapweedcleat.core.account.KeyIdentity;
 import org.knapweedcleat.core.attempt.AnswerToken;
 import org.knapweedcleat.core.attempt.CallFailure;
 import org.knapweedcleat.core.attempt.CallerError;
@@ -23,7 +24,6 @@
 import org.knapweedcleat.router.endpoint.DecodeListener;
 import org.knapweedcleat.router.endpoint.DecodeStream;
 import org.knapweedcleat.router.endpoint.EngineCallContext;
-import org.knapweedcleat.router.gate.CheckedKey;
 import org.knapweedcleat.router.gate.LimitOutcome;
 import org.knapweedcleat.router.vertx.Unis;
 
@@ -68,7 +68,7 @@
   }
 
   @Override
-  public Optional<CheckedKey> key() {
+  public Optional<KeyIdentity> key() {
     return input.admitted().key();
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/SplitInput.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/SplitInput.java
@@ -1,7 +1,7 @@
 package org.knapweedcleat.router.caller;
 
 import java.util.List;
-import org.knapweedcleat.core.account.KeyDigest;
+import org.knapweedcleat.core.account.Sha256;
 import org.knapweedcleat.core.attempt.SplitPlan;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.RequestId;
@@ -37,7 +37,7 @@
     return (long) plan.promptTokens() + plan.maxTokens() - plan.firstPosition();
   }
 
-  KeyDigest promptDigest() {
-    return KeyDigest.ofKey(prompt);
+  String promptDigest() {
+    return Sha256.hexOf(prompt);
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Withdrawals.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Withdrawals.java
@@ -1,20 +1,17 @@
 package org.knapweedcleat.router.caller;
 
-import java.util.HashMap;
-import java.util.Map;
-import org.knapweedcleat.core.account.KeyDigest;
+import org.knapweedcleat.core.account.KeyIdentity;
+import org.knapweedcleat.core.account.KeyRing;
 import org.knapweedcleat.core.attempt.GiveUpCause;
 import org.knapweedcleat.core.audit.AuditEvent;
 import org.knapweedcleat.core.config.FleetSnapshot;
-import org.knapweedcleat.core.config.KeySpec;
 import org.knapweedcleat.core.id.Revision;
-import org.knapweedcleat.router.gate.CheckedKey;
 
 /** Ends the requests whose keys a new document no longer declares. */
 final class Withdrawals {
 
   private final Serving serving;
-  private Map<KeyDigest, KeySpec> keys = new HashMap<>();
+  private KeyRing keys = KeyRing.empty();
   private Revision revision = Revision.NONE;
 
   private Withdrawals(Serving serving) {
@@ -29,49 +26,28 @@
     if (!snapshot.revision().isAfter(revision)) {
       return;
     }
+    KeyRing before = keys;
     revision = snapshot.revision();
-    Map<KeyDigest, KeySpec> before = keys;
-    keys = byDigest(snapshot);
-    Map<KeyDigest, Integer> ended = endWithdrawn();
-    before.values().stream()
-        .filter(key -> !stands(key))
-        .forEach(key -> record(key, ended.getOrDefault(key.digest(), 0)));
+    keys = KeyRing.of(snapshot.document());
+    keys.withdrawnSince(before).forEach(this::withdraw);
   }
 
-  private Map<KeyDigest, Integer> endWithdrawn() {
-    Map<KeyDigest, Integer> ended = new HashMap<>();
+  private void withdraw(KeyIdentity withdrawn) {
+    int ended = 0;
     for (RunningCall call : serving.running().all()) {
-      call.key()
-          .filter(key -> !stands(key))
-          .ifPresent(
-              key -> {
-                call.giveUp(GiveUpCause.KEY_WITHDRAWN);
-                ended.merge(key.digest(), 1, Integer::sum);
-              });
+      if (call.key().filter(key -> isSame(key, withdrawn)).isPresent()) {
+        call.giveUp(GiveUpCause.KEY_WITHDRAWN);
+        ended++;
+      }
     }
-    return ended;
-  }
-
-  private boolean stands(CheckedKey key) {
-    KeySpec now = keys.get(key.digest());
-    return now != null && now.account().equals(key.account());
-  }
-
-  private boolean stands(KeySpec key) {
-    KeySpec now = keys.get(key.digest());
-    return now != null && now.account().equals(key.account());
-  }
-
-  private void record(KeySpec key, int streamsEnded) {
     serving
         .context()
         .audit()
-        .record(new AuditEvent.KeyWithdrawn(key.name(), key.account(), streamsEnded));
+        .record(new AuditEvent.KeyWithdrawn(withdrawn.keyName(), withdrawn.account(), ended));
   }
 
-  private static Map<KeyDigest, KeySpec> byDigest(FleetSnapshot snapshot) {
-    Map<KeyDigest, KeySpec> keys = new HashMap<>();
-    snapshot.document().keys().forEach(key -> keys.put(key.digest(), key));
-    return keys;
+  /** Compares without the name, which calls passed on by another instance do not have. */
+  private static boolean isSame(KeyIdentity one, KeyIdentity other) {
+    return one.digest().equals(other.digest()) && one.account().equals(other.account());
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/gate/DocumentKeyCheck.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/gate/DocumentKeyCheck.java
@@ -1,19 +1,18 @@
 package org.knapweedcleat.router.gate;
 
-import java.util.HashMap;
-import java.util.Map;
+import io.vavr.control.Either;
 import java.util.Objects;
-import java.util.Optional;
-import org.knapweedcleat.core.account.KeyDigest;
+import org.knapweedcleat.core.account.KeyIdentity;
+import org.knapweedcleat.core.account.KeyRefusal;
+import org.knapweedcleat.core.account.KeyRing;
 import org.knapweedcleat.core.config.FleetSnapshot;
-import org.knapweedcleat.core.config.KeySpec;
 import org.knapweedcleat.core.id.Revision;
 
 /** Looks keys up in the document that a {@link FleetView} shows. */
 public final class DocumentKeyCheck implements KeyCheck {
 
   private final FleetView fleet;
-  private final Map<KeyDigest, CheckedKey> keys = new HashMap<>();
+  private KeyRing keys = KeyRing.empty();
   private Revision revision = Revision.NONE;
 
   private DocumentKeyCheck(FleetView fleet) {
@@ -31,16 +30,26 @@
   }
 
   @Override
-  public Optional<CheckedKey> find(KeyDigest digest) {
-    fleet.current().filter(snapshot -> !snapshot.revision().equals(revision)).ifPresent(this::read);
-    return Optional.ofNullable(keys.get(digest));
+  public Either<KeyRefusal, KeyIdentity> authenticate(String presentedKey) {
+    return inForce().authenticate(presentedKey);
+  }
+
+  @Override
+  public boolean confirms(KeyIdentity identity) {
+    return inForce().confirms(identity);
+  }
+
+  private KeyRing inForce() {
+    fleet.current().filter(this::isNew).ifPresent(this::read);
+    return keys;
+  }
+
+  private boolean isNew(FleetSnapshot snapshot) {
+    return snapshot.revision().isAfter(revision);
   }
 
   private void read(FleetSnapshot snapshot) {
-    keys.clear();
-    for (KeySpec key : snapshot.document().keys()) {
-      keys.put(key.digest(), new CheckedKey(key.account(), key.name(), key.digest()));
-    }
+    keys = KeyRing.of(snapshot.document());
     revision = snapshot.revision();
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/gate/KeyCheck.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/gate/KeyCheck.java
@@ -1,26 +1,25 @@
 package org.knapweedcleat.router.gate;
 
-import java.util.Optional;
-import org.knapweedcleat.core.account.KeyDigest;
+import io.vavr.control.Either;
+import org.knapweedcleat.core.account.KeyIdentity;
+import org.knapweedcleat.core.account.KeyRefusal;
 
 /** Tells which client account a key stands for, by the document in force. */
 public interface KeyCheck {
 
   /**
-   * Looks up a key.
+   * Finds whom a key stands for.
    *
-   * @param presentedKey the key as the caller presents it
-   * @return empty if no such key is declared
+   * @param presentedKey the key as a caller presents it; null for none
+   * @return whom it stands for, or why it is not accepted
    */
-  default Optional<CheckedKey> authenticate(String presentedKey) {
-    return find(KeyDigest.ofKey(presentedKey));
-  }
+  Either<KeyRefusal, KeyIdentity> authenticate(String presentedKey);
 
   /**
-   * Looks up a key by its digest.
+   * Tells whether a key still works and stands for the same client account.
    *
-   * @param digest the digest
-   * @return empty if no such key is declared any more
+   * @param identity whom the key stood for when it was presented
+   * @return true if it still does
    */
-  Optional<CheckedKey> find(KeyDigest digest);
+  boolean confirms(KeyIdentity identity);
 }
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/OnceCallsTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/OnceCallsTest.java
@@ -15,6 +15,8 @@
 import org.knapweedcleat.core.config.EndpointRole;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.InstanceId;
+import org.knapweedcleat.core.message.PeerMessage;
+import org.knapweedcleat.router.peer.PeerCodec;
 
 class OnceCallsTest {
 
@@ -37,7 +39,8 @@
       fixture.endpoint("plain-1", EndpointRole.PLAIN, desk.port());
       fixture.endpoint("plain-2", EndpointRole.PLAIN, slow.port());
     }
-    second.gates.peer = question -> first.server.answer(question, FIRST);
+    second.gates.peer =
+        question -> first.server.answer(carried(question), FIRST).map(OnceCallsTest::carried);
   }
 
   @AfterEach
@@ -142,4 +145,10 @@
   private static String requestId(HttpResponse<String> response) {
     return response.headers().firstValue("X-Request-Id").orElse("");
   }
+
+  /** Passes a message through the bytes that instances exchange. */
+  private static PeerMessage carried(PeerMessage message) {
+    PeerCodec codec = PeerCodec.create();
+    return codec.decodeBody(codec.encodeBody(message)).get();
+  }
 }
