Restore the tests of the split path that the last commit cut

The edit that made the audit check wait took the tests after it along and left SplitCallTest not compiling.

--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/SplitCallTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/SplitCallTest.java
@@ -147,6 +147,27 @@
       assertError(answer.get(), 499, "KEY_WITHDRAWN", "maybe");
       AuditEvent withdrawn = new AuditEvent.KeyWithdrawn("one", AccountId.of("account-one"), 1);
       CallerFixture.eventually(() -> fixture.audit.contains(withdrawn));
+      assertError(fixture.post("/notes", CallerFixture.prompt(1, true)), 401, "UNKNOWN_KEY", "no");
+    } else {
+      assertError(answer.get(), 502, "ENDPOINT_LOST", "maybe");
+    }
+    CallerFixture.eventually(() -> decodeEngine.held().isEmpty());
+    assertThat(fixture.server.running().await().indefinitely().isEmpty(), is(true));
+  }
+
+  @Test
+  void goesOnAtAnotherInstance() {
+    String head = fixture.post("/notes", CallerFixture.prompt(6, true)).body().split("\n\n")[0];
+    String continuation = new JsonObject(head.split("data: ")[1]).getString("continuation");
+    try (CallerFixture other = CallerFixture.start("instance-2")) {
+      other.endpoint("prefill-1", EndpointRole.PREFILL, prefill.port());
+      other.endpoint("decode-1", EndpointRole.DECODE, decode.port());
+      String[] headers = {"X-Continuation", continuation, "X-Next-Position", "4"};
+
+      HttpResponse<String> rest = other.post("/notes", CallerFixture.prompt(6, true), headers);
+      assertThat(positions(rest.body()), is(List.of(4, 5)));
+      assertThat(other.gates.balanceTokens.get(), is(1_000_000L - 3 - 2));
+
       assertError(
           other.post("/notes", CallerFixture.prompt(7, true), headers), 400, "MALFORMED", "no");
       assertError(
