--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/attempt/PlainAttempt.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/attempt/PlainAttempt.java
@@ -96,6 +96,9 @@
   }
 
   private void onDecided(PlacementDecision decision) {
+    if (stage == Stage.OVER) {
+      report(PlacementStage.CANCELLED);
+    }
     if (stage != Stage.PLACING || decision.attempt() != attempt) {
       return;
     }
@@ -156,9 +159,7 @@
           new PlainAction.TellCaller(
               CallerFailure.truthful(cause.error(), ran(), 0, cause.message())));
     } else if (stage == Stage.CALLING || stage == Stage.PLACING) {
-      if (stage == Stage.CALLING) {
-        report(PlacementStage.CANCELLED);
-      }
+      report(PlacementStage.CANCELLED);
       fail(cause.error(), 0, cause.message());
     }
   }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/attempt/SplitAttempt.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/attempt/SplitAttempt.java
@@ -97,6 +97,8 @@
       onReleased(released.endpoint());
     } else if (stage != Stage.OVER) {
       dispatch(nowMillis, event);
+    } else if (event instanceof SplitEvent.Decided) {
+      report(PlacementStage.CANCELLED, 0);
     }
     return drain();
   }
@@ -378,9 +380,7 @@
     if (begun && !cause.endsBegunAnswer()) {
       return;
     }
-    if (placement != null) {
-      report(PlacementStage.CANCELLED, sentTokens());
-    }
+    report(PlacementStage.CANCELLED, sentTokens());
     fail(cause.error(), 0, cause.message());
   }
 
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/drain/DrainState.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/drain/DrainState.java
@@ -13,6 +13,9 @@
   /** How long new requests are still served after the beginning. */
   public static final long GRACE_MILLIS = 3_000;
 
+  /** After this time unconfirmed cancels are left to the schedulers, which see the orphans. */
+  public static final long CANCEL_LIMIT_MILLIS = 10_000;
+
   /** After this time what still runs is cut. */
   public static final long LIMIT_MILLIS = 300_000;
 
@@ -66,13 +69,18 @@
    * Tells whether the instance may end.
    *
    * @param nowMillis the time
-   * @param unfinished the requests, unused tickets and unconfirmed cancels that are left
-   * @return true when nothing is left or the limit has passed
+   * @param running the requests that run
+   * @param unusedTickets the tickets that may still come with a first call
+   * @param cancels the cancels that endpoints have not confirmed
+   * @return true when nothing is left or its limit has passed
    */
-  public boolean isDone(long nowMillis, long unfinished) {
+  public boolean isDone(long nowMillis, long running, long unusedTickets, long cancels) {
     if (sinceMillis.isEmpty() || admits(nowMillis)) {
       return false;
     }
-    return unfinished == 0 || nowMillis - sinceMillis.getAsLong() >= LIMIT_MILLIS;
+    long drainingMillis = nowMillis - sinceMillis.getAsLong();
+    boolean cancelsDone = cancels == 0 || drainingMillis >= CANCEL_LIMIT_MILLIS;
+    boolean nothingLeft = running == 0 && unusedTickets == 0 && cancelsDone;
+    return nothingLeft || drainingMillis >= LIMIT_MILLIS;
   }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/once/TicketBook.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/once/TicketBook.java
@@ -32,6 +32,7 @@
   private static final long NAME_LIFETIME_MILLIS = 600_000;
   private static final long IN_USE_RETRY_MILLIS = 200;
   private static final int MAX_SLOTS = 100_000;
+  private static final int MAX_SLOTS_PER_ACCOUNT = 10_000;
   private static final int MAX_ANSWER_BYTES = 64 << 10;
   private static final long MAX_KEPT_BYTES = 32L << 20;
   private static final int CHECK_BYTES = 16;
@@ -42,6 +43,7 @@
   private final Map<Long, CallSlot> tickets = new LinkedHashMap<>();
   private final Map<String, CallSlot> names = new LinkedHashMap<>();
   private final Map<CallSlot, Integer> keptBytes = new HashMap<>();
+  private final Map<AccountId, Integer> slotsOfAccount = new HashMap<>();
   private long totalKeptBytes;
   private long lastNumber;
 
@@ -72,13 +74,13 @@
    */
   public Optional<Ticket> issue(long nowMillis, AccountId account) {
     purge(nowMillis);
-    if (tickets.size() >= MAX_SLOTS) {
+    if (isFull(tickets, account)) {
       return Optional.empty();
     }
     lastNumber++;
     Ticket ticket = new Ticket(owner, lastNumber, check(lastNumber, account));
     long expires = nowMillis + LIFETIME_MILLIS;
-    tickets.put(lastNumber, CallSlot.of(ticket.toString(), account, expires));
+    tickets.put(lastNumber, slot(ticket.toString(), account, expires));
     return Optional.of(ticket);
   }
 
@@ -121,11 +123,11 @@
     if (known != null) {
       return decide(known, call);
     }
-    if (names.size() >= MAX_SLOTS) {
+    if (isFull(names, account)) {
       return refuse(
           CallerError.QUEUE_FULL, Ran.NO, IN_USE_RETRY_MILLIS, "too many names are remembered");
     }
-    CallSlot slot = CallSlot.of(key, account, nowMillis + NAME_LIFETIME_MILLIS);
+    CallSlot slot = slot(key, account, nowMillis + NAME_LIFETIME_MILLIS);
     names.put(key, slot);
     return decide(slot, call);
   }
@@ -200,11 +202,24 @@
         return;
       }
       oldest.remove();
+      slotsOfAccount.computeIfPresent(
+          slot.account(), (account, count) -> count > 1 ? count - 1 : null);
       Integer bytes = keptBytes.remove(slot);
       totalKeptBytes -= bytes == null ? 0 : bytes;
     }
   }
 
+  /** One account cannot take the places of the others. */
+  private boolean isFull(Map<?, CallSlot> slots, AccountId account) {
+    return slots.size() >= MAX_SLOTS
+        || slotsOfAccount.getOrDefault(account, 0) >= MAX_SLOTS_PER_ACCOUNT;
+  }
+
+  private CallSlot slot(String name, AccountId account, long expiresAtMillis) {
+    slotsOfAccount.merge(account, 1, Integer::sum);
+    return CallSlot.of(name, account, expiresAtMillis);
+  }
+
   private String check(long number, AccountId account) {
     byte[] code = KeyedCode.of(secret, number + "\n" + account);
     return HexFormat.of().formatHex(Arrays.copyOf(code, CHECK_BYTES));
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/attempt/SplitAttemptTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/attempt/SplitAttemptTest.java
@@ -22,6 +22,8 @@
 import org.knapweedcleat.core.id.ServiceId;
 import org.knapweedcleat.core.invariant.InvariantMonitor;
 import org.knapweedcleat.core.schedule.PlacementDecision;
+import org.knapweedcleat.core.schedule.PlacementProgress;
+import org.knapweedcleat.core.schedule.PlacementStage;
 
 class SplitAttemptTest {
 
@@ -94,6 +96,18 @@
     assertThat(failure.failure().ran(), is(Ran.MAYBE));
   }
 
+  @Test
+  void tellsTheSchedulerOfRequestsGivenUpWhileTheyWaitThere() {
+    SplitAttempt attempt = attempt(4);
+    attempt.start(0);
+    SplitAction cancelled =
+        new SplitAction.Report(new PlacementProgress(REQUEST, 1, PlacementStage.CANCELLED, 0));
+
+    List<SplitAction> end = attempt.on(0, new SplitEvent.GivenUp(GiveUpCause.CALLER_GONE));
+    assertThat(end.contains(cancelled), is(true));
+    assertThat(attempt.on(0, decided(1)), is(List.of(cancelled)));
+  }
+
   private void perform(
       SplitAttempt attempt, List<SplitAction> actions, FakeEngines engines, CancelLedger ledger) {
     for (SplitAction action : actions) {
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/once/TicketBookTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/once/TicketBookTest.java
@@ -116,6 +116,18 @@
         is(instanceOf(CallDecision.Run.class)));
   }
 
+  @Test
+  void boundsWhatOneAccountTakes() {
+    TicketBook book = book();
+    int given = 0;
+    while (book.issue(0, ACCOUNT).isPresent()) {
+      given++;
+    }
+    assertThat(given, is(10_000));
+    assertThat(book.issue(0, AccountId.of("other")).isPresent(), is(true));
+    assertThat(book.issue(TicketBook.LIFETIME_MILLIS, ACCOUNT).isPresent(), is(true));
+  }
+
   private TicketBook book() {
     return TicketBook.of(OWNER, new byte[] {1, 2, 3}, monitor);
   }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Draining.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Draining.java
@@ -51,9 +51,9 @@
   }
 
   private void look(long timer) {
-    long unfinished =
-        (long) serving.running().size() + serving.cancels().size() + unusedTickets.getAsLong();
-    if (state.isDone(serving.now(), unfinished)) {
+    long running = serving.running().size();
+    long cancels = serving.cancels().size();
+    if (state.isDone(serving.now(), running, unusedTickets.getAsLong(), cancels)) {
       serving.vertx().cancelTimer(timer);
       finish();
     }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Serving.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Serving.java
@@ -19,7 +19,9 @@
 import org.knapweedcleat.core.id.RequestId;
 import org.knapweedcleat.core.invariant.Invariant;
 import org.knapweedcleat.core.schedule.PlacementDecision;
+import org.knapweedcleat.core.schedule.PlacementProgress;
 import org.knapweedcleat.core.schedule.PlacementRequest;
+import org.knapweedcleat.core.schedule.PlacementStage;
 import org.knapweedcleat.core.schedule.RefusalReason;
 import org.knapweedcleat.router.endpoint.CancelSender;
 import org.knapweedcleat.router.endpoint.EndpointClient;
@@ -147,11 +149,19 @@
     if (request.attempt() > 1) {
       count("retries");
     }
-    PlacementDecision refusal =
-        new PlacementDecision.Refused(
-            request.request(), request.attempt(), RefusalReason.NO_ENDPOINT, PLACE_RETRY_MILLIS);
     return Unis.toFuture(context.placements().place(request), loop)
         .timeout(request.remainingMillis() + PLACE_PATIENCE_MILLIS, TimeUnit.MILLISECONDS)
-        .otherwise(refusal);
+        .otherwise(failure -> refuseUnanswered(request));
+  }
+
+  /** Frees what the scheduler may have set aside for a decision that did not arrive. */
+  private PlacementDecision refuseUnanswered(PlacementRequest request) {
+    context
+        .placements()
+        .report(
+            new PlacementProgress(
+                request.request(), request.attempt(), PlacementStage.CANCELLED, 0));
+    return new PlacementDecision.Refused(
+        request.request(), request.attempt(), RefusalReason.NO_ENDPOINT, PLACE_RETRY_MILLIS);
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/endpoint/DecodeStream.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/endpoint/DecodeStream.java
@@ -85,21 +85,28 @@
   }
 
   private void dispatch(String name, String data) {
-    try {
-      JsonObject json = data.isEmpty() ? new JsonObject() : new JsonObject(data);
-      if (name.equals("token")) {
-        listener.token(new AnswerToken(json.getInteger("position"), json.getString("text")));
-      } else if (name.equals("end")) {
-        int tokens = json.getInteger("tokens");
-        over = true;
-        vertx.cancelTimer(timer);
-        listener.ended(tokens);
-      }
-    } catch (DecodeException | ClassCastException | NullPointerException e) {
+    JsonObject json = parse(data);
+    if (name.equals("token")
+        && json.getValue("position") instanceof Integer position
+        && json.getValue("text") instanceof String text) {
+      listener.token(new AnswerToken(position, text));
+    } else if (name.equals("end") && json.getValue("tokens") instanceof Integer tokens) {
+      over = true;
+      vertx.cancelTimer(timer);
+      listener.ended(tokens);
+    } else {
       breakOff(CallFailure.UNKNOWN);
     }
   }
 
+  private static JsonObject parse(String data) {
+    try {
+      return new JsonObject(data);
+    } catch (DecodeException | ClassCastException e) {
+      return new JsonObject();
+    }
+  }
+
   private void breakOff(CallFailure failure) {
     if (!over) {
       over = true;
