--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Withdrawals.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Withdrawals.java
@@ -1,21 +1,18 @@
 package org.knapweedcleat.router.caller;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import org.knapweedcleat.core.account.KeyDigest;
+import org.knapweedcleat.core.account.KeyIdentity;
+import org.knapweedcleat.core.account.KeyRing;
 import org.knapweedcleat.core.attempt.GiveUpCause;
 import org.knapweedcleat.core.audit.AuditEvent;
 import org.knapweedcleat.core.config.FleetSnapshot;
-import org.knapweedcleat.core.config.KeySpec;
 import org.knapweedcleat.core.id.Revision;
-import org.knapweedcleat.router.gate.CheckedKey;
 
 /** Ends the requests whose keys a new document no longer declares. */
 final class Withdrawals {
 
   private final Serving serving;
-  private Map<KeyDigest, KeySpec> keys = new HashMap<>();
+  private KeyRing keys = KeyRing.empty();
   private Revision revision = Revision.NONE;
 
   private Withdrawals(Serving serving) {
@@ -30,49 +27,28 @@
     if (!snapshot.revision().isAfter(revision)) {
       return;
     }
+    KeyRing before = keys;
     revision = snapshot.revision();
-    Map<KeyDigest, KeySpec> before = keys;
-    keys = byDigest(snapshot);
-    List<RunningCall> ending = withdrawnCalls();
-    before.values().stream()
-        .filter(key -> !stands(key))
-        .forEach(key -> record(key, count(ending, key)));
-    ending.forEach(call -> call.giveUp(GiveUpCause.KEY_WITHDRAWN));
-  }
-
-  private List<RunningCall> withdrawnCalls() {
-    return serving.running().all().stream()
-        .filter(call -> call.key().filter(key -> !stands(key)).isPresent())
-        .toList();
-  }
-
-  private static int count(List<RunningCall> calls, KeySpec key) {
-    return (int)
-        calls.stream()
-            .filter(call -> call.key().filter(own -> own.digest().equals(key.digest())).isPresent())
-            .count();
+    keys = KeyRing.of(snapshot.document());
+    keys.withdrawnSince(before).forEach(this::withdraw);
   }
 
-  private boolean stands(CheckedKey key) {
-    KeySpec now = keys.get(key.digest());
-    return now != null && now.account().equals(key.account());
-  }
-
-  private boolean stands(KeySpec key) {
-    KeySpec now = keys.get(key.digest());
-    return now != null && now.account().equals(key.account());
-  }
-
-  private void record(KeySpec key, int streamsEnded) {
+  /** Records the withdrawal before the answers end, so that whoever sees an end finds its cause. */
+  private void withdraw(KeyIdentity withdrawn) {
+    List<RunningCall> ending =
+        serving.running().all().stream()
+            .filter(call -> call.key().filter(key -> isSame(key, withdrawn)).isPresent())
+            .toList();
     serving
         .context()
         .audit()
-        .record(new AuditEvent.KeyWithdrawn(key.name(), key.account(), streamsEnded));
+        .record(
+            new AuditEvent.KeyWithdrawn(withdrawn.keyName(), withdrawn.account(), ending.size()));
+    ending.forEach(call -> call.giveUp(GiveUpCause.KEY_WITHDRAWN));
   }
 
-  private static Map<KeyDigest, KeySpec> byDigest(FleetSnapshot snapshot) {
-    Map<KeyDigest, KeySpec> keys = new HashMap<>();
-    snapshot.document().keys().forEach(key -> keys.put(key.digest(), key));
-    return keys;
+  /** Compares without the name, which calls passed on by another instance do not have. */
+  private static boolean isSame(KeyIdentity one, KeyIdentity other) {
+    return one.digest().equals(other.digest()) && one.account().equals(other.account());
   }
 }
