Show each fault of a rejected document on its own line, and sort metrics

Cause: against a running instance, the audit command wrote all faults of a rejected document in one line, and /metrics came in the registry's hash order. Change: lists of several items are written one a line; metric families are sorted by name.

--- a/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/AuditCommand.java
+++ b/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/AuditCommand.java
@@ -61,11 +61,19 @@
     }
   }
 
+  /** Returns a value as text; each fault of a document gets a line of its own. */
+  private static String value(Object value) {
+    if (value instanceof JsonArray items && items.size() > 1) {
+      return items.stream().map(item -> "\n    " + item).collect(Collectors.joining());
+    }
+    return String.valueOf(value);
+  }
+
   private static String text(JsonObject entry) {
     String details =
         entry.stream()
             .filter(field -> !HEAD.contains(field.getKey()))
-            .map(field -> field.getKey() + "=" + field.getValue())
+            .map(field -> field.getKey() + "=" + value(field.getValue()))
             .collect(Collectors.joining(" "));
     Instant at = Instant.ofEpochMilli(entry.getLong("atMillis", 0L));
     return entry.getLong("number") + " " + at + " " + entry.getString("kind") + " " + details;
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/operator/MetricsPage.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/operator/MetricsPage.java
@@ -10,7 +10,9 @@
 import java.io.IOException;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
+import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -37,7 +39,8 @@
 
   /** Returns the metrics as text; the library makes each name legal. */
   String prometheus() {
-    List<Collector.MetricFamilySamples> families = exports.collect();
+    List<Collector.MetricFamilySamples> families = new ArrayList<>(exports.collect());
+    families.sort(Comparator.comparing(family -> family.name));
     StringWriter text = new StringWriter();
     try {
       TextFormat.write004(text, Collections.enumeration(families));
