Tell callers the true reason when an account's tokens cannot be reached

Cause: an instance without a share, or with its home out of reach, answered OVER_RATE to accounts that were inside their rate. Change: 503 LIMIT_UNAVAILABLE for these, 413 for requests above the burst.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/attempt/CallerError.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/attempt/CallerError.java
@@ -38,6 +38,8 @@
   RETRY_BUDGET(503, EnumSet.of(Ran.NO)),
   /** The instance has no document in force yet. */
   NOT_READY(503, EnumSet.of(Ran.NO)),
+  /** The client account's tokens cannot be reached. */
+  LIMIT_UNAVAILABLE(503, EnumSet.of(Ran.NO)),
   /** The platform has not confirmed the keys for too long. */
   KEY_UNCONFIRMED(503, EnumSet.of(Ran.NO));
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/PlainRun.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/PlainRun.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import org.knapweedcleat.core.account.KeyIdentity;
 import org.knapweedcleat.core.attempt.CallFailure;
-import org.knapweedcleat.core.attempt.CallerError;
 import org.knapweedcleat.core.attempt.CallerFailure;
 import org.knapweedcleat.core.attempt.GiveUpCause;
 import org.knapweedcleat.core.attempt.PlainAction;
@@ -22,6 +21,7 @@
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.RequestId;
 import org.knapweedcleat.core.invariant.Invariant;
+import org.knapweedcleat.core.limit.DenialReason;
 import org.knapweedcleat.core.once.CallOutcome;
 import org.knapweedcleat.core.once.PlainAnswer;
 import org.knapweedcleat.core.schedule.PlacementDecision;
@@ -109,7 +109,10 @@
     Unis.toFuture(
             serving.context().limitGate().acquire(plan.account(), COST_TOKENS), serving.loop())
         .onSuccess(this::onLimit)
-        .onFailure(failure -> onLimit(new LimitOutcome.Denied(plan.deadlineMillis())));
+        .onFailure(
+            failure ->
+                onLimit(
+                    new LimitOutcome.Denied(DenialReason.HOME_UNREACHABLE, plan.deadlineMillis())));
   }
 
   private void onLimit(LimitOutcome limit) {
@@ -121,8 +124,7 @@
         begin();
       }
     } else if (limit instanceof LimitOutcome.Denied denied && !over) {
-      String message = "the client account is over its rate";
-      fail(CallerFailure.notRun(CallerError.OVER_RATE, denied.retryAfterMillis(), message));
+      fail(LimitRefusals.of(denied));
     }
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/SplitCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/SplitCall.java
@@ -9,7 +9,6 @@
 import org.knapweedcleat.core.account.KeyIdentity;
 import org.knapweedcleat.core.attempt.AnswerToken;
 import org.knapweedcleat.core.attempt.CallFailure;
-import org.knapweedcleat.core.attempt.CallerError;
 import org.knapweedcleat.core.attempt.CallerFailure;
 import org.knapweedcleat.core.attempt.Continuation;
 import org.knapweedcleat.core.attempt.GiveUpCause;
@@ -21,6 +20,7 @@
 import org.knapweedcleat.core.config.EndpointSpec;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.RequestId;
+import org.knapweedcleat.core.limit.DenialReason;
 import org.knapweedcleat.router.endpoint.DecodeListener;
 import org.knapweedcleat.router.endpoint.DecodeStream;
 import org.knapweedcleat.router.endpoint.EngineCallContext;
@@ -96,7 +96,8 @@
             serving.context().limitGate().acquire(input.admitted().account(), tokens),
             serving.loop())
         .onSuccess(this::onLimit)
-        .onFailure(failure -> onLimit(new LimitOutcome.Denied(deadline)));
+        .onFailure(
+            failure -> onLimit(new LimitOutcome.Denied(DenialReason.HOME_UNREACHABLE, deadline)));
   }
 
   private void onLimit(LimitOutcome outcome) {
@@ -108,8 +109,7 @@
         begin();
       }
     } else if (outcome instanceof LimitOutcome.Denied denied && !over) {
-      String message = "the client account is over its rate";
-      fail(CallerFailure.notRun(CallerError.OVER_RATE, denied.retryAfterMillis(), message));
+      fail(LimitRefusals.of(denied));
     }
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/gate/LimitOutcome.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/gate/LimitOutcome.java
@@ -1,5 +1,7 @@
 package org.knapweedcleat.router.gate;
 
+import org.knapweedcleat.core.limit.DenialReason;
+
 /** Whether tokens were taken from a client account. */
 public sealed interface LimitOutcome {
 
@@ -13,7 +15,8 @@
   /**
    * Nothing was taken.
    *
+   * @param reason why
    * @param retryAfterMillis when asking again may succeed
    */
-  record Denied(long retryAfterMillis) implements LimitOutcome {}
+  record Denied(DenialReason reason, long retryAfterMillis) implements LimitOutcome {}
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/limit/LimitDesk.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/limit/LimitDesk.java
@@ -131,7 +131,7 @@
     } else if (action instanceof LimitAction.Denied denied) {
       String reason = denied.reason().name().toLowerCase(Locale.ROOT);
       metrics.counter("limit.denied." + reason).inc();
-      resolve(denied.draw(), new LimitOutcome.Denied(denied.retryAfterMillis()));
+      resolve(denied.draw(), new LimitOutcome.Denied(denied.reason(), denied.retryAfterMillis()));
     }
   }
 
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/FakeGates.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/FakeGates.java
@@ -10,6 +10,7 @@
 import org.knapweedcleat.core.id.AccountId;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.limit.DenialReason;
 import org.knapweedcleat.core.message.PeerMessage;
 import org.knapweedcleat.core.schedule.PlacementDecision;
 import org.knapweedcleat.core.schedule.PlacementProgress;
@@ -75,7 +76,7 @@
   @Override
   public Uni<LimitOutcome> acquire(AccountId account, long tokens) {
     if (balanceTokens.get() < tokens) {
-      return Uni.createFrom().item(new LimitOutcome.Denied(1_500));
+      return Uni.createFrom().item(new LimitOutcome.Denied(DenialReason.OVER_RATE, 1_500));
     }
     balanceTokens.addAndGet(-tokens);
     return Uni.createFrom().item(new LimitOutcome.Granted(tokens));
--- /dev/null
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/LimitRefusalsTest.java
@@ -0,0 +1,29 @@
+package org.knapweedcleat.router.caller;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.knapweedcleat.core.attempt.CallerError;
+import org.knapweedcleat.core.attempt.Ran;
+import org.knapweedcleat.core.limit.DenialReason;
+import org.knapweedcleat.router.gate.LimitOutcome;
+
+class LimitRefusalsTest {
+
+  @ParameterizedTest
+  @CsvSource({
+    "OVER_RATE, OVER_RATE",
+    "OVER_BURST, TOO_LARGE",
+    "NO_SHARE, LIMIT_UNAVAILABLE",
+    "HOME_UNREACHABLE, LIMIT_UNAVAILABLE",
+    "UNKNOWN_ACCOUNT, LIMIT_UNAVAILABLE"
+  })
+  void saysOverRateOnlyWhenItIsSo(DenialReason reason, CallerError error) {
+    var failure = LimitRefusals.of(new LimitOutcome.Denied(reason, 700));
+    assertThat(failure.error(), is(error));
+    assertThat(failure.ran(), is(Ran.NO));
+    assertThat(failure.retryAfterMillis(), is(700L));
+  }
+}
