Place on-time requests before late ones, and balance a region in steps

Cause: in one queue by age, after an engine is lost all requests come late; and a request whose failure domain had filled waited there although another had room by then.

Change: an account's requests that can still meet the target go before those that cannot. PlacementLeg asks the region for a place within a quarter of the target, within the target, and within four times it, before settling. Only urgent requests teach the margin of the estimate.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/AccountQueue.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/AccountQueue.java
@@ -1,11 +1,12 @@
 package org.knapweedcleat.core.schedule;
 
-import java.util.ArrayDeque;
 import java.util.Comparator;
-import java.util.Deque;
+import java.util.Map;
 import java.util.NavigableMap;
+import java.util.NavigableSet;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.knapweedcleat.core.id.AccountId;
 
 /** The waiting requests of one client account and the tokens that it was served. */
@@ -15,8 +16,14 @@
   static final Comparator<AccountQueue> LEAST_SERVED =
       Comparator.comparingDouble(AccountQueue::served).thenComparing(AccountQueue::account);
 
+  private static final Comparator<Waiting> URGENT_THEN_OLDEST =
+      Comparator.comparing((Waiting waiting) -> !waiting.isUrgent())
+          .thenComparingLong(Waiting::submittedMillis)
+          .thenComparing(waiting -> waiting.request().request())
+          .thenComparingInt(waiting -> waiting.request().attempt());
+
   private final AccountId account;
-  private final NavigableMap<QueueLane, Deque<Waiting>> lanes = new TreeMap<>();
+  private final NavigableMap<QueueLane, NavigableSet<Waiting>> lanes = new TreeMap<>();
   private int weight = 1;
   private double served;
   private int size;
@@ -46,11 +53,14 @@
     return size;
   }
 
-  /** Sums what waits in the lanes up to the given one. */
-  QueuedWork workUpTo(QueueLane last) {
+  /** Sums what waits in the lanes up to the given one, in the last perhaps only what is urgent. */
+  QueuedWork workUpTo(QueueLane last, boolean urgentOnly) {
     QueuedWork sum = QueuedWork.NONE;
-    for (Deque<Waiting> waiting : lanes.headMap(last, true).values()) {
-      for (Waiting each : waiting) {
+    for (Map.Entry<QueueLane, NavigableSet<Waiting>> lane : lanes.headMap(last, true).entrySet()) {
+      for (Waiting each : lane.getValue()) {
+        if (urgentOnly && lane.getKey().equals(last) && !each.isUrgent()) {
+          break;
+        }
         sum = sum.plus(each);
       }
     }
@@ -62,21 +72,21 @@
   }
 
   Waiting first(QueueLane lane) {
-    return lanes.get(lane).peekFirst();
+    return lanes.get(lane).first();
   }
 
   void add(Waiting waiting) {
     weight = waiting.weight();
-    lanes.computeIfAbsent(waiting.lane(), lane -> new ArrayDeque<>()).add(waiting);
+    lanes.computeIfAbsent(waiting.lane(), lane -> new TreeSet<>(URGENT_THEN_OLDEST)).add(waiting);
     size++;
   }
 
   void remove(Waiting waiting) {
-    Deque<Waiting> deque = lanes.get(waiting.lane());
-    if (deque == null || !deque.remove(waiting)) {
+    NavigableSet<Waiting> inLane = lanes.get(waiting.lane());
+    if (inLane == null || !inLane.remove(waiting)) {
       return;
     }
-    if (deque.isEmpty()) {
+    if (inLane.isEmpty()) {
       lanes.remove(waiting.lane());
     }
     size--;
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/Dispatcher.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/Dispatcher.java
@@ -67,17 +67,17 @@
   List<ScheduleAction> admit(long now, PlacementRequest request) {
     ServiceSpec service = document.services().get(request.service());
     int weight = weight(request);
+    long allowed = Math.min(request.remainingMillis(), service.deadlineMillis());
+    long latestStart = now + allowed - Math.round(admission.serviceMillis(now, request));
     QueueLane lane = QueueLane.of(request, service);
-    QueuedWork ahead = queue.ahead(request, weight, lane);
+    QueuedWork ahead = queue.ahead(request, weight, lane, Waiting.isUrgent(request, service));
     double estimate = admission.estimateMillis(now, pool.kind(), request, ahead);
     double likely = admission.likelyMillis(service.id(), estimate);
-    long allowed = Math.min(request.remainingMillis(), service.deadlineMillis());
     if (likely > allowed) {
       double earliest = likely - allowed;
       return List.of(
           refusals.refuseUntil(now, pool.kind(), request, RefusalReason.DEADLINE, earliest));
     }
-    long latestStart = now + allowed - Math.round(admission.serviceMillis(now, request));
     return enqueue(
         now,
         new Waiting(
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/FairQueue.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/FairQueue.java
@@ -113,16 +113,16 @@
   }
 
   /** Sums what is likely to be served before a new request of an account in a lane. */
-  QueuedWork ahead(PlacementRequest request, int weight, QueueLane lane) {
+  QueuedWork ahead(PlacementRequest request, int weight, QueueLane lane, boolean urgent) {
     AccountQueue own = accounts.get(request.account());
-    QueuedWork ownWork = own == null ? QueuedWork.NONE : own.workUpTo(lane);
+    QueuedWork ownWork = own == null ? QueuedWork.NONE : own.workUpTo(lane, urgent);
     double served = own == null ? floor : Math.max(floor, own.served());
     double turn = (ownWork.promptTokens() + request.promptTokens()) / weight;
     QueuedWork sum = ownWork;
     for (AccountQueue other : active) {
       if (other != own) {
         double lead = Math.max(0, served - other.served());
-        sum = sum.plus(other.workUpTo(lane).atMost((turn + lead) * other.weight()));
+        sum = sum.plus(other.workUpTo(lane, false).atMost((turn + lead) * other.weight()));
       }
     }
     return sum;
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PlacementLeg.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PlacementLeg.java
@@ -15,10 +15,10 @@
 /**
  * One scheduler to ask for a place, and the time that it may take.
  *
- * <p>A request first asks its own failure domain and then the others of the region for a place
- * inside the target for the first token; only if none has one does it ask again, with all the time
- * that is left, and at last in other regions. What is placed stays in one failure domain, so that
- * KV cache never crosses regions.
+ * <p>A request first asks its own failure domain and then the others of the region for an early
+ * place; if none has one it asks again for a place inside the target for the first token, then for
+ * later ones, and at last in other regions. What is placed stays in one failure domain, so that KV
+ * cache never crosses regions.
  *
  * @param domain the failure domain whose scheduler is asked
  * @param allowedMillis the time to the first token that is still acceptable
@@ -27,6 +27,7 @@
 
   private static final int NEAR = 1;
   private static final int FAR = 2;
+  private static final int STEP = 4;
 
   /**
    * Lists whom a request asks, in order, until one does not refuse.
@@ -47,15 +48,25 @@
       long remainingMillis) {
     List<FailureDomainId> domains = servingDomains(document, service.pool(), home);
     List<PlacementLeg> legs = new ArrayList<>();
-    if (targetMillis > 0 && targetMillis < remainingMillis) {
+    for (long allowedMillis : bounds(service, targetMillis, remainingMillis)) {
       domains.stream()
           .filter(domain -> distance(document, home, domain) < FAR)
-          .forEach(domain -> legs.add(new PlacementLeg(domain, targetMillis)));
+          .forEach(domain -> legs.add(new PlacementLeg(domain, allowedMillis)));
     }
     domains.forEach(domain -> legs.add(new PlacementLeg(domain, remainingMillis)));
     return legs;
   }
 
+  /** Lists ever longer times to the first token, all shorter than what remains. */
+  private static List<Long> bounds(ServiceSpec service, long targetMillis, long remainingMillis) {
+    long onTimeMillis = targetMillis > 0 ? targetMillis : service.firstTokenTargetMillis();
+    List<Long> bounds = new ArrayList<>();
+    for (long bound = Math.max(1, onTimeMillis / STEP); bound < remainingMillis; bound *= STEP) {
+      bounds.add(bound);
+    }
+    return bounds;
+  }
+
   private static List<FailureDomainId> servingDomains(
       FleetDocument document, PoolId pool, FailureDomainId home) {
     return document.domains().keySet().stream()
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PlacementTracker.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PlacementTracker.java
@@ -151,9 +151,11 @@
       placement.firstToken(now, runner.batchMillis(now));
     }
     Waiting waiting = placement.waiting();
-    costs
-        .margin(waiting.service().id())
-        .observe(waiting.estimateMillis(), now - waiting.submittedMillis());
+    if (waiting.isUrgent()) {
+      costs
+          .margin(waiting.service().id())
+          .observe(waiting.estimateMillis(), now - waiting.submittedMillis());
+    }
   }
 
   private void finished(long now, Placement placement, int outputTokens) {
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/Waiting.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/Waiting.java
@@ -34,6 +34,15 @@
     return AttemptKey.of(request);
   }
 
+  /** Tells whether the first token has to come inside the service's target. */
+  boolean isUrgent() {
+    return isUrgent(request, service);
+  }
+
+  static boolean isUrgent(PlacementRequest request, ServiceSpec service) {
+    return request.remainingMillis() <= service.firstTokenTargetMillis();
+  }
+
   AccountId account() {
     return request.account();
   }
