Count as ready only once the share of the client accounts is there

Cause: a new instance said it was ready and refused callers inside their rate until its share came (about 3 s by hand with the shortest times). Change: Readiness waits for the share, at most three quiet times, since without the platform's list it never comes and others can be drawn from. The desk asks up to 64 schedulers for a question, since 8 would cut the last steps off.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/limit/ShareLimiter.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/limit/ShareLimiter.java
@@ -216,6 +216,15 @@
     return actions;
   }
 
+  /**
+   * Tells whether this instance owns its share of all client accounts.
+   *
+   * @return false while it has just joined, after a pause and after it was handed over
+   */
+  public boolean ownsShare() {
+    return ownership.isActive();
+  }
+
   /**
    * Gives back all pledges with their tokens and gives up the own share for good, for a planned
    * stop.
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/limit/LimitDesk.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/limit/LimitDesk.java
@@ -113,6 +113,15 @@
     run(limiter.tick(nowMillis.getAsLong()));
   }
 
+  /**
+   * Tells whether this instance owns its share of all client accounts.
+   *
+   * @return false while it has just joined
+   */
+  public boolean ownsShare() {
+    return limiter.ownsShare();
+  }
+
   /** Hands over what this instance keeps, since it is going to stop. */
   public void handOver() {
     run(limiter.handOver(nowMillis.getAsLong()));
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/NodeTimes.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/NodeTimes.java
@@ -23,6 +23,7 @@
   /** How long an instance waits for the answer to a part of a document. */
   static final long DOCUMENT_TIMEOUT_MILLIS = 5000;
 
+  private static final long SHARE_WAIT_QUIET_TIMES = 3;
   private static final long IDLE_POLL_MILLIS = 30_000;
   private static final long IDLE_LIST_POLL_MILLIS = 10_000;
   private static final long MIN_LIST_WAIT_MILLIS = 200;
@@ -61,6 +62,11 @@
         Math.max(MIN_LIST_WAIT_MILLIS, peers.listLagMillis()), IDLE_LIST_POLL_MILLIS);
   }
 
+  /** Returns how long a new instance waits at most for its share of the client accounts. */
+  static long shareWaitMillis(InstanceSettings.Peers peers) {
+    return SHARE_WAIT_QUIET_TIMES * quietMillis(peers);
+  }
+
   /** Returns how long an instance that is neither heard nor listed may still be at work. */
   static long quietMillis(InstanceSettings.Peers peers) {
     long leases = 2L * peers.leaseMillis();
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/Readiness.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/Readiness.java
@@ -1,38 +1,59 @@
 package org.knapweedcleat.router.node;
 
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.knapweedcleat.core.config.FleetSnapshot;
 import org.knapweedcleat.core.id.Revision;
 import org.knapweedcleat.router.gate.FleetView;
 
 /**
- * Shows the document in force only once it is certain that no live instance in reach knows a higher
- * one, so that an instance that starts beside a stale platform does not serve by an old document.
+ * Shows the document in force only once the instance may serve.
+ *
+ * <p>No live instance in reach may know a higher document, so that an instance that starts beside a
+ * stale platform does not serve by an old one. It also waits for its share of the client accounts,
+ * since it would refuse callers that are inside their rate; but not for ever, since without the
+ * platform's list it gets none and can still draw from others.
  */
 final class Readiness implements FleetView {
 
   private final FleetView fleet;
   private final LongSupplier nowMillis;
+  private final BooleanSupplier ownsShare;
   private final long readyFromMillis;
+  private final long shareUntilMillis;
   private Revision highestAnnounced = Revision.NONE;
   private boolean ready;
 
-  private Readiness(FleetView fleet, LongSupplier nowMillis, long listenMillis) {
+  private Readiness(
+      FleetView fleet,
+      BooleanSupplier ownsShare,
+      LongSupplier nowMillis,
+      long listenMillis,
+      long shareWaitMillis) {
     this.fleet = fleet;
+    this.ownsShare = ownsShare;
     this.nowMillis = nowMillis;
     this.readyFromMillis = nowMillis.getAsLong() + listenMillis;
+    this.shareUntilMillis = nowMillis.getAsLong() + shareWaitMillis;
   }
 
   /**
    * Returns a readiness that begins now.
    *
    * @param fleet shows the document in force
+   * @param ownsShare tells whether the instance owns its share of the client accounts
    * @param nowMillis the monotonic clock
    * @param listenMillis how long to listen to other instances first
+   * @param shareWaitMillis how long to wait for the share at most
    */
-  static Readiness of(FleetView fleet, LongSupplier nowMillis, long listenMillis) {
-    return new Readiness(fleet, nowMillis, listenMillis);
+  static Readiness of(
+      FleetView fleet,
+      BooleanSupplier ownsShare,
+      LongSupplier nowMillis,
+      long listenMillis,
+      long shareWaitMillis) {
+    return new Readiness(fleet, ownsShare, nowMillis, listenMillis, shareWaitMillis);
   }
 
   /** Takes note of what another instance has in force. */
@@ -44,7 +65,7 @@
 
   /** Tells whether the instance may serve; once true it stays true. */
   boolean isReady() {
-    ready = ready || hasListened() && hasHighest();
+    ready = ready || hasListened() && hasHighest() && hasShare();
     return ready;
   }
 
@@ -62,6 +83,10 @@
     return nowMillis.getAsLong() >= readyFromMillis;
   }
 
+  private boolean hasShare() {
+    return ownsShare.getAsBoolean() || nowMillis.getAsLong() >= shareUntilMillis;
+  }
+
   private boolean hasHighest() {
     return fleet
         .current()
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
@@ -97,8 +97,6 @@
             context::nowMillis,
             this::onDocument);
     this.duties = Duties.of(keeper, view);
-    this.readiness =
-        Readiness.of(keeper, context::nowMillis, settings.peers().heartbeatTimeoutMillis());
     this.fetch = PeerDocumentFetch.of(keeper, this::askForDocument);
     this.canceller = EngineCanceller.create(vertx, keeper, context.metrics());
     this.schedulers =
@@ -114,6 +112,13 @@
     this.placements =
         PlacementDesk.of(view, schedulers, addresses, context::nowMillis, context.metrics());
     this.limits = newLimitDesk();
+    this.readiness =
+        Readiness.of(
+            keeper,
+            limits::ownsShare,
+            context::nowMillis,
+            settings.peers().heartbeatTimeoutMillis(),
+            NodeTimes.shareWaitMillis(settings.peers()));
     this.callers =
         CallerServer.create(vertx, callerContext(), settings.host(), settings.callerPort());
     this.platform = PlatformReader.create(vertx, context, keeper, this::onListed);
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/OpenQuestion.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/OpenQuestion.java
@@ -14,7 +14,7 @@
 final class OpenQuestion {
 
   /** The most schedulers that one question asks. */
-  static final int MAX_LEGS = 8;
+  static final int MAX_LEGS = 64;
 
   private static final long NO_ENDPOINT_RETRY_MILLIS = 1000;
 
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/node/ReadinessTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/node/ReadinessTest.java
@@ -15,10 +15,13 @@
 class ReadinessTest {
 
   private static final long LISTEN_MILLIS = 1_000;
+  private static final long SHARE_MILLIS = 20_000;
 
   private final FakeFleet fleet = new FakeFleet();
   private long nowMillis;
-  private final Readiness readiness = Readiness.of(fleet, () -> nowMillis, LISTEN_MILLIS);
+  private boolean ownsShare = true;
+  private final Readiness readiness =
+      Readiness.of(fleet, () -> ownsShare, () -> nowMillis, LISTEN_MILLIS, SHARE_MILLIS);
 
   @Test
   void showsNothingBeforeItHasListened() {
@@ -39,6 +42,16 @@
     assertThat(readiness.isReady(), is(true));
   }
 
+  @Test
+  void waitsForItsShareButNotForEver() {
+    fleet.apply(3);
+    ownsShare = false;
+    nowMillis = SHARE_MILLIS - 1;
+    assertThat(readiness.isReady(), is(false));
+    nowMillis = SHARE_MILLIS;
+    assertThat(readiness.isReady(), is(true));
+  }
+
   @Test
   void staysReadyWhenOthersMoveOn() {
     fleet.apply(3);
