End the process after a planned stop that an operator began

A failed start also lost its log line, which waits in a queue. Change: RouterNode.stopped tells when a planned stop is over, whoever began it, and RouterMain then ends the process from a thread of its own (an event loop would wait for itself). A failed start flushes the log.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/RouterMain.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/RouterMain.java
@@ -66,6 +66,7 @@
     NodeContext context = NodeContext.of(settings, new MetricRegistry(), audit);
     RouterNode.start(vertx, context)
         .onSuccess(node -> Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(node))))
+        .onSuccess(node -> node.stopped().onComplete(stopped -> endProcess()))
         .onSuccess(node -> LOG.info("{} listens", context.incarnation()))
         .onFailure(RouterMain::exit);
   }
@@ -90,9 +91,15 @@
 
   private static void exit(Throwable cause) {
     LOG.error("cannot start", cause);
+    Logs.flush();
     System.exit(FAILED);
   }
 
+  /** Ends the process; not from an event loop, which the end waits for. */
+  private static void endProcess() {
+    new Thread(() -> System.exit(0), "end").start();
+  }
+
   /** Blocks the end of the process until the planned stop is over. */
   private static void drain(RouterNode node) {
     CountDownLatch done = new CountDownLatch(1);
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
@@ -74,6 +74,7 @@
   private final EngineCanceller canceller;
   private final Duties duties;
   private final Incarnations incarnations = Incarnations.create();
+  private final Promise<Integer> stopped = Promise.promise();
   private Promise<Integer> draining;
 
   private RouterNode(Vertx vertx, NodeContext context) {
@@ -180,6 +181,15 @@
     return drained.future();
   }
 
+  /**
+   * Tells when a planned stop is over, whoever began it.
+   *
+   * @return the requests that were cut, normally 0
+   */
+  public Future<Integer> stopped() {
+    return stopped.future();
+  }
+
   /** Tells how far the instance is; may be called on any thread. */
   InstanceState state() {
     if (draining != null) {
@@ -267,7 +277,13 @@
 
   private void finish(int cut, Promise<Integer> drained) {
     limits.handOver();
-    closer.closeAll().onComplete(closed -> drained.complete(cut));
+    closer
+        .closeAll()
+        .onComplete(
+            closed -> {
+              drained.complete(cut);
+              stopped.complete(cut);
+            });
   }
 
   private LimitDesk newLimitDesk() {
