--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/OnceCallsTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/OnceCallsTest.java
@@ -107,6 +107,16 @@
     assertThat(desk.count("/book"), is(1));
   }
 
+  @Test
+  void checksTheKeyOfForwardedCallsAtTheirOwner() {
+    String ticket = ticket();
+    first.withdraw("one");
+
+    SplitCallTest.assertError(
+        second.post("/book", "{}", "X-Ticket", ticket), 401, "UNKNOWN_KEY", "no");
+    assertThat(desk.count("/book"), is(0));
+  }
+
   @Test
   void remembersTheAnswerThatItsCallerDidNotWaitFor() {
     first.gates.placeOn("plain-2");
