Free memory of an earlier run when its instance schedules the pool itself

Cause: after an instance was killed and replaced, it could be the scheduler of the pool at once. As the new run it had never seen the old one, so the old run's requests counted as those of a silent owner and kept their memory for a minute. A scheduler made later than the last change of members did not know the members at all.

Change: an earlier run of a living instance has ended; new schedulers are told the members. Ruled out: lost cancels (the engines had seen none).

Before, killing b1 with four streams and starting it again: four requests held at two engines 18 s later, no cancel. After: all released within 6 s, ten cancels. Not changed: a killed instance that never comes back keeps memory for a minute.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/OrphanSweep.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/OrphanSweep.java
@@ -10,6 +10,7 @@
 import java.util.function.Predicate;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.InstanceId;
 import org.knapweedcleat.core.id.RequestId;
 import org.knapweedcleat.core.schedule.ScheduleAction.CancelOrphan;
 
@@ -31,6 +32,7 @@
   private final long graceMillis;
   private final Map<IncarnationId, Claims> claims = new HashMap<>();
   private final Set<IncarnationId> silent = new HashSet<>();
+  private final Map<InstanceId, Long> startNumbers = new HashMap<>();
   private final Map<IncarnationId, Long> endedAtMillis = new HashMap<>();
   private final Map<EndpointId, Map<RequestId, Long>> unclaimedSince = new HashMap<>();
 
@@ -68,7 +70,7 @@
 
   /**
    * Takes over which incarnations live; while one of them has not told what it runs, requests whose
-   * owner is not known may be its.
+   * owner is not known may be its. Earlier runs of the same instances have ended.
    *
    * @param living all living incarnations
    */
@@ -76,6 +78,8 @@
     silent.clear();
     silent.addAll(living);
     silent.removeAll(claims.keySet());
+    startNumbers.clear();
+    living.forEach(member -> startNumbers.put(member.instance(), member.startNumber()));
   }
 
   /**
@@ -141,7 +145,7 @@
 
   private long waitMillis(RequestId request, long since) {
     Optional<IncarnationId> owner = request.owner();
-    if (owner.filter(endedAtMillis::containsKey).isPresent()) {
+    if (owner.filter(this::isEnded).isPresent()) {
       return 0;
     }
     boolean mayBeServed =
@@ -149,6 +153,12 @@
     return mayBeServed ? SILENT_OWNER_MILLIS : graceMillis;
   }
 
+  /** A scheduler that has just started was told of no end; a later run of the instance tells it. */
+  private boolean isEnded(IncarnationId owner) {
+    Long living = startNumbers.get(owner.instance());
+    return endedAtMillis.containsKey(owner) || living != null && living > owner.startNumber();
+  }
+
   private boolean hasClaimedAfter(IncarnationId owner, long millis) {
     Claims latest = claims.get(owner);
     return latest != null && latest.atMillis() > millis;
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/schedule/OrphanSweepTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/schedule/OrphanSweepTest.java
@@ -105,6 +105,13 @@
     assertThat(sweepAt(2, request), contains(new CancelOrphan(ENDPOINT, request)));
   }
 
+  @Test
+  void cancelsAtOnceWhatAnEarlierRunOfLivingInstanceHeld() {
+    RequestId request = RequestId.of(OWNER, 1);
+    sweep.members(Set.of(IncarnationId.of(OWNER.instance(), OWNER.startNumber() + 1)));
+    assertThat(sweepAt(2, request), contains(new CancelOrphan(ENDPOINT, request)));
+  }
+
   private List<ScheduleAction> sweepAt(long now, RequestId request) {
     return sweep.sweep(now, ENDPOINT, List.of(request), id -> false);
   }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/LocalSchedulers.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/LocalSchedulers.java
@@ -49,6 +49,7 @@
   private final Map<AttemptId, List<UniEmitter<? super PlacementDecision>>> waiting =
       new HashMap<>();
   private FleetDocument document;
+  private Set<IncarnationId> members = Set.of();
 
   private LocalSchedulers(
       FailureDomainId domain,
@@ -206,6 +207,7 @@
    * @param living the incarnations of the failure domain
    */
   public void members(Set<IncarnationId> living) {
+    members = Set.copyOf(living);
     schedulers.values().forEach(scheduler -> scheduler.members(living));
   }
 
@@ -241,6 +243,7 @@
     if (document != null) {
       scheduler.configure(nowMillis.getAsLong(), document);
     }
+    scheduler.members(members);
     return scheduler;
   }
 
