Wait longer for the answer to a draw of tokens

Cause: a draw waited 50 ms for the instance that keeps the account's tokens. On a machine with more work than cores the first answers of a new process take longer, and callers inside their rate were refused.

Runs (25 requests at once at a new instance, load above 16 on 10 cores): 23 refused with HOME_UNREACHABLE at 50 ms, 1 at 250 ms. Ruled out: an empty balance (the same requests a second later were all granted).

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/NodeTimes.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/NodeTimes.java
@@ -29,7 +29,7 @@
   private static final int DOMAIN_INTERVAL_FACTOR = 10;
   private static final int HEARTBEAT_BYTES_PER_SECOND = 1200;
   private static final int RENEWALS_PER_LEASE = 4;
-  private static final long DRAW_TIMEOUT_MILLIS = 50;
+  private static final long DRAW_TIMEOUT_MILLIS = 250;
   private static final int DRIFT_PERMILLE = 10;
 
   private NodeTimes() {}
