--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/operator/RingAuditTrailTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/operator/RingAuditTrailTest.java
@@ -8,7 +8,11 @@
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.read.ListAppender;
+import java.lang.reflect.RecordComponent;
+import java.util.Collections;
+import java.util.List;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -19,6 +23,8 @@
 
 class RingAuditTrailTest {
 
+  private static final List<String> ENTRY_NAMES = List.of("number", "atMillis", "kind");
+
   @Property(seed = "5", tries = 100)
   void accountsForEveryEvent(
       @ForAll @IntRange(min = 1, max = 9) int capacity,
@@ -54,6 +60,15 @@
                 + "\"account\":\"desk\",\"streamsEnded\":2}"));
   }
 
+  @Test
+  void noEventHidesWhatEachEntryHas() {
+    for (Class<?> event : AuditEvent.class.getPermittedSubclasses()) {
+      List<String> names =
+          Stream.of(event.getRecordComponents()).map(RecordComponent::getName).toList();
+      assertThat(event.getSimpleName(), Collections.disjoint(names, ENTRY_NAMES), is(true));
+    }
+  }
+
   @Test
   void needsRoomForAnEvent() {
     assertThrows(IllegalArgumentException.class, () -> RingAuditTrail.of(0, () -> 0));
