--- a/knapweedcleat-standins/src/main/java/org/knapweedcleat/standins/load/StreamedAnswer.java
+++ b/knapweedcleat-standins/src/main/java/org/knapweedcleat/standins/load/StreamedAnswer.java
@@ -38,6 +38,15 @@
     return ended && wrongTokens == 0 && next == request.maxTokens();
   }
 
+  /**
+   * Tells whether the request was refused and has not run.
+   *
+   * @return true if it may be sent again
+   */
+  public boolean isRefused() {
+    return error != null && error.ran().equals("no");
+  }
+
   /**
    * Returns the first position that was not received.
    *
