--- /dev/null
+++ b/knapweedcleat-bench/src/test/java/org/knapweedcleat/bench/SimulationTest.java
@@ -0,0 +1,35 @@
+package org.knapweedcleat.bench;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class SimulationTest {
+
+  private static final long SEED = 3;
+
+  /** Streams were once cut as orphans while the instance that ran them was paused. */
+  @Test
+  void endsEveryRequestAndHoldsNothingAfterSchedulerWasPaused() {
+    assertEndsAll(Scenario.INSTANCE_PAUSED);
+  }
+
+  @Test
+  void endsEveryRequestAndHoldsNothingAfterEngineWasLost() {
+    assertEndsAll(Scenario.ENGINE_LOST);
+  }
+
+  private static void assertEndsAll(Scenario scenario) {
+    BenchFleet fleet = scenario.fleet();
+    SchedulerPolicy policy = SchedulerPolicy.shared(fleet);
+    List<Arrival> arrivals = Workload.draw(fleet, scenario, SEED, false);
+    Limits limits = Limits.exact(fleet.document());
+    Outcomes outcomes = Simulation.run(fleet, scenario, policy, limits, arrivals, SEED);
+    assertThat(outcomes.all().size(), is(arrivals.size()));
+    assertThat(outcomes.heldAtEnd(), is(0));
+    assertThat(outcomes.overGrantTokens(), is(0.0));
+    assertThat(policy.monitor().violations(), is(0L));
+  }
+}
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/Dispatcher.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/Dispatcher.java
@@ -68,7 +68,9 @@
     ServiceSpec service = document.services().get(request.service());
     int weight = weight(request);
     long allowed = Math.min(request.remainingMillis(), service.deadlineMillis());
-    long latestStart = now + allowed - Math.round(admission.serviceMillis(now, request));
+    double startToToken =
+        admission.likelyMillis(service.id(), admission.serviceMillis(now, request));
+    long latestStart = now + allowed - Math.round(startToToken);
     QueueLane lane = QueueLane.of(request, service);
     QueuedWork ahead = queue.ahead(request, weight, lane, Waiting.isUrgent(request, service));
     double estimate = admission.estimateMillis(now, pool.kind(), request, ahead);
@@ -90,20 +92,36 @@
       return List.of();
     }
     List<ScheduleAction> actions = new ArrayList<>(expire(now));
-    for (QueueLane lane : queue.lanes()) {
-      Waiting head = queue.head(lane);
-      while (head != null) {
-        Either<Placer.Obstacle, PlacementPlan> plan = placer.plan(now, pool, head);
-        if (plan.isLeft()) {
-          return actions;
-        }
-        actions.add(place(now, head, plan.get()));
-        head = queue.head(lane);
+    Waiting next = next(now);
+    while (next != null) {
+      Either<Placer.Obstacle, PlacementPlan> plan = placer.plan(now, pool, next);
+      if (plan.isLeft()) {
+        return actions;
       }
+      actions.add(place(now, next, plan.get()));
+      next = next(now);
     }
     return actions;
   }
 
+  /** Returns the request to be placed next: one that would else be lost soon, or the fair turn. */
+  private Waiting next(long now) {
+    Waiting first = firstToExpire();
+    if (first != null
+        && !first.isUrgent()
+        && first.latestStartMillis() - now <= policy.rescueMillis()) {
+      return first;
+    }
+    return queue.head();
+  }
+
+  private Waiting firstToExpire() {
+    while (!expiries.isEmpty() && queue.get(expiries.peek().key()) != expiries.peek()) {
+      expiries.poll();
+    }
+    return expiries.peek();
+  }
+
   private List<ScheduleAction> enqueue(long now, Waiting waiting) {
     queue.add(waiting);
     expiries.add(waiting);
@@ -133,12 +151,11 @@
 
   private List<ScheduleAction> expire(long now) {
     List<ScheduleAction> actions = new ArrayList<>();
-    while (!expiries.isEmpty() && expiries.peek().latestStartMillis() < now) {
-      Waiting waiting = expiries.poll();
-      if (queue.get(waiting.key()) == waiting) {
-        queue.remove(waiting);
-        actions.add(refuse(now, waiting, RefusalReason.DEADLINE));
-      }
+    Waiting first = firstToExpire();
+    while (first != null && first.latestStartMillis() < now) {
+      queue.remove(first);
+      actions.add(refuse(now, first, RefusalReason.DEADLINE));
+      first = firstToExpire();
     }
     return actions;
   }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/FairQueue.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/FairQueue.java
@@ -95,15 +95,12 @@
     }
   }
 
-  /** Lists the lanes that have waiting requests, the first to be served first. */
-  List<QueueLane> lanes() {
-    return List.copyOf(lanes.keySet());
-  }
-
-  /** Returns the request to be served next in a lane, or null. */
-  Waiting head(QueueLane lane) {
-    NavigableSet<AccountQueue> queues = lanes.get(lane);
-    return queues == null ? null : queues.first().first(lane);
+  /** Returns the request whose turn it is, or null. */
+  Waiting head() {
+    if (lanes.isEmpty()) {
+      return null;
+    }
+    return lanes.firstEntry().getValue().first().first(lanes.firstKey());
   }
 
   List<Waiting> ownedBy(IncarnationId owner) {
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/SchedulePolicy.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/SchedulePolicy.java
@@ -17,6 +17,7 @@
  * @param reportLagMillis how late load reports are assumed to be
  * @param orphanGraceMillis how long unclaimed memory is left alone
  * @param decisionMemoryMillis how long a decision is remembered after its request has ended
+ * @param rescueMillis how long before its latest start a late request is placed before all others
  * @param silentPlacementMillis how long a placement may go without progress before it is forgotten
  * @param failureBackoffMillis how long an endpoint gets no work after a failure; doubles each time
  * @param maxFailureBackoffMillis the longest such time
@@ -41,6 +42,7 @@
     int reportLagMillis,
     int orphanGraceMillis,
     int decisionMemoryMillis,
+    int rescueMillis,
     int silentPlacementMillis,
     int failureBackoffMillis,
     int maxFailureBackoffMillis,
@@ -68,8 +70,8 @@
    */
   public static SchedulePolicy standard() {
     return new SchedulePolicy(
-        8_000, 15, 1, 50_000, 0.1, 20, 0.95, 120, 1_000, 1_000, 3_000, 30_000, 120_000, 1_000,
-        30_000, 100, 60_000, 32, 20_000, 128, 2);
+        8_000, 15, 1, 50_000, 0.1, 20, 0.95, 120, 1_000, 1_000, 3_000, 30_000, 5_000, 120_000,
+        1_000, 30_000, 100, 60_000, 32, 20_000, 128, 2);
   }
 
   /**
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/schedule/PlacementLegTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/schedule/PlacementLegTest.java
@@ -15,19 +15,18 @@
   private static final ServiceSpec NOTES = DOCUMENT.services().get(TestFleet.NOTES);
 
   @Test
-  void asksForPlaceInsideTheTargetFirst() {
-    assertThat(
-        PlacementLeg.plan(DOCUMENT, NOTES, TestFleet.DOMAIN, 10_000, 60_000),
-        contains(
-            new PlacementLeg(TestFleet.DOMAIN, 10_000),
-            new PlacementLeg(TestFleet.DOMAIN, 60_000)));
+  void asksForEverLaterPlaces() {
+    assertThat(allowed(10_000, 60_000), contains(2_500L, 10_000L, 40_000L, 60_000L));
   }
 
   @Test
-  void asksOnlyOnceWhenTheTargetIsMissed() {
-    assertThat(
-        PlacementLeg.plan(DOCUMENT, NOTES, TestFleet.DOMAIN, -1, 50_000),
-        contains(new PlacementLeg(TestFleet.DOMAIN, 50_000)));
+  void startsAnewWhenTheTargetIsMissed() {
+    assertThat(allowed(-1, 30_000), contains(2_500L, 10_000L, 30_000L));
+  }
+
+  @Test
+  void endsWithSmallestTargets() {
+    assertThat(allowed(1, 2), contains(1L, 2L));
   }
 
   @Test
@@ -35,4 +34,11 @@
     FleetDocument leaving = TestFleet.document(1, 1, List.of(TestFleet.decode(1)));
     assertThat(PlacementLeg.plan(leaving, NOTES, TestFleet.DOMAIN, 10_000, 60_000), empty());
   }
+
+  private static List<Long> allowed(long targetMillis, long remainingMillis) {
+    return PlacementLeg.plan(DOCUMENT, NOTES, TestFleet.DOMAIN, targetMillis, remainingMillis)
+        .stream()
+        .map(PlacementLeg::allowedMillis)
+        .toList();
+  }
 }
