--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/attempt/CallFailure.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/attempt/CallFailure.java
@@ -8,6 +8,8 @@
   REFUSED(false),
   /** Bytes of the call may have left and no usable answer came. */
   UNKNOWN(true),
+  /** The endpoint stopped sending and kept the connection open. */
+  SILENT(true),
   /** The KV cache was evicted before it was transferred. */
   EVICTED(true),
   /** The endpoint no longer has the reservation or the KV cache. */
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/attempt/SplitAttemptTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/attempt/SplitAttemptTest.java
@@ -96,6 +96,27 @@
     assertThat(failure.failure().ran(), is(Ran.MAYBE));
   }
 
+  @Test
+  void leavesEndpointsThatWentSilentAtOnce() {
+    SplitAttempt attempt = decoding();
+    attempt.on(0, new SplitEvent.TokenArrived(1, new AnswerToken(0, "t0")));
+
+    List<SplitAction> next = attempt.on(0, new SplitEvent.StreamBroken(1, CallFailure.SILENT));
+    assertThat(next.stream().anyMatch(SplitAction.Place.class::isInstance), is(true));
+    assertThat(next.contains(new SplitAction.Cancel(1, EndpointId.of("decode"))), is(true));
+  }
+
+  @Test
+  void resumesOnceAtTheEndpointWhoseStreamBroke() {
+    SplitAttempt attempt = decoding();
+    attempt.on(0, new SplitEvent.TokenArrived(1, new AnswerToken(0, "t0")));
+
+    List<SplitAction> first = attempt.on(0, new SplitEvent.StreamBroken(1, CallFailure.UNKNOWN));
+    assertThat(first, is(List.of(new SplitAction.Decode(1, 2, EndpointId.of("decode"), 1, 4))));
+    List<SplitAction> second = attempt.on(0, new SplitEvent.StreamBroken(2, CallFailure.UNKNOWN));
+    assertThat(second.stream().anyMatch(SplitAction.Place.class::isInstance), is(true));
+  }
+
   @Test
   void tellsTheSchedulerOfRequestsGivenUpWhileTheyWaitThere() {
     SplitAttempt attempt = attempt(4);
@@ -185,6 +206,16 @@
     return SplitAttempt.of(plan, AttemptBudget.of(20, 50), monitor, nowMillis);
   }
 
+  private SplitAttempt decoding() {
+    SplitAttempt attempt = attempt(4);
+    attempt.start(0);
+    attempt.on(0, decided(1));
+    attempt.on(0, new SplitEvent.Reserved(1));
+    attempt.on(0, new SplitEvent.Prefilled(1, "handle", 10));
+    attempt.on(0, new SplitEvent.Imported(1));
+    return attempt;
+  }
+
   private static SplitEvent decided(int attempt) {
     return new SplitEvent.Decided(
         new PlacementDecision.Split(
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/PlainRun.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/PlainRun.java
@@ -206,7 +206,8 @@
   private void finish(CallOutcome result) {
     serving.vertx().cancelTimer(deadlineTimer);
     serving.running().remove(this);
-    outcome.tryComplete(result);
+    boolean first = outcome.tryComplete(result);
+    serving.context().monitor().check(first, Invariant.ANSWERED_ONCE, id());
     told.tryComplete(result);
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/SplitCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/SplitCall.java
@@ -21,6 +21,7 @@
 import org.knapweedcleat.core.config.EndpointSpec;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.RequestId;
+import org.knapweedcleat.core.invariant.Invariant;
 import org.knapweedcleat.router.endpoint.DecodeListener;
 import org.knapweedcleat.router.endpoint.DecodeStream;
 import org.knapweedcleat.router.endpoint.EngineCallContext;
@@ -167,6 +168,7 @@
     } else if (action instanceof SplitAction.SendToken token) {
       answer.token(token.token());
     } else if (action instanceof SplitAction.SendEnd end) {
+      checkFirstEnd();
       answer.end(end.tokens());
       finish();
     } else if (action instanceof SplitAction.SendFailure failure) {
@@ -296,7 +298,12 @@
     feed(result.fold(failed, done));
   }
 
+  private void checkFirstEnd() {
+    serving.context().monitor().check(!over, Invariant.ANSWERED_ONCE, id());
+  }
+
   private void fail(CallerFailure failure) {
+    checkFirstEnd();
     if (callerGone) {
       serving.count("gone");
     } else {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/endpoint/DecodeStream.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/endpoint/DecodeStream.java
@@ -13,7 +13,7 @@
 /** Reads the tokens of one decode call; a stream that is silent for too long counts as broken. */
 public final class DecodeStream {
 
-  private static final long IDLE_MILLIS = 5_000;
+  private static final long IDLE_MILLIS = 3_000;
   private static final int MAX_EVENT_BYTES = 64 << 10;
   private static final int NOT_FOUND = 404;
   private static final int GONE = 410;
@@ -124,6 +124,6 @@
 
   private void restartTimer() {
     vertx.cancelTimer(timer);
-    timer = vertx.setTimer(IDLE_MILLIS, id -> breakOff(CallFailure.UNKNOWN));
+    timer = vertx.setTimer(IDLE_MILLIS, id -> breakOff(CallFailure.SILENT));
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/endpoint/EngineClient.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/endpoint/EngineClient.java
@@ -17,7 +17,7 @@
   private static final long RESERVE_TIMEOUT_MILLIS = 2_000;
   private static final long IMPORT_TIMEOUT_MILLIS = 10_000;
   private static final long CANCEL_TIMEOUT_MILLIS = 1_000;
-  private static final long DECODE_HEAD_TIMEOUT_MILLIS = 5_000;
+  private static final long DECODE_HEAD_TIMEOUT_MILLIS = 3_000;
 
   private final Vertx vertx;
   private final EndpointClient client;
