Check in the runs that no more than the whole of an account is in use

Change: every 50 ms the fake fleet adds up what part of each account the running instances use; the sum may not exceed 1. Faults come less often, so that shares are in use between them, and up to two at once.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/limit/DomainAccount.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/limit/DomainAccount.java
@@ -76,6 +76,10 @@
     return burstTokens * part * fraction;
   }
 
+  double portion(double fraction) {
+    return part * fraction;
+  }
+
   /** Returns the most tokens that can ever be taken at once here. */
   double largestTokens() {
     return burstTokens * Math.max(part, nextPart);
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/limit/ShareLimiter.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/limit/ShareLimiter.java
@@ -236,6 +236,12 @@
     return actions;
   }
 
+  /** Returns what part of an account's whole rate and burst this instance uses, from 0 to 1. */
+  double portion(AccountId account) {
+    DomainAccount found = table.find(account);
+    return found == null ? 0 : found.portion(tokens.fraction(found.slot()));
+  }
+
   private void dispatch(IncarnationId from, LimitMessage message, List<LimitAction> actions) {
     if (message instanceof LimitMessage.JoinRequest request) {
       ownership
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/limit/FakeFleet.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/limit/FakeFleet.java
@@ -31,7 +31,9 @@
   private static final String HOST = "127.0.0.1";
   private static final long TICK_MILLIS = 20;
   private static final long MEMBERSHIP_TICK_MILLIS = 250;
+  private static final long CHECK_MILLIS = 50;
   private static final long READ_MILLIS = 700;
+  private static final double MAX_SLOW_CHANCE = 0.05;
   private static final double MAX_DRIFT = 0.01;
 
   /** Something that happens at a true time. */
@@ -66,6 +68,7 @@
       fleet.domains.add(FailureDomainId.of("domain-" + domain));
     }
     fleet.refusals.instances(domainCount * instancesEach);
+    fleet.at(0, () -> fleet.checkPortions(accounts.stream().map(AccountSpec::id).toList()));
     for (FailureDomainId domain : fleet.domains) {
       for (int i = 0; i < instancesEach; i++) {
         InstanceId id = InstanceId.of(domain + "-" + i);
@@ -241,6 +244,14 @@
     return nowMillis;
   }
 
+  private void checkPortions(List<AccountId> accounts) {
+    for (AccountId account : accounts) {
+      double sum = nodes.stream().mapToDouble(node -> node.portion(account)).sum();
+      observer.portions(nowMillis, account, sum);
+    }
+    at(nowMillis + CHECK_MILLIS, () -> checkPortions(accounts));
+  }
+
   private void observeLimits(AccountSpec spec) {
     double tokensPerMilli = spec.rateTokensPerSecond() / 1_000.0;
     observer.limits(nowMillis, spec.id(), tokensPerMilli, spec.burstTokens());
@@ -302,7 +313,8 @@
   /** Most messages take milliseconds, some much longer, so that others overtake them. */
   private long delayMillis() {
     long delayMillis = 1 + random.nextInt(4) + (extraDelayMillis * random.nextInt(100)) / 100;
-    return random.nextInt(500) == 0 ? delayMillis + random.nextInt(4_000) : delayMillis;
+    boolean slow = random.nextDouble() < Math.min(MAX_SLOW_CHANCE, 2 * lossChance);
+    return slow ? delayMillis + random.nextInt(4_000) : delayMillis;
   }
 
   private void repeat(FakeNode node, long periodMillis, Runnable run) {
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/limit/FakeNode.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/limit/FakeNode.java
@@ -126,6 +126,15 @@
     act(membership.leave(clockMillis()));
   }
 
+  /** Returns what part of an account this node would use now; a call comes before each use. */
+  double portion(AccountId account) {
+    if (over || paused) {
+      return 0;
+    }
+    tickLimiter();
+    return limiter.portion(account);
+  }
+
   Member member() {
     return member;
   }
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/limit/FleetFaults.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/limit/FleetFaults.java
@@ -16,6 +16,7 @@
 final class FleetFaults {
 
   private static final int ACCOUNTS = 6;
+  private static final double LOSS = 0.01;
   private static final long LOAD_GAP_MILLIS = 40;
 
   private final FakeFleet fleet;
@@ -42,7 +43,12 @@
     FakeFleet fleet = FakeFleet.of(seed, domains, each, accounts);
     FleetFaults faults = new FleetFaults(fleet, random, accounts);
     fleet.at(3_000, faults::load);
-    fleet.at(faultsFromMillis, () -> faults.next(faultsToMillis));
+    fleet.at(
+        faultsFromMillis,
+        () -> {
+          fleet.network(LOSS, 0);
+          faults.next(faultsToMillis);
+        });
     return fleet;
   }
 
@@ -66,8 +72,10 @@
     if (fleet.nowMillis() > untilMillis) {
       return;
     }
-    fault();
-    fleet.at(fleet.nowMillis() + random.nextInt(4_000), () -> next(untilMillis));
+    for (int faults = 1 + random.nextInt(2); faults > 0; faults--) {
+      fault();
+    }
+    fleet.at(fleet.nowMillis() + random.nextInt(12_000), () -> next(untilMillis));
   }
 
   private void fault() {
@@ -87,8 +95,8 @@
       case 4 -> during(millis, cut -> fleet.cut(id, other, cut));
       case 5 -> cutDomains(domain, millis);
       case 6 -> during(2 * millis, cut -> fleet.platform().cutOff(domain, cut));
-      case 7 -> during(millis, bad -> fleet.network(bad ? 0.4 : 0.001, 0));
-      case 8 -> during(millis, bad -> fleet.network(0.002, bad ? 1_500 : 0));
+      case 7 -> during(millis, bad -> fleet.network(bad ? 0.4 : LOSS, 0));
+      case 8 -> during(millis, bad -> fleet.network(LOSS, bad ? 1_500 : 0));
       case 9 -> publish();
       default -> stale(millis);
     }
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/limit/RateObserver.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/limit/RateObserver.java
@@ -13,6 +13,8 @@
  * instance applies, the bucket never goes below zero by more than the rounding of floating point
  * numbers. A lowered limit counts from {@link #LOWER_GRACE_MILLIS} after the last instance applied
  * it, since a draw may be under way. A refund counts when the instance gives it back.
+ *
+ * <p>Also checked: at no time do running instances together use more than the whole of an account.
  */
 final class RateObserver {
 
@@ -47,6 +49,12 @@
     }
   }
 
+  void portions(long nowMillis, AccountId account, double sum) {
+    if (sum > 1 + ROUNDING_TOKENS) {
+      violations.add(nowMillis + " ms: " + sum + " times the whole of " + account + " in use");
+    }
+  }
+
   void refunded(long nowMillis, AccountId account, long tokens) {
     Ledger ledger = ledgers.get(account);
     ledger.earn(nowMillis);
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/limit/ShareLimiterPropertyTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/limit/ShareLimiterPropertyTest.java
@@ -27,7 +27,7 @@
 
   @Test
   void refusesFewerWrongfullyThanFixedParts() {
-    FakeFleet fleet = FleetFaults.fleet(3, RUN_MILLIS, 0);
+    FakeFleet fleet = FleetFaults.fleet(3, 2 * RUN_MILLIS, 0);
     fleet.refusals().countFrom(FAULTS_FROM_MILLIS);
     fleet.run(RUN_MILLIS);
     System.out.println("without faults: " + fleet.refusals());
