Take the own share after a pause only once membership could tell

Change: after giving the share up an instance waits for a settle time, so that membership has marked the view as stale or brought a newer list.

Ruled out: waiting for the next view; membership may have none to tell after a pause that is short for it.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/limit/ShareLimiter.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/limit/ShareLimiter.java
@@ -116,7 +116,7 @@
     this.view = view;
     ownership.members(view);
     if (ownership.isDoubtful() && ownership.isActive()) {
-      giveUp(this.nowMillis);
+      giveUp(this.nowMillis, this.nowMillis);
     }
     exchange.members(this.nowMillis, view, actions);
     confirmIfKnown();
@@ -273,7 +273,7 @@
   private List<LimitAction> advance(long millis) {
     boolean paused = nowMillis != Long.MIN_VALUE && millis - nowMillis > settings.pauseMillis();
     if (paused) {
-      giveUp(nowMillis);
+      giveUp(nowMillis, millis);
     }
     nowMillis = Math.max(nowMillis, millis);
     ownership.advance(nowMillis);
@@ -293,8 +293,8 @@
     return Math.max(1, settings.renewMillis() / QUICK_RENEWALS);
   }
 
-  private void giveUp(long atMillis) {
-    ownership.restart();
+  private void giveUp(long atMillis, long untilMillis) {
+    ownership.restart(untilMillis);
     exchange.refreshFractions(atMillis);
     tokens.reset(atMillis);
   }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/limit/ShareOwnership.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/limit/ShareOwnership.java
@@ -33,6 +33,7 @@
   private final Set<InstanceId> joiners = new HashSet<>();
   private MemberView view;
   private long nowMillis;
+  private long earliestMillis = Long.MIN_VALUE;
   private long generation = 1;
   private boolean active;
   private boolean over;
@@ -57,9 +58,13 @@
     return view != null && (view.stale() || !view.listed());
   }
 
-  /** Gives up the own share and asks anew to be counted. */
-  void restart() {
+  /**
+   * Gives up the own share and asks anew to be counted. The view at hand may be older than a pause,
+   * so that the share is not taken again before membership could tell.
+   */
+  void restart(long millis) {
     active = false;
+    earliestMillis = millis + settings.settleMillis();
     generation++;
     answers.clear();
   }
@@ -110,7 +115,7 @@
 
   /** Takes the own share if all have counted this instance and all older pledges have lapsed. */
   boolean activate(long nowMillis) {
-    if (active || over || view == null || isDoubtful()) {
+    if (active || over || view == null || isDoubtful() || nowMillis < earliestMillis) {
       return false;
     }
     active = required().stream().allMatch(instance -> isSettled(nowMillis, instance));
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/limit/ShareLimiterPropertyTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/limit/ShareLimiterPropertyTest.java
@@ -30,6 +30,12 @@
     checkRun(seed);
   }
 
+  /** A run that was replaced while paused took its share again on the view from before. */
+  @Test
+  void ownsNothingOnViewFromBeforePause() {
+    checkRun(50_154);
+  }
+
   @Test
   void refusesFewerWrongfullyThanFixedParts() {
     FakeFleet fleet = FleetFaults.fleet(3, 2 * RUN_MILLIS, 0);
