Let an instance be listed at another port than it listens on

Cause: an instance owns its share only while the list shows it at its own address; behind a port mapping, as the relays of the process tests are one, it never did: four process test classes failed with 'never happened: a1 grants'. Change: listedPeerPort in the instance's settings.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/InstanceKeys.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/InstanceKeys.java
@@ -17,6 +17,8 @@
   private static final String MILLIS = "milliseconds";
   private static final String BYTES = "bytes";
 
+  private static final int MAX_PORT = 65_535;
+
   static final SettingKey<InstanceId> ID =
       required(
           SectionKind.INSTANCE,
@@ -48,6 +50,15 @@
       optional(
           SectionKind.INSTANCE, "peerPort", ValueRules.port(), "", "8082", "for other instances");
 
+  static final SettingKey<Integer> LISTED_PEER_PORT =
+      optional(
+          SectionKind.INSTANCE,
+          "listedPeerPort",
+          ValueRules.whole(0, MAX_PORT),
+          "",
+          "0",
+          "the port for other instances in the platform's list; 0 for the same as peerPort");
+
   static final SettingKey<String> PLATFORM_HOST =
       required(
           SectionKind.PLATFORM,
@@ -146,7 +157,8 @@
           "how late the platform's list of instances can be");
 
   private static final List<SettingKey<?>> ALL =
-      List.<SettingKey<?>>of(ID, DOMAIN, HOST, CALLER_PORT, OPERATOR_PORT, PEER_PORT)
+      List.<SettingKey<?>>of(
+              ID, DOMAIN, HOST, CALLER_PORT, OPERATOR_PORT, PEER_PORT, LISTED_PEER_PORT)
           .appendAll(List.of(PLATFORM_HOST, PLATFORM_PORT, PLATFORM_DOCUMENT, PLATFORM_WAIT))
           .appendAll(List.of(MAX_BODY, MAX_HEADER, MAX_IN_FLIGHT, DRAIN_TIMEOUT))
           .appendAll(List.of(HEARTBEAT, HEARTBEAT_TIMEOUT, LEASE, LIST_LAG));
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/InstanceSettings.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/InstanceSettings.java
@@ -12,6 +12,7 @@
  * @param callerPort the TCP port for callers
  * @param operatorPort the TCP port for operators
  * @param peerPort the TCP port for other instances
+ * @param listedPeerPort that port as the platform lists it, which differs behind a port mapping
  * @param platform where the published document is read
  * @param limits how much the instance accepts
  * @param peers the timing between instances
@@ -23,6 +24,7 @@
     int callerPort,
     int operatorPort,
     int peerPort,
+    int listedPeerPort,
     Platform platform,
     Limits limits,
     Peers peers) {
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/InstanceSettingsParser.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/InstanceSettingsParser.java
@@ -84,11 +84,17 @@
         instance.get(InstanceKeys.CALLER_PORT),
         instance.get(InstanceKeys.OPERATOR_PORT),
         instance.get(InstanceKeys.PEER_PORT),
+        listedPeerPort(instance),
         platform(sections.get(SectionKind.PLATFORM).get()),
         limits(sections.get(SectionKind.LIMITS).get()),
         peers(sections.get(SectionKind.PEERS).get()));
   }
 
+  private static int listedPeerPort(CheckedSection instance) {
+    int listed = instance.get(InstanceKeys.LISTED_PEER_PORT);
+    return listed == 0 ? instance.get(InstanceKeys.PEER_PORT) : listed;
+  }
+
   private static InstanceSettings.Platform platform(CheckedSection section) {
     return new InstanceSettings.Platform(
         section.get(InstanceKeys.PLATFORM_HOST),
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/NodeContext.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/NodeContext.java
@@ -63,10 +63,10 @@
   /**
    * Returns what the instance says of itself.
    *
-   * @param peerPort the TCP port that it listens on
-   * @return the member
+   * @return the member, at the address that the platform lists
    */
-  Member self(int peerPort) {
-    return new Member(incarnation, settings.domain(), settings.host(), peerPort, false);
+  Member self() {
+    int port = settings.listedPeerPort();
+    return new Member(incarnation, settings.domain(), settings.host(), port, false);
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
@@ -86,7 +86,7 @@
     FailureDomainId domain = settings.domain();
     Hello hello = new Hello(context.incarnation(), domain);
     this.transport = PeerTransport.create(vertx, hello, context.metrics(), this);
-    Member self = context.self(settings.peerPort());
+    Member self = context.self();
     this.membership = Membership.of(self, NodeTimes.membership(settings.peers()));
     MemberView view = membership.view();
     this.addresses = AddressBook.of(transport, view);
--- a/knapweedcleat-standins/src/test/java/org/knapweedcleat/standins/process/Deployment.java
+++ b/knapweedcleat-standins/src/test/java/org/knapweedcleat/standins/process/Deployment.java
@@ -220,6 +220,7 @@
     for (String id : List.of("a1", "a2", "b1", "b2")) {
       instances.put(id, InstanceProcess.of(id));
       relays.put(id, Relay.to(vertx, instances.get(id).peerPort()));
+      instances.get(id).listAt(relays.get(id).port());
     }
     for (List<String> group : ENGINE_PROCESSES) {
       group.forEach(id -> enginePorts.put(id, FreePorts.next()));
--- a/knapweedcleat-standins/src/test/java/org/knapweedcleat/standins/process/InstanceProcess.java
+++ b/knapweedcleat-standins/src/test/java/org/knapweedcleat/standins/process/InstanceProcess.java
@@ -19,6 +19,7 @@
       callerPort = %d
       operatorPort = %d
       peerPort = %d
+      listedPeerPort = %d
       [platform]
       host = 127.0.0.1
       port = %d
@@ -32,6 +33,7 @@
   private final int callerPort = FreePorts.next();
   private final int operatorPort = FreePorts.next();
   private final int peerPort = FreePorts.next();
+  private int listedPeerPort;
   private Proc proc;
 
   private InstanceProcess(String id) {
@@ -54,6 +56,11 @@
     return peerPort;
   }
 
+  /** Says at which port the platform lists the instance. */
+  void listAt(int port) {
+    listedPeerPort = port;
+  }
+
   SocketAddress address() {
     return SocketAddress.inetSocketAddress(callerPort, "127.0.0.1");
   }
@@ -86,6 +93,7 @@
   }
 
   private String settings(int platformPort) {
-    return SETTINGS.formatted(id, id.charAt(0), callerPort, operatorPort, peerPort, platformPort);
+    return SETTINGS.formatted(
+        id, id.charAt(0), callerPort, operatorPort, peerPort, listedPeerPort, platformPort);
   }
 }
