--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/limit/FakePlatform.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/limit/FakePlatform.java
@@ -22,6 +22,7 @@
   private final TreeMap<Long, List<ListedInstance>> lists = new TreeMap<>();
   private final TreeMap<Long, Document> documents = new TreeMap<>();
   private final Set<FailureDomainId> cutOff = new HashSet<>();
+  private long published;
   private long staleSinceMillis = Long.MAX_VALUE;
 
   void list(long nowMillis, List<ListedInstance> instances) {
@@ -29,7 +30,8 @@
   }
 
   void publish(long nowMillis, List<AccountSpec> accounts) {
-    Revision revision = Revision.of(documents.size() + 1L);
+    published++;
+    Revision revision = Revision.of(published);
     documents.put(nowMillis, new Document(revision, List.copyOf(accounts)));
   }
 
