Add ./measure cost: what a decision costs in time and memory

Change: JMH benchmarks of a request with room, a request through a queue and a load report, and the heap that a remembered request takes.

--- a/knapweedcleat-bench/src/main/java/org/knapweedcleat/bench/BenchFleet.java
+++ b/knapweedcleat-bench/src/main/java/org/knapweedcleat/bench/BenchFleet.java
@@ -81,6 +81,40 @@
     return of("cooperative", domains, pool, endpoints, services, 30_000, 3);
   }
 
+  /** Returns one failure domain with a pool of the given size. */
+  static BenchFleet ofSize(int endpointCount, int accountCount) {
+    Map<String, String> domains = new LinkedHashMap<>();
+    domains.put("here", "one");
+    domains.put("there", "two");
+    PoolId pool = PoolId.of("pool");
+    List<EndpointSpec> endpoints = new ArrayList<>();
+    int prefills = endpointCount / 3;
+    addEngines(endpoints, pool, "here", prefills, endpointCount - prefills);
+    List<ServiceSpec> services = List.of(service(pool, "notes", 8_000, 60, 600_000, 1_000_000, 3));
+    BenchFleet fleet = of("size", domains, pool, endpoints, services, 1, 1);
+    FleetDocument document = fleet.document();
+    Map<AccountId, AccountSpec> accounts = new LinkedHashMap<>();
+    for (int index = 0; index < accountCount; index++) {
+      AccountId id = AccountId.of("account-" + index);
+      accounts.put(id, new AccountSpec(id, 1, 1, 1, Map.of(), TEAM));
+    }
+    return new BenchFleet(
+        new FleetDocument(
+            document.name(),
+            document.regions(),
+            document.domains(),
+            document.links(),
+            document.pools(),
+            document.services(),
+            document.routes(),
+            accounts,
+            document.keys(),
+            document.endpoints()),
+        pool,
+        fleet.instanceDomains(),
+        fleet.accountShares());
+  }
+
   IncarnationId incarnation(int instance) {
     return IncarnationId.of(InstanceId.of("instance-" + instance), 1);
   }
--- a/knapweedcleat-bench/src/main/java/org/knapweedcleat/bench/MeasureMain.java
+++ b/knapweedcleat-bench/src/main/java/org/knapweedcleat/bench/MeasureMain.java
@@ -5,13 +5,14 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
+import org.openjdk.jmh.runner.RunnerException;
 
 /** Measures scenarios in virtual time and prints the figures. */
 public final class MeasureMain {
 
   private static final int USAGE_STATUS = 2;
 
-  @Argument(metaVar = "SCENARIO", usage = "a scenario, or all", required = true)
+  @Argument(metaVar = "SCENARIO", usage = "a scenario, all, or cost", required = true)
   private String scenario;
 
   @Option(name = "--seed", metaVar = "N", usage = "the seed of all random draws")
@@ -29,7 +30,9 @@
     CmdLineParser parser = new CmdLineParser(main);
     try {
       parser.parseArgument(args);
-      main.scenarios().forEach(each -> Report.print(System.out, each, main.seed));
+      main.run();
+    } catch (RunnerException e) {
+      throw new IllegalStateException(e);
     } catch (CmdLineException | IllegalArgumentException e) {
       System.err.println(e.getMessage());
       System.err.print("usage: ./measure");
@@ -39,6 +42,14 @@
     }
   }
 
+  private void run() throws RunnerException {
+    if (scenario.equals("cost")) {
+      CostReport.print(System.out);
+      return;
+    }
+    scenarios().forEach(each -> Report.print(System.out, each, seed));
+  }
+
   private List<Scenario> scenarios() {
     return scenario.equals("all") ? List.of(Scenario.values()) : List.of(Scenario.parse(scenario));
   }
