--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/Admission.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/Admission.java
@@ -67,10 +67,11 @@
 
   /** Returns how long all endpoints of a role still get no work after failures. */
   private double blockedMillis(long now, EndpointRole role) {
-    return endpoints.active(role).stream()
-        .mapToLong(track -> Math.max(0, track.blockedUntilMillis() - now))
-        .min()
-        .orElse(0);
+    long least = Long.MAX_VALUE;
+    for (EndpointTrack track : endpoints.active(role)) {
+      least = Math.min(least, Math.max(0, track.blockedUntilMillis() - now));
+    }
+    return least == Long.MAX_VALUE ? 0 : least;
   }
 
   private double plainMillis(long now, QueuedWork ahead) {
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/EndpointTable.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/EndpointTable.java
@@ -1,6 +1,8 @@
 package org.knapweedcleat.core.schedule;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.EnumMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +18,7 @@
   private final SchedulePolicy policy;
   private final MovingAverage reportLag;
   private final Map<EndpointId, EndpointTrack> tracks = new TreeMap<>();
+  private final Map<EndpointRole, List<EndpointTrack>> active = new EnumMap<>(EndpointRole.class);
   private long firstConfiguredMillis = Long.MIN_VALUE / 2;
 
   private EndpointTable(SchedulePolicy policy) {
@@ -43,6 +46,12 @@
       }
     }
     tracks.keySet().removeAll(gone);
+    active.clear();
+    for (EndpointTrack track : tracks.values()) {
+      if (track.spec().state().takesNewWork()) {
+        active.computeIfAbsent(track.spec().role(), role -> new ArrayList<>()).add(track);
+      }
+    }
     return gone;
   }
 
@@ -55,17 +64,21 @@
     return tracks.values();
   }
 
+  /** Lists the endpoints that are not leaving. */
   List<EndpointTrack> active(EndpointRole role) {
-    return tracks.values().stream()
-        .filter(track -> track.spec().role() == role && track.spec().state().takesNewWork())
-        .toList();
+    return active.getOrDefault(role, List.of());
   }
 
+  /** Lists the endpoints that work may be placed on now. */
   List<EndpointTrack> usable(long now, EndpointRole role) {
-    return tracks.values().stream()
-        .filter(track -> track.spec().role() == role && track.takesNewWork(now))
-        .filter(track -> track.isReported() || !isWarmingUp(now))
-        .toList();
+    boolean warmingUp = isWarmingUp(now);
+    List<EndpointTrack> usable = new ArrayList<>();
+    for (EndpointTrack track : active(role)) {
+      if (track.takesNewWork(now) && (track.isReported() || !warmingUp)) {
+        usable.add(track);
+      }
+    }
+    return usable;
   }
 
   /** Tells whether the scheduler may not have heard yet of all that its predecessor placed. */
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/Placer.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/Placer.java
@@ -2,8 +2,6 @@
 
 import io.vavr.control.Either;
 import java.util.Comparator;
-import java.util.List;
-import java.util.Optional;
 import org.knapweedcleat.core.config.EndpointRole;
 import org.knapweedcleat.core.config.PoolKind;
 import org.knapweedcleat.core.config.PoolSpec;
@@ -63,21 +61,21 @@
   }
 
   private Either<Obstacle, EndpointTrack> chooseDecode(long now, Waiting waiting) {
-    List<EndpointTrack> withMemory =
-        endpoints.usable(now, EndpointRole.DECODE).stream()
-            .filter(track -> endpoints.freePieces(now, track) >= waiting.pieces())
-            .toList();
-    if (withMemory.isEmpty()) {
-      return Either.left(Obstacle.MEMORY);
-    }
     int gapTarget = waiting.service().tokenGapTargetMillis();
-    Optional<EndpointTrack> chosen =
-        withMemory.stream()
-            .filter(track -> keepsGap(track, gapTarget))
-            .min(Comparator.comparingInt(EndpointTrack::requests));
-    return chosen
-        .<Either<Obstacle, EndpointTrack>>map(Either::right)
-        .orElse(Either.left(Obstacle.TOKEN_GAP));
+    EndpointTrack best = null;
+    boolean anyHasMemory = false;
+    for (EndpointTrack track : endpoints.usable(now, EndpointRole.DECODE)) {
+      boolean hasMemory = endpoints.freePieces(now, track) >= waiting.pieces();
+      anyHasMemory |= hasMemory;
+      boolean isEmptier = best == null || track.requests() < best.requests();
+      if (hasMemory && isEmptier && keepsGap(track, gapTarget)) {
+        best = track;
+      }
+    }
+    if (best == null) {
+      return Either.left(anyHasMemory ? Obstacle.TOKEN_GAP : Obstacle.MEMORY);
+    }
+    return Either.right(best);
   }
 
   private boolean keepsGap(EndpointTrack track, int gapTargetMillis) {
