Judge orphans only after every living incarnation has claimed anew

The last claims of the paused instance were older than the request.

Change: a request is an orphan when it was unclaimed for the grace time and each member has sent claims in the second half of it. claims takes the time.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/OrphanSweep.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/OrphanSweep.java
@@ -27,7 +27,8 @@
 
   private final long graceMillis;
   private final Map<IncarnationId, Set<RequestId>> claims = new HashMap<>();
-  private final Set<IncarnationId> silent = new HashSet<>();
+  private final Set<IncarnationId> members = new HashSet<>();
+  private final Map<IncarnationId, Long> claimedAt = new HashMap<>();
   private final Map<RequestId, Long> ownerEndedAt = new LinkedHashMap<>();
   private final Map<EndpointId, Map<RequestId, Long>> unclaimedSince = new HashMap<>();
 
@@ -52,24 +53,24 @@
   /**
    * Takes over what an incarnation runs; replaces what it claimed before.
    *
+   * @param now the time in milliseconds
    * @param owner the incarnation
    * @param running all requests that it runs
    */
-  public void claims(IncarnationId owner, List<RequestId> running) {
+  public void claims(long now, IncarnationId owner, List<RequestId> running) {
     claims.put(owner, new HashSet<>(running));
-    silent.remove(owner);
+    claimedAt.put(owner, now);
   }
 
   /**
-   * Takes over which incarnations live; while one of them has not told what it runs, no request is
-   * an orphan but for those whose owner has ended.
+   * Takes over which incarnations live; a request is an orphan only once each of them has told anew
+   * what it runs, unless its owner has ended.
    *
    * @param living all living incarnations
    */
   public void members(Set<IncarnationId> living) {
-    silent.clear();
-    silent.addAll(living);
-    silent.removeAll(claims.keySet());
+    members.clear();
+    members.addAll(living);
   }
 
   /**
@@ -80,7 +81,8 @@
    */
   public void incarnationEnded(long now, IncarnationId owner) {
     ownerEndedAt.values().removeIf(endedAt -> now - endedAt > ENDED_MEMORY_MILLIS);
-    silent.remove(owner);
+    members.remove(owner);
+    claimedAt.remove(owner);
     Set<RequestId> orphans = claims.remove(owner);
     if (orphans != null) {
       orphans.forEach(request -> ownerEndedAt.put(request, now));
@@ -123,8 +125,7 @@
     for (RequestId request : held) {
       if (!placed.test(request) && !isClaimed(request)) {
         long since = before.getOrDefault(request, now);
-        boolean waited = silent.isEmpty() && now - since >= graceMillis;
-        boolean due = waited || ownerEndedAt.containsKey(request);
+        boolean due = hasNoOwner(now, since) || ownerEndedAt.containsKey(request);
         after.put(request, due ? now : since);
         if (due) {
           actions.add(new CancelOrphan(endpoint, request));
@@ -134,4 +135,12 @@
     unclaimedSince.put(endpoint, after);
     return actions;
   }
+
+  /** Tells whether all had the time and have taken it to claim what is held since then. */
+  private boolean hasNoOwner(long now, long since) {
+    long claimedAfter = since + graceMillis / 2;
+    return now - since >= graceMillis
+        && members.stream()
+            .allMatch(member -> claimedAt.getOrDefault(member, Long.MIN_VALUE) >= claimedAfter);
+  }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PoolScheduler.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PoolScheduler.java
@@ -209,7 +209,7 @@
   }
 
   /**
-   * Takes over which incarnations live; orphans are judged once each of them has sent its claims.
+   * Takes over which incarnations live; orphans are judged once each of them has sent new claims.
    *
    * @param living all living incarnations of the failure domains that may use the pool
    */
@@ -226,7 +226,7 @@
    * @return what is to be done
    */
   public List<ScheduleAction> claims(long now, IncarnationId owner, List<RequestId> running) {
-    orphans.claims(owner, running);
+    orphans.claims(now, owner, running);
     long settledBefore = now - policy.orphanGraceMillis();
     List<Placement> lost =
         book.live(
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/schedule/OrphanSweepTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/schedule/OrphanSweepTest.java
@@ -33,7 +33,7 @@
 
   @Test
   void leavesClaimedRequestAlone() {
-    sweep.claims(OWNER, List.of(REQUEST));
+    sweep.claims(1, OWNER, List.of(REQUEST));
     assertThat(sweepAt(0), empty());
     assertThat(sweepAt(10 * GRACE), empty());
   }
@@ -41,24 +41,24 @@
   @Test
   void startsGraceAnewAfterClaim() {
     assertThat(sweepAt(0), empty());
-    sweep.claims(OWNER, List.of(REQUEST));
+    sweep.claims(1, OWNER, List.of(REQUEST));
     assertThat(sweepAt(GRACE), empty());
-    sweep.claims(OWNER, List.of());
+    sweep.claims(1, OWNER, List.of());
     assertThat(sweepAt(GRACE + 1), empty());
     assertThat(sweepAt(2 * GRACE + 1), contains(CANCEL));
   }
 
   @Test
   void cancelsAtOnceWhatOnlyEndedIncarnationClaimed() {
-    sweep.claims(OWNER, List.of(REQUEST));
+    sweep.claims(1, OWNER, List.of(REQUEST));
     sweep.incarnationEnded(1, OWNER);
     assertThat(sweepAt(2), contains(CANCEL));
   }
 
   @Test
   void keepsWhatAnotherIncarnationTookOver() {
-    sweep.claims(OWNER, List.of(REQUEST));
-    sweep.claims(TestFleet.incarnation(2), List.of(REQUEST));
+    sweep.claims(1, OWNER, List.of(REQUEST));
+    sweep.claims(1, TestFleet.incarnation(2), List.of(REQUEST));
     sweep.incarnationEnded(1, OWNER);
     assertThat(sweepAt(10 * GRACE), empty());
   }
@@ -70,14 +70,22 @@
   }
 
   @Test
-  void judgesNothingWhileLivingIncarnationIsSilent() {
+  void judgesNothingUntilLivingIncarnationHasClaimedAnew() {
+    sweep.claims(-GRACE, OWNER, List.of());
     sweep.members(Set.of(OWNER));
     assertThat(sweepAt(0), empty());
     assertThat(sweepAt(10 * GRACE), empty());
-    sweep.claims(OWNER, List.of());
+    sweep.claims(10 * GRACE, OWNER, List.of());
     assertThat(sweepAt(10 * GRACE + 1), contains(CANCEL));
   }
 
+  @Test
+  void judgesNothingWhileLivingIncarnationIsSilent() {
+    sweep.members(Set.of(OWNER));
+    assertThat(sweepAt(0), empty());
+    assertThat(sweepAt(10 * GRACE), empty());
+  }
+
   private List<ScheduleAction> sweepAt(long now) {
     return sweep.sweep(now, ENDPOINT, List.of(REQUEST), request -> false);
   }
