--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/audit/AuditEvent.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/audit/AuditEvent.java
@@ -51,10 +51,10 @@
    * An endpoint was given an order.
    *
    * @param endpoint the endpoint
-   * @param kind what it was told
+   * @param order what it was told
    * @param outcome what it answered
    */
-  record EndpointOrdered(EndpointId endpoint, String kind, String outcome) implements AuditEvent {}
+  record EndpointOrdered(EndpointId endpoint, String order, String outcome) implements AuditEvent {}
 
   /** A planned stop began. */
   record DrainStarted() implements AuditEvent {}
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/EndpointTable.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/EndpointTable.java
@@ -74,7 +74,7 @@
     boolean warmingUp = isWarmingUp(now);
     List<EndpointTrack> usable = new ArrayList<>();
     for (EndpointTrack track : active(role)) {
-      if (track.takesNewWork(now) && (track.isReported() || !warmingUp)) {
+      if (track.takesNewWork(now) && (!role.isEngine() || track.isReported() || !warmingUp)) {
         usable.add(track);
       }
     }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/OrphanSweep.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/OrphanSweep.java
@@ -3,33 +3,37 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.InstanceId;
 import org.knapweedcleat.core.id.RequestId;
 import org.knapweedcleat.core.schedule.ScheduleAction.CancelOrphan;
 
 /**
- * Finds requests that hold memory at an endpoint although no living incarnation claims them.
+ * Finds requests that hold memory at an endpoint although no living incarnation serves them.
  *
  * <p>A held request that nobody claims is left alone for a grace time, since claims and load
- * reports are late. It is then cancelled, and again after each further grace time, until the
- * endpoint no longer reports it. A request that is claimed is left alone at every endpoint, even
- * where the scheduler did not place it: another scheduler may have.
+ * reports are late. A request whose owner is silent may still be served on the other side of a
+ * partition, so it is left alone for longer, unless the owner is known to have ended. It is then
+ * cancelled, and again after each further grace time, until the endpoint no longer reports it.
  */
 public final class OrphanSweep {
 
-  private static final long ENDED_MEMORY_MILLIS = 60_000;
+  /** How long what a silent owner may still serve is left alone. */
+  static final long SILENT_OWNER_MILLIS = 60_000;
+
+  private static final long ENDED_MEMORY_MILLIS = 600_000;
 
   private final long graceMillis;
-  private final Map<IncarnationId, Set<RequestId>> claims = new HashMap<>();
+  private final Map<IncarnationId, Claims> claims = new HashMap<>();
   private final Set<IncarnationId> members = new HashSet<>();
-  private final Map<IncarnationId, Long> claimedAt = new HashMap<>();
-  private final Map<RequestId, Long> ownerEndedAt = new LinkedHashMap<>();
+  private final Map<InstanceId, Long> startNumbers = new HashMap<>();
+  private final Map<IncarnationId, Long> endedAtMillis = new HashMap<>();
   private final Map<EndpointId, Map<RequestId, Long>> unclaimedSince = new HashMap<>();
 
   private OrphanSweep(long graceMillis) {
@@ -58,45 +62,46 @@
    * @param running all requests that it runs
    */
   public void claims(long now, IncarnationId owner, List<RequestId> running) {
-    claims.put(owner, new HashSet<>(running));
-    claimedAt.put(owner, now);
+    if (!endedAtMillis.containsKey(owner)) {
+      claims.put(owner, new Claims(now, Set.copyOf(running)));
+    }
   }
 
   /**
-   * Takes over which incarnations live; a request is an orphan only once each of them has told anew
-   * what it runs, unless its owner has ended.
+   * Takes over which incarnations live; until one of them has told anew what it runs, requests
+   * whose owner is not known may be its. Earlier runs of the same instances have ended.
    *
    * @param living all living incarnations
    */
   public void members(Set<IncarnationId> living) {
     members.clear();
     members.addAll(living);
+    startNumbers.clear();
+    living.forEach(member -> startNumbers.put(member.instance(), member.startNumber()));
   }
 
   /**
-   * Drops the claims of an incarnation that has ended; what only it claimed is an orphan at once.
+   * Drops the claims of an incarnation that has ended; what only it served is an orphan at once.
    *
    * @param now the time in milliseconds
    * @param owner the incarnation
    */
   public void incarnationEnded(long now, IncarnationId owner) {
-    ownerEndedAt.values().removeIf(endedAt -> now - endedAt > ENDED_MEMORY_MILLIS);
+    endedAtMillis.values().removeIf(millis -> now - millis > ENDED_MEMORY_MILLIS);
+    endedAtMillis.put(owner, now);
+    claims.remove(owner);
     members.remove(owner);
-    claimedAt.remove(owner);
-    Set<RequestId> orphans = claims.remove(owner);
-    if (orphans != null) {
-      orphans.forEach(request -> ownerEndedAt.put(request, now));
-    }
   }
 
   /**
    * Tells whether a living incarnation claims a request.
    *
+   * @param now the time in milliseconds
    * @param request the request
    * @return true if one does
    */
-  public boolean isClaimed(RequestId request) {
-    return claims.values().stream().anyMatch(running -> running.contains(request));
+  public boolean isClaimed(long now, RequestId request) {
+    return claims.values().stream().anyMatch(claim -> claim.covers(now, request));
   }
 
   /**
@@ -123,9 +128,9 @@
     Map<RequestId, Long> after = new HashMap<>();
     List<ScheduleAction> actions = new ArrayList<>();
     for (RequestId request : held) {
-      if (!placed.test(request) && !isClaimed(request)) {
+      if (!placed.test(request) && !isClaimed(now, request)) {
         long since = before.getOrDefault(request, now);
-        boolean due = hasNoOwner(now, since) || ownerEndedAt.containsKey(request);
+        boolean due = now - since >= waitMillis(request, since);
         after.put(request, due ? now : since);
         if (due) {
           actions.add(new CancelOrphan(endpoint, request));
@@ -136,11 +141,32 @@
     return actions;
   }
 
-  /** Tells whether all had the time and have taken it to claim what is held since then. */
-  private boolean hasNoOwner(long now, long since) {
-    long claimedAfter = since + graceMillis / 2;
-    return now - since >= graceMillis
-        && members.stream()
-            .allMatch(member -> claimedAt.getOrDefault(member, Long.MIN_VALUE) >= claimedAfter);
+  private long waitMillis(RequestId request, long since) {
+    Optional<IncarnationId> owner = request.owner();
+    if (owner.filter(this::isEnded).isPresent()) {
+      return 0;
+    }
+    boolean mayBeServed =
+        owner
+            .map(known -> !hasClaimedAfter(known, since))
+            .orElseGet(() -> !members.stream().allMatch(each -> hasClaimedAfter(each, since)));
+    return mayBeServed ? SILENT_OWNER_MILLIS : graceMillis;
+  }
+
+  /** A scheduler that has just started was told of no end; a later run of the instance tells it. */
+  private boolean isEnded(IncarnationId owner) {
+    Long living = startNumbers.get(owner.instance());
+    return endedAtMillis.containsKey(owner) || living != null && living > owner.startNumber();
+  }
+
+  private boolean hasClaimedAfter(IncarnationId owner, long millis) {
+    Claims latest = claims.get(owner);
+    return latest != null && latest.atMillis() > millis;
+  }
+
+  private record Claims(long atMillis, Set<RequestId> running) {
+    boolean covers(long now, RequestId request) {
+      return now - atMillis < SILENT_OWNER_MILLIS && running.contains(request);
+    }
   }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PlacementRequest.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PlacementRequest.java
@@ -38,4 +38,25 @@
   public PlacementRequest {
     prefixHashes = List.copyOf(prefixHashes);
   }
+
+  /**
+   * Returns the same question under another attempt and with another time left.
+   *
+   * @param newAttempt the count under which it is asked
+   * @param millis the time left
+   * @return the question
+   */
+  public PlacementRequest as(int newAttempt, long millis) {
+    return new PlacementRequest(
+        request,
+        newAttempt,
+        owner,
+        service,
+        account,
+        withinRate,
+        promptTokens,
+        maxOutputTokens,
+        prefixHashes,
+        millis);
+  }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PoolScheduler.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PoolScheduler.java
@@ -251,7 +251,7 @@
     List<ScheduleAction> actions = new ArrayList<>();
     for (Placement placement : book.live(open -> open.waiting().request().owner().equals(owner))) {
       tracker.close(now, placement);
-      if (!orphans.isClaimed(placement.request())) {
+      if (!orphans.isClaimed(now, placement.request())) {
         cancelEverywhere(placement, actions);
       }
     }
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/schedule/PlacementLegTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/schedule/PlacementLegTest.java
@@ -15,18 +15,23 @@
   private static final ServiceSpec NOTES = DOCUMENT.services().get(TestFleet.NOTES);
 
   @Test
-  void asksForEverLaterPlaces() {
-    assertThat(allowed(10_000, 60_000), contains(2_500L, 10_000L, 40_000L, 60_000L));
+  void asksForEarlyPlacesFirst() {
+    assertThat(allowedMillis(10_000, 60_000), contains(2_500L, 10_000L, 40_000L, 60_000L));
   }
 
   @Test
-  void startsAnewWhenTheTargetIsMissed() {
-    assertThat(allowed(-1, 30_000), contains(2_500L, 10_000L, 30_000L));
+  void asksForEarlyPlacesFirstAlsoWhenTheTargetIsMissed() {
+    assertThat(allowedMillis(-1, 50_000), contains(2_500L, 10_000L, 40_000L, 50_000L));
+  }
+
+  @Test
+  void asksOnlyOnceWhenLittleTimeIsLeft() {
+    assertThat(allowedMillis(10_000, 2_500), contains(2_500L));
   }
 
   @Test
   void endsWithSmallestTargets() {
-    assertThat(allowed(1, 2), contains(1L, 2L));
+    assertThat(allowedMillis(1, 2), contains(1L, 2L));
   }
 
   @Test
@@ -35,7 +40,7 @@
     assertThat(PlacementLeg.plan(leaving, NOTES, TestFleet.DOMAIN, 10_000, 60_000), empty());
   }
 
-  private static List<Long> allowed(long targetMillis, long remainingMillis) {
+  private static List<Long> allowedMillis(long targetMillis, long remainingMillis) {
     return PlacementLeg.plan(DOCUMENT, NOTES, TestFleet.DOMAIN, targetMillis, remainingMillis)
         .stream()
         .map(PlacementLeg::allowedMillis)
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/CallerServer.java
@@ -0,0 +1,196 @@
+package org.knapweedcleat.router.caller;
+
+import io.netty.handler.codec.TooLongFrameException;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import io.vertx.ext.web.handler.BodyHandler;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Supplier;
+import org.knapweedcleat.core.attempt.CallerError;
+import org.knapweedcleat.core.attempt.CallerFailure;
+import org.knapweedcleat.core.config.FleetSnapshot;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.RequestId;
+import org.knapweedcleat.core.message.PeerMessage;
+import org.knapweedcleat.core.once.ForwardedCall;
+import org.knapweedcleat.router.vertx.Unis;
+
+/** Serves callers over HTTP; all its state belongs to one event loop. */
+public final class CallerServer {
+
+  private static final int TOO_LARGE = 413;
+  private static final int IDLE_SECONDS = 300;
+  private static final int MAX_LINE_BYTES = 8_192;
+
+  private final Vertx vertx;
+  private final Context loop;
+  private final CallerContext context;
+  private final String host;
+  private final int port;
+  private final Serving serving;
+  private final CallDispatch dispatch;
+  private final Withdrawals withdrawals;
+  private Optional<HttpServer> listening = Optional.empty();
+
+  private CallerServer(Vertx vertx, CallerContext context, String host, int port) {
+    this.vertx = vertx;
+    this.loop = vertx.getOrCreateContext();
+    this.context = context;
+    this.host = host;
+    this.port = port;
+    this.serving = Serving.of(vertx, loop, context);
+    this.dispatch = CallDispatch.of(serving);
+    this.withdrawals = Withdrawals.of(serving);
+  }
+
+  /**
+   * Returns a server that does not listen yet.
+   *
+   * @param vertx runs the server
+   * @param context what it needs of the rest of the instance
+   * @param host the IP number to listen on
+   * @param port the TCP port, 0 for any free one
+   * @return the server
+   */
+  public static CallerServer create(Vertx vertx, CallerContext context, String host, int port) {
+    Objects.requireNonNull(host, "host");
+    return new CallerServer(vertx, Objects.requireNonNull(context, "context"), host, port);
+  }
+
+  /**
+   * Begins to listen.
+   *
+   * @return the bound port
+   */
+  public Uni<Integer> start() {
+    return Unis.from(() -> onLoop(this::listen));
+  }
+
+  /**
+   * Follows a new document: requests whose keys it no longer declares are ended.
+   *
+   * @param snapshot the document in force
+   */
+  public void documentChanged(FleetSnapshot snapshot) {
+    loop.runOnContext(ignored -> withdrawals.apply(snapshot));
+  }
+
+  /** Begins the planned stop; a second call changes nothing. */
+  public void beginDrain() {
+    loop.runOnContext(ignored -> dispatch.draining().begin());
+  }
+
+  /**
+   * Waits for the end of the planned stop; the server then listens no longer.
+   *
+   * @return the requests that were cut, normally 0
+   */
+  public Uni<Integer> drained() {
+    return Unis.from(() -> onLoop(() -> dispatch.draining().drained().compose(this::stop)));
+  }
+
+  /**
+   * Answers a question of another instance.
+   *
+   * @param question the question
+   * @param from the incarnation that asks
+   * @return the answer; fails for a question of another slice
+   */
+  public Uni<PeerMessage> answer(PeerMessage question, IncarnationId from) {
+    if (question instanceof ForwardedCall call) {
+      return Unis.from(() -> onLoop(() -> dispatch.once().answer(call).map(done -> done)));
+    }
+    return Uni.createFrom()
+        .failure(new IllegalArgumentException("not a question for callers from " + from));
+  }
+
+  /**
+   * Lists the requests that this incarnation owns.
+   *
+   * @return a copy, in any order
+   */
+  public Uni<Set<RequestId>> running() {
+    return Unis.from(() -> onLoop(() -> Future.succeededFuture(runningNow())));
+  }
+
+  private Set<RequestId> runningNow() {
+    Set<RequestId> ids = new TreeSet<>();
+    serving.running().all().forEach(call -> ids.add(call.id()));
+    return ids;
+  }
+
+  private Future<Integer> stop(int cut) {
+    serving.cancels().stop();
+    return listening
+        .map(HttpServer::close)
+        .orElseGet(Future::succeededFuture)
+        .compose(closed -> serving.endpoints().close())
+        .map(closed -> cut);
+  }
+
+  private Future<Integer> listen() {
+    serving.cancels().start();
+    context.fleet().current().ifPresent(withdrawals::apply);
+    Router router = Router.router(vertx);
+    router
+        .route()
+        .handler(BodyHandler.create(false).setBodyLimit(context.limits().maxBodyBytes()))
+        .handler(this::handle)
+        .failureHandler(this::refuse);
+    HttpServer server = vertx.createHttpServer(options());
+    return server
+        .requestHandler(router)
+        .invalidRequestHandler(this::invalid)
+        .listen(port, host)
+        .onSuccess(bound -> listening = Optional.of(bound))
+        .map(HttpServer::actualPort);
+  }
+
+  private HttpServerOptions options() {
+    return new HttpServerOptions()
+        .setMaxHeaderSize(context.limits().maxHeaderBytes())
+        .setMaxInitialLineLength(MAX_LINE_BYTES)
+        .setHttp2ClearTextEnabled(false)
+        .setHandle100ContinueAutomatically(true)
+        .setIdleTimeout(IDLE_SECONDS);
+  }
+
+  private void handle(RoutingContext routing) {
+    dispatch.handle(routing.request(), routing.body().buffer());
+  }
+
+  private void refuse(RoutingContext routing) {
+    CallerError error =
+        routing.statusCode() == TOO_LARGE ? CallerError.TOO_LARGE : CallerError.MALFORMED;
+    refuseAs(routing.request(), error, "the body is too large or cannot be read");
+  }
+
+  private void invalid(HttpServerRequest request) {
+    Throwable cause = request.decoderResult().cause();
+    boolean large = cause instanceof TooLongFrameException;
+    CallerError error = large ? CallerError.TOO_LARGE : CallerError.MALFORMED;
+    refuseAs(request, error, "the request is not valid HTTP");
+    request.connection().close();
+  }
+
+  private void refuseAs(HttpServerRequest request, CallerError error, String message) {
+    dispatch.refuse(request, CallerFailure.notRun(error, 0, message));
+  }
+
+  private <T> Future<T> onLoop(Supplier<Future<T>> work) {
+    Promise<T> promise = Promise.promise();
+    loop.runOnContext(ignored -> work.get().onComplete(promise));
+    return promise.future();
+  }
+}
