--- a/knapweedcleat-bench/src/main/java/org/knapweedcleat/bench/RequestRun.java
+++ b/knapweedcleat-bench/src/main/java/org/knapweedcleat/bench/RequestRun.java
@@ -40,8 +40,8 @@
   private RequestRun(Simulation simulation, Arrival arrival) {
     this.simulation = simulation;
     this.arrival = arrival;
-    this.request = RequestId.of("r" + arrival.number());
     this.owner = simulation.fleet().incarnation(arrival.instance());
+    this.request = RequestId.of(owner, arrival.number());
     this.home = simulation.fleet().instanceDomains().get(arrival.instance());
   }
 
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/OrphanSweep.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/OrphanSweep.java
@@ -31,7 +31,7 @@
 
   private final long graceMillis;
   private final Map<IncarnationId, Claims> claims = new HashMap<>();
-  private final Set<IncarnationId> silent = new HashSet<>();
+  private final Set<IncarnationId> members = new HashSet<>();
   private final Map<InstanceId, Long> startNumbers = new HashMap<>();
   private final Map<IncarnationId, Long> endedAtMillis = new HashMap<>();
   private final Map<EndpointId, Map<RequestId, Long>> unclaimedSince = new HashMap<>();
@@ -64,20 +64,18 @@
   public void claims(long now, IncarnationId owner, List<RequestId> running) {
     if (!endedAtMillis.containsKey(owner)) {
       claims.put(owner, new Claims(now, Set.copyOf(running)));
-      silent.remove(owner);
     }
   }
 
   /**
-   * Takes over which incarnations live; while one of them has not told what it runs, requests whose
-   * owner is not known may be its. Earlier runs of the same instances have ended.
+   * Takes over which incarnations live; until one of them has told anew what it runs, requests
+   * whose owner is not known may be its. Earlier runs of the same instances have ended.
    *
    * @param living all living incarnations
    */
   public void members(Set<IncarnationId> living) {
-    silent.clear();
-    silent.addAll(living);
-    silent.removeAll(claims.keySet());
+    members.clear();
+    members.addAll(living);
     startNumbers.clear();
     living.forEach(member -> startNumbers.put(member.instance(), member.startNumber()));
   }
@@ -92,7 +90,7 @@
     endedAtMillis.values().removeIf(millis -> now - millis > ENDED_MEMORY_MILLIS);
     endedAtMillis.put(owner, now);
     claims.remove(owner);
-    silent.remove(owner);
+    members.remove(owner);
   }
 
   /**
@@ -149,7 +147,9 @@
       return 0;
     }
     boolean mayBeServed =
-        owner.map(known -> !hasClaimedAfter(known, since)).orElse(!silent.isEmpty());
+        owner
+            .map(known -> !hasClaimedAfter(known, since))
+            .orElseGet(() -> !members.stream().allMatch(each -> hasClaimedAfter(each, since)));
     return mayBeServed ? SILENT_OWNER_MILLIS : graceMillis;
   }
 
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PoolScheduler.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/PoolScheduler.java
@@ -209,7 +209,7 @@
   }
 
   /**
-   * Takes over which incarnations live; orphans are judged once each of them has sent its claims.
+   * Takes over which incarnations live; orphans are judged once each of them has sent new claims.
    *
    * @param living all living incarnations of the failure domains that may use the pool
    */
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/schedule/OrphanSweepTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/schedule/OrphanSweepTest.java
@@ -79,6 +79,16 @@
     assertThat(sweepAt(10 * GRACE + 1), contains(CANCEL));
   }
 
+  @Test
+  void judgesNothingUntilLivingIncarnationHasClaimedAnew() {
+    sweep.claims(-GRACE, OWNER, List.of());
+    sweep.members(Set.of(OWNER));
+    assertThat(sweepAt(0), empty());
+    assertThat(sweepAt(10 * GRACE), empty());
+    sweep.claims(10 * GRACE, OWNER, List.of());
+    assertThat(sweepAt(10 * GRACE + 1), contains(CANCEL));
+  }
+
   @Test
   void leavesAloneWhatSilentOwnerMayStillServe() {
     RequestId cutOff = RequestId.of(OWNER, 1);
