--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/attempt/SplitAttempt.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/attempt/SplitAttempt.java
@@ -1,16 +1,10 @@
 package org.knapweedcleat.core.attempt;
 
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.invariant.InvariantMonitor;
 import org.knapweedcleat.core.schedule.PlacementDecision;
-import org.knapweedcleat.core.schedule.PlacementProgress;
-import org.knapweedcleat.core.schedule.PlacementRequest;
 import org.knapweedcleat.core.schedule.PlacementStage;
-import org.knapweedcleat.core.transfer.ReservationSize;
 
 /**
  * Runs one split request from its first placement to its end.
@@ -23,9 +17,6 @@
  */
 public final class SplitAttempt {
 
-  private static final int MAX_PLACEMENTS_BEFORE_ANSWER = 4;
-  private static final int MAX_PLACEMENTS = 12;
-  private static final long MAX_HOLD_MILLIS = 10_000;
   private static final long RELEASE_WAIT_MILLIS = 250;
   private static final long RETRY_AFTER_MILLIS = 500;
   private static final long RESUME_PAUSE_MILLIS = 100;
@@ -33,28 +24,25 @@
   private final SplitPlan plan;
   private final AttemptBudget budget;
   private final StreamAssembler assembler;
-  private final long startedAtMillis;
-  private final Set<EndpointId> holding = new HashSet<>();
-  private final Set<EndpointId> unreleased = new HashSet<>();
-  private final List<SplitAction> out = new ArrayList<>();
+  private final PlacementLimits limits;
+  private final EndpointMemory memory = EndpointMemory.create();
+  private final SplitActions out;
 
-  private Stage stage = Stage.PLACING;
+  private SplitStage stage = SplitStage.PLACING;
   private PlacementDecision.Split placement;
-  private String handle;
   private int attempt;
   private int stream;
-  private int promptsSent;
   private int ends;
   private boolean begun;
   private boolean progressed;
   private boolean firstTokenReported;
-  private long resumeUntilMillis;
 
   private SplitAttempt(
       SplitPlan plan, AttemptBudget budget, InvariantMonitor monitor, long nowMillis) {
     this.plan = plan;
+    this.out = SplitActions.of(plan.request());
     this.budget = budget;
-    this.startedAtMillis = nowMillis;
+    this.limits = PlacementLimits.of(nowMillis, plan.deadlineMillis());
     this.assembler =
         StreamAssembler.of(plan.request(), plan.firstPosition(), plan.maxTokens(), monitor);
   }
@@ -82,7 +70,7 @@
   public List<SplitAction> start(long nowMillis) {
     budget.earn();
     place(nowMillis);
-    return drain();
+    return out.drain();
   }
 
   /**
@@ -95,12 +83,12 @@
   public List<SplitAction> on(long nowMillis, SplitEvent event) {
     if (event instanceof SplitEvent.Released released) {
       onReleased(released.endpoint());
-    } else if (stage != Stage.OVER) {
+    } else if (stage != SplitStage.OVER) {
       dispatch(nowMillis, event);
-    } else if (event instanceof SplitEvent.Decided) {
-      report(PlacementStage.CANCELLED, 0);
+    } else if (event instanceof SplitEvent.Decided late) {
+      out.report(late.decision().attempt(), PlacementStage.CANCELLED, 0);
     }
-    return drain();
+    return out.drain();
   }
 
   /**
@@ -109,7 +97,7 @@
    * @return true after the end or the failure was sent
    */
   public boolean isOver() {
-    return stage == Stage.OVER;
+    return stage == SplitStage.OVER;
   }
 
   /**
@@ -121,8 +109,7 @@
     if (begun) {
       return Ran.YES;
     }
-    boolean clean = promptsSent == 0 && holding.isEmpty() && unreleased.isEmpty();
-    return clean ? Ran.NO : Ran.MAYBE;
+    return memory.isClean() ? Ran.NO : Ran.MAYBE;
   }
 
   /**
@@ -178,7 +165,7 @@
   }
 
   private void onDecided(long now, PlacementDecision decision) {
-    if (stage != Stage.PLACING || decision.attempt() != attempt) {
+    if (stage != SplitStage.PLACING || decision.attempt() != attempt) {
       return;
     }
     if (decision instanceof PlacementDecision.Split split) {
@@ -192,47 +179,41 @@
   }
 
   private void onRefused(long now, PlacementDecision.Refused refused) {
-    if (begun && mayPlaceAgain(now)) {
-      stage = Stage.PAUSING;
+    if (begun && limits.allow(now, attempt, begun)) {
+      stage = SplitStage.PAUSING;
       out.add(new SplitAction.StartTimer(attempt, RESUME_PAUSE_MILLIS));
       return;
     }
-    CallerError error = CallerError.of(refused.reason());
-    fail(error, refused.retryAfterMillis(), "the scheduler refused the request");
+    long retryAfter = refused.retryAfterMillis();
+    fail(CallerError.of(refused.reason()), retryAfter, "the scheduler refused the request");
   }
 
   /** A late cancel of an earlier placement must not hit this one, so it waits for the others. */
   private void reserveWhenReleased() {
-    if (unreleased.contains(placement.decode()) || unreleased.contains(placement.prefill())) {
-      stage = Stage.RELEASING;
+    if (memory.blocks(placement)) {
+      stage = SplitStage.RELEASING;
       out.add(new SplitAction.StartTimer(attempt, RELEASE_WAIT_MILLIS));
       return;
     }
-    stage = Stage.RESERVING;
-    holding.add(placement.decode());
-    int pieces = ReservationSize.pieces(plan.promptTokens(), plan.maxTokens());
-    long hold = placement.prefillDelayMillis() + Math.min(plan.deadlineMillis(), MAX_HOLD_MILLIS);
-    out.add(new SplitAction.Reserve(attempt, placement.decode(), pieces, hold));
+    stage = SplitStage.RESERVING;
+    memory.hold(placement.decode());
+    out.add(plan.reservation(attempt, placement));
   }
 
   private void onReleased(EndpointId endpoint) {
-    unreleased.remove(endpoint);
-    if (stage == Stage.RELEASING) {
-      boolean blocked =
-          unreleased.contains(placement.decode()) || unreleased.contains(placement.prefill());
-      if (!blocked) {
-        reserveWhenReleased();
-      }
+    memory.confirmed(endpoint);
+    if (stage == SplitStage.RELEASING && !memory.blocks(placement)) {
+      reserveWhenReleased();
     }
   }
 
   private void onReserved(int which) {
-    if (stage != Stage.RESERVING || which != attempt) {
+    if (stage != SplitStage.RESERVING || which != attempt) {
       return;
     }
-    report(PlacementStage.RESERVED, 0);
+    out.report(attempt, PlacementStage.RESERVED, 0);
     if (placement.prefillDelayMillis() > 0) {
-      stage = Stage.DELAYING;
+      stage = SplitStage.DELAYING;
       out.add(new SplitAction.StartTimer(attempt, placement.prefillDelayMillis()));
       return;
     }
@@ -240,11 +221,11 @@
   }
 
   private void onReserveFailed(long now, SplitEvent.ReserveFailed failed) {
-    if (stage != Stage.RESERVING || failed.attempt() != attempt) {
+    if (stage != SplitStage.RESERVING || failed.attempt() != attempt) {
       return;
     }
     if (!failed.failure().mayHaveRun()) {
-      holding.remove(placement.decode());
+      memory.drop(placement.decode());
     }
     boolean refused = failed.failure() == CallFailure.REFUSED;
     abandon(now, refused ? PlacementStage.RESERVATION_REFUSED : PlacementStage.ENDPOINT_FAILED);
@@ -253,62 +234,62 @@
   private void onTimer(long now, int which) {
     if (which != attempt) {
       return;
-    }
-    if (stage == Stage.DELAYING) {
+    } else if (stage == SplitStage.DELAYING) {
       prefill();
-    } else if (stage == Stage.RELEASING) {
+    } else if (stage == SplitStage.RELEASING) {
       abandon(now, PlacementStage.ENDPOINT_FAILED);
-    } else if (stage == Stage.PAUSING) {
+    } else if (stage == SplitStage.PAUSING) {
       place(now);
     }
   }
 
   private void prefill() {
-    stage = Stage.PREFILLING;
-    holding.add(placement.prefill());
-    promptsSent++;
+    stage = SplitStage.PREFILLING;
+    memory.hold(placement.prefill());
+    memory.promptSent();
     out.add(new SplitAction.Prefill(attempt, placement.prefill()));
-    report(PlacementStage.PREFILL_STARTED, 0);
+    out.report(attempt, PlacementStage.PREFILL_STARTED, 0);
   }
 
   private void onPrefilled(SplitEvent.Prefilled prefilled) {
-    if (stage != Stage.PREFILLING || prefilled.attempt() != attempt) {
+    if (stage != SplitStage.PREFILLING || prefilled.attempt() != attempt) {
       return;
     }
-    handle = prefilled.handle();
-    stage = Stage.IMPORTING;
-    report(PlacementStage.PREFILLED, prefilled.computedTokens());
-    out.add(new SplitAction.Import(attempt, placement.decode(), placement.prefill(), handle));
+    stage = SplitStage.IMPORTING;
+    out.report(attempt, PlacementStage.PREFILLED, prefilled.computedTokens());
+    out.add(
+        new SplitAction.Import(
+            attempt, placement.decode(), placement.prefill(), prefilled.handle()));
   }
 
   private void onPrefillFailed(long now, SplitEvent.PrefillFailed failed) {
-    if (stage != Stage.PREFILLING || failed.attempt() != attempt) {
+    if (stage != SplitStage.PREFILLING || failed.attempt() != attempt) {
       return;
     }
     if (!failed.failure().mayHaveRun()) {
-      promptsSent--;
-      holding.remove(placement.prefill());
+      memory.promptRefused();
+      memory.drop(placement.prefill());
     }
     abandon(now, PlacementStage.PREFILL_FAILED);
   }
 
   private void onImported(int which) {
-    if (stage != Stage.IMPORTING || which != attempt) {
+    if (stage != SplitStage.IMPORTING || which != attempt) {
       return;
     }
-    holding.remove(placement.prefill());
-    report(PlacementStage.IMPORTED, 0);
+    memory.drop(placement.prefill());
+    out.report(attempt, PlacementStage.IMPORTED, 0);
     decode();
   }
 
   private void onImportFailed(long now, SplitEvent.ImportFailed failed) {
-    if (stage == Stage.IMPORTING && failed.attempt() == attempt) {
+    if (stage == SplitStage.IMPORTING && failed.attempt() == attempt) {
       abandon(now, PlacementStage.TRANSFER_FAILED);
     }
   }
 
   private void decode() {
-    stage = Stage.DECODING;
+    stage = SplitStage.DECODING;
     progressed = false;
     stream++;
     assembler.open(stream);
@@ -327,7 +308,7 @@
   private void beginAnswer() {
     if (!firstTokenReported) {
       firstTokenReported = true;
-      report(PlacementStage.FIRST_TOKEN, 0);
+      out.report(attempt, PlacementStage.FIRST_TOKEN, 0);
     }
     if (!begun) {
       begun = true;
@@ -336,19 +317,19 @@
   }
 
   private void onStreamEnded(long now, SplitEvent.StreamEnded ended) {
-    if (ended.stream() != stream || stage != Stage.DECODING) {
+    if (ended.stream() != stream || stage != SplitStage.DECODING) {
       return;
     }
-    if (!assembler.end(stream, ended.tokens())) {
+    if (assembler.end(stream, ended.tokens())) {
+      memory.drop(placement.decode());
+      finish();
+    } else {
       onStreamBroken(now, stream, CallFailure.UNKNOWN);
-      return;
     }
-    holding.remove(placement.decode());
-    finish();
   }
 
   private void onStreamBroken(long now, int which, CallFailure failure) {
-    if (which != stream || stage != Stage.DECODING) {
+    if (which != stream || stage != SplitStage.DECODING) {
       return;
     }
     if (assembler.nextPosition() == plan.maxTokens()) {
@@ -357,13 +338,13 @@
       return;
     }
     if (progressed) {
-      resumeUntilMillis = now + plan.deadlineMillis();
+      limits.broke(now);
     }
     if (progressed && failure == CallFailure.UNKNOWN) {
       decode();
-      return;
+    } else {
+      abandon(now, PlacementStage.ENDPOINT_FAILED);
     }
-    abandon(now, PlacementStage.ENDPOINT_FAILED);
   }
 
   private void finish() {
@@ -371,8 +352,8 @@
     assembler.checkEnd(assembler.nextPosition(), ends);
     ends++;
     out.add(new SplitAction.SendEnd(assembler.nextPosition()));
-    report(PlacementStage.FINISHED, sentTokens());
-    stage = Stage.OVER;
+    out.report(attempt, PlacementStage.FINISHED, sentTokens());
+    stage = SplitStage.OVER;
     cancelHeld();
   }
 
@@ -380,16 +361,16 @@
     if (begun && !cause.endsBegunAnswer()) {
       return;
     }
-    report(PlacementStage.CANCELLED, sentTokens());
+    out.report(attempt, PlacementStage.CANCELLED, sentTokens());
     fail(cause.error(), 0, cause.message());
   }
 
   private void abandon(long now, PlacementStage why) {
-    report(why, 0);
+    out.report(attempt, why, 0);
     assembler.close();
     cancelHeld();
     placement = null;
-    if (!mayPlaceAgain(now)) {
+    if (!limits.allow(now, attempt, begun)) {
       fail(CallerError.NO_ENDPOINT, RETRY_AFTER_MILLIS, "no placement worked out: " + why);
     } else if (!begun && !budget.tryTake()) {
       fail(CallerError.RETRY_BUDGET, RETRY_AFTER_MILLIS, "the retry budget is used up");
@@ -398,72 +379,23 @@
     }
   }
 
-  /** An answer that has begun gets as long again for each break as it had for its beginning. */
-  private boolean mayPlaceAgain(long now) {
-    if (!begun) {
-      boolean inTime = now - startedAtMillis < plan.deadlineMillis();
-      return inTime && attempt < MAX_PLACEMENTS_BEFORE_ANSWER;
-    }
-    return now < resumeUntilMillis && attempt < MAX_PLACEMENTS;
-  }
-
   private void place(long now) {
-    stage = Stage.PLACING;
+    stage = SplitStage.PLACING;
     attempt++;
     placement = null;
     firstTokenReported = false;
-    long until = begun ? resumeUntilMillis : startedAtMillis + plan.deadlineMillis();
-    int left = plan.maxTokens() - assembler.nextPosition();
-    out.add(
-        new SplitAction.Place(
-            new PlacementRequest(
-                plan.request(),
-                attempt,
-                plan.owner(),
-                plan.service(),
-                plan.account(),
-                true,
-                plan.promptTokens(),
-                left,
-                plan.prefixHashes(),
-                Math.max(0, until - now))));
+    long remaining = limits.remainingMillis(now, begun);
+    out.add(new SplitAction.Place(plan.question(attempt, assembler.nextPosition(), remaining)));
   }
 
   private void fail(CallerError error, long retryAfterMillis, String message) {
+    stage = SplitStage.OVER;
     CallerFailure failure = CallerFailure.truthful(error, ran(), retryAfterMillis, message);
-    stage = Stage.OVER;
     out.add(new SplitAction.SendFailure(failure));
     cancelHeld();
   }
 
   private void cancelHeld() {
-    for (EndpointId endpoint : holding) {
-      unreleased.add(endpoint);
-      out.add(new SplitAction.Cancel(attempt, endpoint));
-    }
-    holding.clear();
-  }
-
-  private void report(PlacementStage reached, int tokens) {
-    PlacementProgress progress = new PlacementProgress(plan.request(), attempt, reached, tokens);
-    out.add(new SplitAction.Report(progress));
-  }
-
-  private List<SplitAction> drain() {
-    List<SplitAction> actions = List.copyOf(out);
-    out.clear();
-    return actions;
-  }
-
-  private enum Stage {
-    PLACING,
-    RELEASING,
-    RESERVING,
-    DELAYING,
-    PREFILLING,
-    IMPORTING,
-    DECODING,
-    PAUSING,
-    OVER
+    memory.release().forEach(endpoint -> out.add(new SplitAction.Cancel(attempt, endpoint)));
   }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/attempt/SplitPlan.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/attempt/SplitPlan.java
@@ -5,6 +5,9 @@
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.RequestId;
 import org.knapweedcleat.core.id.ServiceId;
+import org.knapweedcleat.core.schedule.PlacementDecision;
+import org.knapweedcleat.core.schedule.PlacementRequest;
+import org.knapweedcleat.core.transfer.ReservationSize;
 
 /**
  * What a split request asks for.
@@ -30,6 +33,8 @@
     List<Long> prefixHashes,
     long deadlineMillis) {
 
+  private static final long MAX_HOLD_MILLIS = 10_000;
+
   /** Checks the ranges and copies the hashes. */
   public SplitPlan {
     prefixHashes = List.copyOf(prefixHashes);
@@ -37,4 +42,39 @@
       throw new IllegalArgumentException("position " + firstPosition + " of " + maxTokens);
     }
   }
+
+  /**
+   * Returns the question for the scheduler.
+   *
+   * @param attempt counts the placements, from 1
+   * @param nextPosition the first position that is still missing
+   * @param remainingMillis the time left
+   * @return the question
+   */
+  PlacementRequest question(int attempt, int nextPosition, long remainingMillis) {
+    return new PlacementRequest(
+        request,
+        attempt,
+        owner,
+        service,
+        account,
+        true,
+        promptTokens,
+        maxTokens - nextPosition,
+        prefixHashes,
+        remainingMillis);
+  }
+
+  /**
+   * Returns the reservation of decode memory for a placement.
+   *
+   * @param attempt counts the placements, from 1
+   * @param placement where the request was placed
+   * @return the action
+   */
+  SplitAction.Reserve reservation(int attempt, PlacementDecision.Split placement) {
+    int pieces = ReservationSize.pieces(promptTokens, maxTokens);
+    long hold = placement.prefillDelayMillis() + Math.min(deadlineMillis, MAX_HOLD_MILLIS);
+    return new SplitAction.Reserve(attempt, placement.decode(), pieces, hold);
+  }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/limit/ShareLimiter.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/limit/ShareLimiter.java
@@ -216,6 +216,15 @@
     return actions;
   }
 
+  /**
+   * Tells whether this instance owns its share of all client accounts.
+   *
+   * @return false while it has just joined, after a pause and after it was handed over
+   */
+  public boolean ownsShare() {
+    return ownership.isActive();
+  }
+
   /**
    * Gives back all pledges with their tokens and gives up the own share for good, for a planned
    * stop.
@@ -238,9 +247,10 @@
 
   private void dispatch(IncarnationId from, LimitMessage message, List<LimitAction> actions) {
     if (message instanceof LimitMessage.JoinRequest request) {
-      LimitMessage answer = ownership.join(from, request, table.confirmedRevision());
+      ownership
+          .join(from, request, table.confirmedRevision())
+          .ifPresent(answer -> actions.add(new LimitAction.Send(from, answer)));
       exchange.refreshFractions(nowMillis);
-      actions.add(new LimitAction.Send(from, answer));
     } else if (message instanceof LimitMessage.JoinAnswer answer) {
       ownership.answered(nowMillis, from, answer);
     } else if (message instanceof LimitMessage.PledgeRequest request) {
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/FairQueue.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/FairQueue.java
@@ -95,15 +95,12 @@
     }
   }
 
-  /** Lists the lanes that have waiting requests, the first to be served first. */
-  List<QueueLane> lanes() {
-    return List.copyOf(lanes.keySet());
-  }
-
-  /** Returns the request to be served next in a lane, or null. */
-  Waiting head(QueueLane lane) {
-    NavigableSet<AccountQueue> queues = lanes.get(lane);
-    return queues == null ? null : queues.first().first(lane);
+  /** Returns the request whose turn it is, or null. */
+  Waiting head() {
+    if (lanes.isEmpty()) {
+      return null;
+    }
+    return lanes.firstEntry().getValue().first().first(lanes.firstKey());
   }
 
   List<Waiting> ownedBy(IncarnationId owner) {
@@ -113,16 +110,16 @@
   }
 
   /** Sums what is likely to be served before a new request of an account in a lane. */
-  QueuedWork ahead(PlacementRequest request, int weight, QueueLane lane) {
+  QueuedWork ahead(PlacementRequest request, int weight, QueueLane lane, boolean urgent) {
     AccountQueue own = accounts.get(request.account());
-    QueuedWork ownWork = own == null ? QueuedWork.NONE : own.workUpTo(lane);
+    QueuedWork ownWork = own == null ? QueuedWork.NONE : own.workUpTo(lane, urgent);
     double served = own == null ? floor : Math.max(floor, own.served());
     double turn = (ownWork.promptTokens() + request.promptTokens()) / weight;
     QueuedWork sum = ownWork;
     for (AccountQueue other : active) {
       if (other != own) {
         double lead = Math.max(0, served - other.served());
-        sum = sum.plus(other.workUpTo(lane).atMost((turn + lead) * other.weight()));
+        sum = sum.plus(other.workUpTo(lane, false).atMost((turn + lead) * other.weight()));
       }
     }
     return sum;
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/NodeTimes.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/NodeTimes.java
@@ -18,18 +18,19 @@
   static final long POLL_MILLIS = 250;
 
   /** The time between two messages that tell a scheduler what still runs. */
-  static final long CLAIM_MILLIS = 1000;
+  static final long CLAIM_MILLIS = 2000;
 
   /** How long an instance waits for the answer to a part of a document. */
   static final long DOCUMENT_TIMEOUT_MILLIS = 5000;
 
+  private static final long SHARE_WAIT_QUIET_TIMES = 3;
   private static final long IDLE_POLL_MILLIS = 30_000;
   private static final long IDLE_LIST_POLL_MILLIS = 10_000;
   private static final long MIN_LIST_WAIT_MILLIS = 200;
   private static final int DOMAIN_INTERVAL_FACTOR = 10;
   private static final int HEARTBEAT_BYTES_PER_SECOND = 1200;
   private static final int RENEWALS_PER_LEASE = 4;
-  private static final long DRAW_TIMEOUT_MILLIS = 50;
+  private static final long DRAW_TIMEOUT_MILLIS = 250;
   private static final int DRIFT_PERMILLE = 10;
 
   private NodeTimes() {}
@@ -61,6 +62,11 @@
         Math.max(MIN_LIST_WAIT_MILLIS, peers.listLagMillis()), IDLE_LIST_POLL_MILLIS);
   }
 
+  /** Returns how long a new instance waits at most for its share of the client accounts. */
+  static long shareWaitMillis(InstanceSettings.Peers peers) {
+    return SHARE_WAIT_QUIET_TIMES * quietMillis(peers);
+  }
+
   /** Returns how long an instance that is neither heard nor listed may still be at work. */
   static long quietMillis(InstanceSettings.Peers peers) {
     long leases = 2L * peers.leaseMillis();
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
@@ -14,6 +14,7 @@
 import org.knapweedcleat.core.config.RevisionOutcome;
 import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.PoolId;
 import org.knapweedcleat.core.id.RequestId;
 import org.knapweedcleat.core.limit.LimitMessage;
 import org.knapweedcleat.core.limit.ShareLimiter;
@@ -74,6 +75,7 @@
   private final EngineCanceller canceller;
   private final Duties duties;
   private final Incarnations incarnations = Incarnations.create();
+  private final Promise<Integer> stopped = Promise.promise();
   private Promise<Integer> draining;
 
   private RouterNode(Vertx vertx, NodeContext context) {
@@ -97,8 +99,6 @@
             context::nowMillis,
             this::onDocument);
     this.duties = Duties.of(keeper, view);
-    this.readiness =
-        Readiness.of(keeper, context::nowMillis, settings.peers().heartbeatTimeoutMillis());
     this.fetch = PeerDocumentFetch.of(keeper, this::askForDocument);
     this.canceller = EngineCanceller.create(vertx, keeper, context.metrics());
     this.schedulers =
@@ -114,6 +114,13 @@
     this.placements =
         PlacementDesk.of(view, schedulers, addresses, context::nowMillis, context.metrics());
     this.limits = newLimitDesk();
+    this.readiness =
+        Readiness.of(
+            keeper,
+            limits::ownsShare,
+            context::nowMillis,
+            settings.peers().heartbeatTimeoutMillis(),
+            NodeTimes.shareWaitMillis(settings.peers()));
     this.callers =
         CallerServer.create(vertx, callerContext(), settings.host(), settings.callerPort());
     this.platform = PlatformReader.create(vertx, context, keeper, this::onListed);
@@ -180,6 +187,15 @@
     return drained.future();
   }
 
+  /**
+   * Tells when a planned stop is over, whoever began it.
+   *
+   * @return the requests that were cut, normally 0
+   */
+  public Future<Integer> stopped() {
+    return stopped.future();
+  }
+
   /** Tells how far the instance is; may be called on any thread. */
   InstanceState state() {
     if (draining != null) {
@@ -267,7 +283,13 @@
 
   private void finish(int cut, Promise<Integer> drained) {
     limits.handOver();
-    closer.closeAll().onComplete(closed -> drained.complete(cut));
+    closer
+        .closeAll()
+        .onComplete(
+            closed -> {
+              drained.complete(cut);
+              stopped.complete(cut);
+            });
   }
 
   private LimitDesk newLimitDesk() {
@@ -353,13 +375,13 @@
   }
 
   private void sendClaims() {
-    callers.running().subscribe().with(this::sendClaims);
+    duties.pools().forEach(this::sendClaims);
   }
 
-  private void sendClaims(Set<RequestId> running) {
-    RunningClaims claims = new RunningClaims(context.incarnation(), List.copyOf(running));
-    Set<IncarnationId> receivers = duties.schedulers();
-    receivers.addAll(placements.placers());
+  private void sendClaims(PoolId pool) {
+    RunningClaims claims = RunningClaims.of(context.incarnation(), pool, placements.placed(pool));
+    Set<IncarnationId> receivers = placements.placers(pool);
+    duties.schedulerOf(pool).ifPresent(receivers::add);
     receivers.forEach(receiver -> pass(receiver, claims));
   }
 
@@ -367,7 +389,7 @@
   private void onClaims(IncarnationId from, RunningClaims claims) {
     schedulers.claims(claims);
     if (!duties.isInDomain(from)) {
-      duties.schedulers().forEach(scheduler -> pass(scheduler, claims));
+      duties.schedulerOf(claims.pool()).ifPresent(scheduler -> pass(scheduler, claims));
     }
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/LocalSchedulers.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/LocalSchedulers.java
@@ -49,6 +49,7 @@
   private final Map<AttemptId, List<UniEmitter<? super PlacementDecision>>> waiting =
       new HashMap<>();
   private FleetDocument document;
+  private Set<IncarnationId> members = Set.of();
 
   private LocalSchedulers(
       FailureDomainId domain,
@@ -196,8 +197,10 @@
    * @param claims its requests
    */
   public void claims(RunningClaims claims) {
-    long now = nowMillis.getAsLong();
-    each(scheduler -> scheduler.claims(now, claims.owner(), claims.running()));
+    PoolScheduler scheduler = schedulers.get(claims.pool());
+    if (scheduler != null) {
+      run(scheduler.claims(nowMillis.getAsLong(), claims.owner(), claims.running()));
+    }
   }
 
   /**
@@ -206,6 +209,7 @@
    * @param living the incarnations of the failure domain
    */
   public void members(Set<IncarnationId> living) {
+    members = Set.copyOf(living);
     schedulers.values().forEach(scheduler -> scheduler.members(living));
   }
 
@@ -241,6 +245,7 @@
     if (document != null) {
       scheduler.configure(nowMillis.getAsLong(), document);
     }
+    scheduler.members(members);
     return scheduler;
   }
 
