--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/schedule/PlacementLegTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/schedule/PlacementLegTest.java
@@ -29,6 +29,11 @@
     assertThat(allowedMillis(10_000, 2_500), contains(2_500L));
   }
 
+  @Test
+  void endsWithSmallestTargets() {
+    assertThat(allowedMillis(1, 2), contains(1L, 2L));
+  }
+
   @Test
   void asksNobodyWhenAllEndpointsAreLeaving() {
     FleetDocument leaving = TestFleet.document(1, 1, List.of(TestFleet.decode(1)));
