--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/limit/ShareLimiter.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/limit/ShareLimiter.java
@@ -116,7 +116,7 @@
     this.view = view;
     ownership.members(view);
     if (ownership.isDoubtful() && ownership.isActive()) {
-      giveUp(this.nowMillis);
+      giveUp(this.nowMillis, this.nowMillis);
     }
     exchange.members(this.nowMillis, view, actions);
     confirmIfKnown();
@@ -245,6 +245,12 @@
     return actions;
   }
 
+  /** Returns what part of an account's whole rate and burst this instance uses, from 0 to 1. */
+  double portion(AccountId account) {
+    DomainAccount found = table.find(account);
+    return found == null ? 0 : found.portion(tokens.fraction(found.slot()));
+  }
+
   private void dispatch(IncarnationId from, LimitMessage message, List<LimitAction> actions) {
     if (message instanceof LimitMessage.JoinRequest request) {
       ownership
@@ -276,7 +282,7 @@
   private List<LimitAction> advance(long millis) {
     boolean paused = nowMillis != Long.MIN_VALUE && millis - nowMillis > settings.pauseMillis();
     if (paused) {
-      giveUp(nowMillis);
+      giveUp(nowMillis, millis);
     }
     nowMillis = Math.max(nowMillis, millis);
     ownership.advance(nowMillis);
@@ -296,8 +302,8 @@
     return Math.max(1, settings.renewMillis() / QUICK_RENEWALS);
   }
 
-  private void giveUp(long atMillis) {
-    ownership.restart();
+  private void giveUp(long atMillis, long untilMillis) {
+    ownership.restart(untilMillis);
     exchange.refreshFractions(atMillis);
     tokens.reset(atMillis);
   }
