Draw in other failure domains the tokens that the own one does not have

Who denied is not asked again before the time it gave. Ruled out: lending slices by lease between failure domains, which needs state on both sides; this needs none.

--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/limit/DomainDraw.java
@@ -0,0 +1,12 @@
+package org.knapweedcleat.router.limit;
+
+import org.knapweedcleat.core.id.AccountId;
+import org.knapweedcleat.core.message.PeerMessage;
+
+/**
+ * Draws tokens in another failure domain.
+ *
+ * @param account the client account
+ * @param tokens how many, at least 1
+ */
+public record DomainDraw(AccountId account, long tokens) implements PeerMessage {}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/limit/DomainDrawAnswer.java
@@ -0,0 +1,41 @@
+package org.knapweedcleat.router.limit;
+
+import org.knapweedcleat.core.limit.DenialReason;
+import org.knapweedcleat.core.message.PeerMessage;
+import org.knapweedcleat.router.gate.LimitOutcome;
+
+/**
+ * Answers a {@link DomainDraw}.
+ *
+ * @param tokens how many were granted, 0 for a denial
+ * @param reason why nothing was granted; without meaning for a grant
+ * @param retryAfterMillis when asking again may succeed
+ */
+public record DomainDrawAnswer(long tokens, DenialReason reason, long retryAfterMillis)
+    implements PeerMessage {
+
+  /**
+   * Returns the message for an outcome.
+   *
+   * @param outcome the outcome
+   * @return the message
+   */
+  public static DomainDrawAnswer of(LimitOutcome outcome) {
+    if (outcome instanceof LimitOutcome.Denied denied) {
+      return new DomainDrawAnswer(0, denied.reason(), denied.retryAfterMillis());
+    }
+    long tokens = ((LimitOutcome.Granted) outcome).tokens();
+    return new DomainDrawAnswer(tokens, DenialReason.OVER_RATE, 0);
+  }
+
+  /**
+   * Returns the outcome that the message is for.
+   *
+   * @return the outcome
+   */
+  public LimitOutcome outcome() {
+    return tokens > 0
+        ? new LimitOutcome.Granted(tokens)
+        : new LimitOutcome.Denied(reason, retryAfterMillis);
+  }
+}
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/Duties.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/Duties.java
@@ -1,10 +1,12 @@
 package org.knapweedcleat.router.node;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.knapweedcleat.core.config.EndpointSpec;
+import org.knapweedcleat.core.config.FailureDomainSpec;
 import org.knapweedcleat.core.config.FleetDocument;
 import org.knapweedcleat.core.config.FleetSnapshot;
 import org.knapweedcleat.core.id.AccountId;
@@ -62,6 +64,34 @@
     return members().contains(incarnation);
   }
 
+  /** Lists the other failure domains, those of the own region first. */
+  List<FailureDomainId> otherDomains() {
+    FailureDomainId own = view.self().domain();
+    return document().stream()
+        .flatMap(known -> known.domains().values().stream())
+        .filter(domain -> !domain.id().equals(own))
+        .sorted(
+            Comparator.comparing((FailureDomainSpec domain) -> !isInRegion(domain))
+                .thenComparing(FailureDomainSpec::id))
+        .map(FailureDomainSpec::id)
+        .toList();
+  }
+
+  /** Finds a live instance of another failure domain. */
+  Optional<IncarnationId> contactIn(FailureDomainId domain) {
+    return view.live().stream()
+        .filter(member -> member.domain().equals(domain) && !member.leaving())
+        .map(Member::incarnation)
+        .findFirst();
+  }
+
+  private boolean isInRegion(FailureDomainSpec domain) {
+    return document()
+        .map(known -> known.domains().get(view.self().domain()))
+        .filter(own -> own.region().equals(domain.region()))
+        .isPresent();
+  }
+
   /** Lists the client accounts whose tokens this instance keeps for its failure domain. */
   List<AccountId> accountsKept() {
     return document().stream()
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/NodeTimes.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/NodeTimes.java
@@ -23,6 +23,9 @@
   /** How long an instance waits for the answer to a part of a document. */
   static final long DOCUMENT_TIMEOUT_MILLIS = 5000;
 
+  /** How long an instance waits for tokens from another failure domain. */
+  static final long DOMAIN_DRAW_TIMEOUT_MILLIS = 300;
+
   private static final long SHARE_WAIT_QUIET_TIMES = 3;
   private static final long IDLE_POLL_MILLIS = 30_000;
   private static final long IDLE_LIST_POLL_MILLIS = 10_000;
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
@@ -35,7 +35,11 @@
 import org.knapweedcleat.router.document.DocumentKeeper;
 import org.knapweedcleat.router.document.PeerDocumentFetch;
 import org.knapweedcleat.router.gate.DocumentKeyCheck;
+import org.knapweedcleat.router.gate.InstanceUnreachableException;
 import org.knapweedcleat.router.lifecycle.Closer;
+import org.knapweedcleat.router.limit.DomainDraw;
+import org.knapweedcleat.router.limit.DomainDrawAnswer;
+import org.knapweedcleat.router.limit.DomainLimitGate;
 import org.knapweedcleat.router.limit.LimitDesk;
 import org.knapweedcleat.router.operator.InstanceState;
 import org.knapweedcleat.router.operator.InstanceStatus;
@@ -68,6 +72,7 @@
   private final OrderDesk orders;
   private final PlacementDesk placements;
   private final LimitDesk limits;
+  private final DomainLimitGate domainLimits;
   private final CallerServer callers;
   private final PlatformReader platform;
   private final Readiness readiness;
@@ -114,6 +119,8 @@
     this.placements =
         PlacementDesk.of(view, schedulers, addresses, context::nowMillis, context.metrics());
     this.limits = newLimitDesk();
+    this.domainLimits =
+        DomainLimitGate.of(limits, this::askInDomain, context::nowMillis, context.metrics());
     this.readiness =
         Readiness.of(
             keeper,
@@ -173,6 +180,9 @@
     if (question instanceof DocumentRequest request) {
       return Uni.createFrom().item(keeper.part(request));
     }
+    if (question instanceof DomainDraw draw) {
+      return limits.acquire(draw.account(), draw.tokens()).map(DomainDrawAnswer::of);
+    }
     return callers.answer(question, from);
   }
 
@@ -309,7 +319,7 @@
         context.settings().domain(),
         readiness,
         DocumentKeyCheck.of(readiness),
-        limits,
+        domainLimits,
         placements,
         addresses,
         context::nowMillis,
@@ -338,6 +348,7 @@
     FleetSnapshot snapshot = applied.snapshot();
     schedulers.configure(snapshot.document());
     limits.configure(snapshot);
+    domainLimits.configure(duties.otherDomains());
     callers.documentChanged(snapshot);
     run(membership.document(context.nowMillis(), snapshot.revision(), snapshot.digest()));
   }
@@ -346,6 +357,16 @@
     return addresses.ask(peer, request, NodeTimes.DOCUMENT_TIMEOUT_MILLIS);
   }
 
+  private Uni<PeerMessage> askInDomain(FailureDomainId domain, DomainDraw draw) {
+    return duties
+        .contactIn(domain)
+        .map(contact -> addresses.ask(contact, draw, NodeTimes.DOMAIN_DRAW_TIMEOUT_MILLIS))
+        .orElseGet(
+            () ->
+                Uni.createFrom()
+                    .failure(new InstanceUnreachableException(context.incarnation(), false)));
+  }
+
   private void run(List<MembershipAction> actions) {
     for (MembershipAction action : actions) {
       if (action instanceof MembershipAction.Send message) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerMessageType.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerMessageType.java
@@ -12,6 +12,8 @@
 import org.knapweedcleat.core.schedule.PlacementProgress;
 import org.knapweedcleat.core.schedule.PlacementRequest;
 import org.knapweedcleat.core.schedule.RunningClaims;
+import org.knapweedcleat.router.limit.DomainDraw;
+import org.knapweedcleat.router.limit.DomainDrawAnswer;
 
 /** The messages between instances and their codes on the wire; a code is never used again. */
 public enum PeerMessageType {
@@ -59,6 +61,10 @@
   LIMIT_REFUND(68, LimitMessage.Refund.class),
   /** Tells that the sender's shares have ended. */
   LIMIT_ENDED(69, LimitMessage.Ended.class),
+  /** Draws tokens in another failure domain. */
+  DOMAIN_DRAW(70, DomainDraw.class),
+  /** Answers a draw of another failure domain. */
+  DOMAIN_DRAW_ANSWER(71, DomainDrawAnswer.class),
   /** Brings a call to the incarnation that remembers its outcome. */
   FORWARDED_CALL(80, ForwardedCall.class),
   /** Brings the outcome back. */
--- /dev/null
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/limit/DomainLimitGateTest.java
@@ -0,0 +1,97 @@
+package org.knapweedcleat.router.limit;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import com.codahale.metrics.MetricRegistry;
+import io.smallrye.mutiny.Uni;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.knapweedcleat.core.id.AccountId;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.limit.DenialReason;
+import org.knapweedcleat.core.message.PeerMessage;
+import org.knapweedcleat.router.gate.LimitGate;
+import org.knapweedcleat.router.gate.LimitOutcome;
+
+class DomainLimitGateTest {
+
+  private static final AccountId ACCOUNT = AccountId.of("large");
+  private static final FailureDomainId NEAR = FailureDomainId.of("near");
+  private static final FailureDomainId FAR = FailureDomainId.of("far");
+
+  private final List<FailureDomainId> asked = new ArrayList<>();
+  private Map<FailureDomainId, LimitOutcome> others = Map.of();
+  private LimitOutcome own = denied(DenialReason.OVER_RATE, 900);
+
+  @Test
+  void drawsElsewhereOnlyWhatTheOwnFailureDomainDenies() {
+    others = Map.of(NEAR, denied(DenialReason.OVER_RATE, 400), FAR, new LimitOutcome.Granted(5));
+    DomainLimitGate gate = gate();
+    assertThat(acquire(gate), is(new LimitOutcome.Granted(5)));
+    assertThat(asked, contains(NEAR, FAR));
+    own = new LimitOutcome.Granted(5);
+    acquire(gate);
+    assertThat(asked, contains(NEAR, FAR));
+  }
+
+  @Test
+  void tellsTheSoonestTimeAndDoesNotAskBeforeIt() {
+    others =
+        Map.of(NEAR, denied(DenialReason.OVER_RATE, 400), FAR, denied(DenialReason.OVER_RATE, 700));
+    DomainLimitGate gate = gate();
+    assertThat(acquire(gate), is(denied(DenialReason.OVER_RATE, 400)));
+    assertThat(acquire(gate), is(denied(DenialReason.OVER_RATE, 900)));
+    assertThat(asked, contains(NEAR, FAR));
+  }
+
+  @Test
+  void goesOnWhenAnotherFailureDomainIsCutOff() {
+    others = Map.of(FAR, new LimitOutcome.Granted(5));
+    assertThat(acquire(gate()), is(new LimitOutcome.Granted(5)));
+  }
+
+  @Test
+  void asksNobodyForWhatNoWaitingWouldBring() {
+    own = denied(DenialReason.OVER_BURST, 0);
+    assertThat(acquire(gate()), is(own));
+    assertThat(asked, empty());
+  }
+
+  private LimitOutcome acquire(DomainLimitGate gate) {
+    return gate.acquire(ACCOUNT, 5).await().indefinitely();
+  }
+
+  private DomainLimitGate gate() {
+    DomainLimitGate gate =
+        DomainLimitGate.of(new OwnGate(), this::ask, () -> 0, new MetricRegistry());
+    gate.configure(List.of(NEAR, FAR));
+    return gate;
+  }
+
+  private Uni<PeerMessage> ask(FailureDomainId domain, DomainDraw draw) {
+    asked.add(domain);
+    LimitOutcome outcome = others.get(domain);
+    return outcome == null
+        ? Uni.createFrom().failure(new IllegalStateException("cut off"))
+        : Uni.createFrom().item(DomainDrawAnswer.of(outcome));
+  }
+
+  private static LimitOutcome denied(DenialReason reason, long retryAfterMillis) {
+    return new LimitOutcome.Denied(reason, retryAfterMillis);
+  }
+
+  private final class OwnGate implements LimitGate {
+    @Override
+    public Uni<LimitOutcome> acquire(AccountId account, long tokens) {
+      return Uni.createFrom().item(own);
+    }
+
+    @Override
+    public void refund(AccountId account, long tokens) {}
+  }
+}
