Serve only by documents that declare the own failure domain; hand shares over early

Cause: an instance whose failure domain the document does not declare would have failed on each request when it looked for its region; the shares of a stopping instance were handed over only at its end; the trail had an entry for every key at each start. Change: Readiness shows no document without the own failure domain; shares are handed over when the grace time for new requests ends; only changes of keys are recorded. Seen failing first: showsNoDocumentWithoutItsFailureDomain (did not compile, there was no such check).

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/document/DocumentKeeper.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/document/DocumentKeeper.java
@@ -41,7 +41,6 @@
   private final LongSupplier nowMillis;
   private final DocumentListener listener;
   private byte[] text = new byte[0];
-  private KeyRing keys = KeyRing.empty();
   private long confirmedMillis;
 
   private DocumentKeeper(
@@ -160,13 +159,17 @@
             .orElse(List.of());
     audit.record(
         new AuditEvent.DocumentApplied(snapshot.revision(), snapshot.digest(), sections, source));
-    KeyRing newKeys = KeyRing.of(snapshot.document());
-    newKeys.givenSince(keys).forEach(this::recordGiven);
-    keys = newKeys;
+    applied.previous().ifPresent(old -> recordGivenKeys(old, snapshot));
     LOG.info("document revision {} in force", snapshot.revision());
     listener.onApplied(applied);
   }
 
+  /** Records the keys that a change brought; those of the first document are no change. */
+  private void recordGivenKeys(FleetSnapshot old, FleetSnapshot snapshot) {
+    KeyRing before = KeyRing.of(old.document());
+    KeyRing.of(snapshot.document()).givenSince(before).forEach(this::recordGiven);
+  }
+
   private void recordGiven(KeyIdentity key) {
     audit.record(new AuditEvent.KeyGiven(key.keyName(), key.account()));
   }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/Readiness.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/Readiness.java
@@ -4,6 +4,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.knapweedcleat.core.config.FleetSnapshot;
+import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.Revision;
 import org.knapweedcleat.router.gate.FleetView;
 
@@ -19,6 +20,7 @@
 
   private final FleetView fleet;
   private final LongSupplier nowMillis;
+  private final FailureDomainId domain;
   private final BooleanSupplier ownsShare;
   private final long readyFromMillis;
   private final long shareUntilMillis;
@@ -27,11 +29,13 @@
 
   private Readiness(
       FleetView fleet,
+      FailureDomainId domain,
       BooleanSupplier ownsShare,
       LongSupplier nowMillis,
       long listenMillis,
       long shareWaitMillis) {
     this.fleet = fleet;
+    this.domain = domain;
     this.ownsShare = ownsShare;
     this.nowMillis = nowMillis;
     this.readyFromMillis = nowMillis.getAsLong() + listenMillis;
@@ -42,6 +46,7 @@
    * Returns a readiness that begins now.
    *
    * @param fleet shows the document in force
+   * @param domain the instance's failure domain, without which no document serves it
    * @param ownsShare tells whether the instance owns its share of the client accounts
    * @param nowMillis the monotonic clock
    * @param listenMillis how long to listen to other instances first
@@ -49,11 +54,12 @@
    */
   static Readiness of(
       FleetView fleet,
+      FailureDomainId domain,
       BooleanSupplier ownsShare,
       LongSupplier nowMillis,
       long listenMillis,
       long shareWaitMillis) {
-    return new Readiness(fleet, ownsShare, nowMillis, listenMillis, shareWaitMillis);
+    return new Readiness(fleet, domain, ownsShare, nowMillis, listenMillis, shareWaitMillis);
   }
 
   /** Takes note of what another instance has in force. */
@@ -71,7 +77,7 @@
 
   @Override
   public Optional<FleetSnapshot> current() {
-    return isReady() ? fleet.current() : Optional.empty();
+    return isReady() ? declaring() : Optional.empty();
   }
 
   @Override
@@ -79,6 +85,10 @@
     return fleet.unconfirmedMillis();
   }
 
+  private Optional<FleetSnapshot> declaring() {
+    return fleet.current().filter(known -> known.document().domains().containsKey(domain));
+  }
+
   private boolean hasListened() {
     return nowMillis.getAsLong() >= readyFromMillis;
   }
@@ -88,8 +98,7 @@
   }
 
   private boolean hasHighest() {
-    return fleet
-        .current()
+    return declaring()
         .filter(snapshot -> !highestAnnounced.isAfter(snapshot.revision()))
         .isPresent();
   }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
@@ -12,6 +12,7 @@
 import org.knapweedcleat.core.config.FleetSnapshot;
 import org.knapweedcleat.core.config.InstanceSettings;
 import org.knapweedcleat.core.config.RevisionOutcome;
+import org.knapweedcleat.core.drain.DrainState;
 import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.PoolId;
@@ -124,6 +125,7 @@
     this.readiness =
         Readiness.of(
             keeper,
+            domain,
             limits::ownsShare,
             context::nowMillis,
             settings.peers().heartbeatTimeoutMillis(),
@@ -244,6 +246,7 @@
       draining = Promise.promise();
       run(membership.leave(context.nowMillis()));
       callers.beginDrain();
+      vertx.setTimer(DrainState.GRACE_MILLIS, grace -> limits.handOver());
       callers.drained().subscribe().with(cut -> finish(cut, draining), draining::fail);
     }
     return draining.future();
@@ -292,7 +295,6 @@
   }
 
   private void finish(int cut, Promise<Integer> drained) {
-    limits.handOver();
     closer
         .closeAll()
         .onComplete(
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/node/ReadinessTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/node/ReadinessTest.java
@@ -7,13 +7,18 @@
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.knapweedcleat.core.config.FailureDomainSpec;
 import org.knapweedcleat.core.config.FleetDocument;
 import org.knapweedcleat.core.config.FleetSnapshot;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.RegionId;
 import org.knapweedcleat.core.id.Revision;
+import org.knapweedcleat.core.id.TeamId;
 import org.knapweedcleat.router.gate.FleetView;
 
 class ReadinessTest {
 
+  private static final FailureDomainId DOMAIN = FailureDomainId.of("a");
   private static final long LISTEN_MILLIS = 1_000;
   private static final long SHARE_MILLIS = 20_000;
 
@@ -21,7 +26,7 @@
   private long nowMillis;
   private boolean ownsShare = true;
   private final Readiness readiness =
-      Readiness.of(fleet, () -> ownsShare, () -> nowMillis, LISTEN_MILLIS, SHARE_MILLIS);
+      Readiness.of(fleet, DOMAIN, () -> ownsShare, () -> nowMillis, LISTEN_MILLIS, SHARE_MILLIS);
 
   @Test
   void showsNothingBeforeItHasListened() {
@@ -52,6 +57,16 @@
     assertThat(readiness.isReady(), is(true));
   }
 
+  @Test
+  void showsNoDocumentWithoutItsFailureDomain() {
+    fleet.apply(3);
+    nowMillis = LISTEN_MILLIS;
+    assertThat(readiness.current().isPresent(), is(true));
+    fleet.domains = Map.of();
+    fleet.apply(4);
+    assertThat(readiness.current().isPresent(), is(false));
+  }
+
   @Test
   void staysReadyWhenOthersMoveOn() {
     fleet.apply(3);
@@ -62,13 +77,15 @@
   }
 
   private static final class FakeFleet implements FleetView {
+    private Map<FailureDomainId, FailureDomainSpec> domains =
+        Map.of(DOMAIN, new FailureDomainSpec(DOMAIN, RegionId.of("r"), TeamId.of("t")));
     private FleetSnapshot snapshot;
 
     void apply(long revision) {
       FleetDocument document =
           new FleetDocument(
-              "d", Map.of(), Map.of(), List.of(), Map.of(), Map.of(), List.of(), Map.of(),
-              List.of(), Map.of());
+              "d", Map.of(), domains, List.of(), Map.of(), Map.of(), List.of(), Map.of(), List.of(),
+              Map.of());
       snapshot = new FleetSnapshot(Revision.of(revision), "", document);
     }
 
