--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/drain/DrainState.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/drain/DrainState.java
@@ -16,20 +16,21 @@
   /** After this time unconfirmed cancels are left to the schedulers, which see the orphans. */
   public static final long CANCEL_LIMIT_MILLIS = 10_000;
 
-  /** After this time what still runs is cut. */
-  public static final long LIMIT_MILLIS = 300_000;
-
+  private final long limitMillis;
   private OptionalLong sinceMillis = OptionalLong.empty();
 
-  private DrainState() {}
+  private DrainState(long limitMillis) {
+    this.limitMillis = limitMillis;
+  }
 
   /**
    * Returns the state of an instance that is not stopping.
    *
+   * @param limitMillis after this time what still runs is cut; not before the grace time ends
    * @return the state
    */
-  public static DrainState open() {
-    return new DrainState();
+  public static DrainState open(long limitMillis) {
+    return new DrainState(Math.max(limitMillis, GRACE_MILLIS));
   }
 
   /**
@@ -81,6 +82,6 @@
     long drainingMillis = nowMillis - sinceMillis.getAsLong();
     boolean cancelsDone = cancels == 0 || drainingMillis >= CANCEL_LIMIT_MILLIS;
     boolean nothingLeft = running == 0 && unusedTickets == 0 && cancelsDone;
-    return nothingLeft || drainingMillis >= LIMIT_MILLIS;
+    return nothingLeft || drainingMillis >= limitMillis;
   }
 }
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/drain/DrainStateTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/drain/DrainStateTest.java
@@ -7,9 +7,11 @@
 
 class DrainStateTest {
 
+  private static final long LIMIT_MILLIS = 60_000;
+
   @Test
   void servesThroughTheGraceTimeAndWaitsForWhatRuns() {
-    DrainState state = DrainState.open();
+    DrainState state = DrainState.open(LIMIT_MILLIS);
     assertThat(state.admits(1_000_000), is(true));
     assertThat(state.isDone(1_000_000, 0, 0, 0), is(false));
 
@@ -23,6 +25,6 @@
     assertThat(state.isDone(10 + DrainState.GRACE_MILLIS, 0, 0, 1), is(false));
     assertThat(state.isDone(10 + DrainState.GRACE_MILLIS, 0, 0, 0), is(true));
     assertThat(state.isDone(10 + DrainState.CANCEL_LIMIT_MILLIS, 0, 0, 1), is(true));
-    assertThat(state.isDone(10 + DrainState.LIMIT_MILLIS, 1, 0, 0), is(true));
+    assertThat(state.isDone(10 + LIMIT_MILLIS, 1, 0, 0), is(true));
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/CallerLimits.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/CallerLimits.java
@@ -6,8 +6,10 @@
  * @param maxBodyBytes the longest body
  * @param maxHeaderBytes the most bytes of headers
  * @param maxInFlight the most requests at once
+ * @param drainTimeoutMillis how long a planned stop waits for running requests
  */
-public record CallerLimits(int maxBodyBytes, int maxHeaderBytes, int maxInFlight) {
+public record CallerLimits(
+    int maxBodyBytes, int maxHeaderBytes, int maxInFlight, int drainTimeoutMillis) {
 
   /** Checks that each is at least 1. */
   public CallerLimits {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Draining.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/Draining.java
@@ -16,12 +16,13 @@
 
   private final Serving serving;
   private final LongSupplier unusedTickets;
-  private final DrainState state = DrainState.open();
+  private final DrainState state;
   private final Promise<Integer> drained = Promise.promise();
 
   private Draining(Serving serving, LongSupplier unusedTickets) {
     this.serving = serving;
     this.unusedTickets = unusedTickets;
+    this.state = DrainState.open(serving.context().limits().drainTimeoutMillis());
   }
 
   static Draining of(Serving serving, LongSupplier unusedTickets) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
@@ -329,7 +329,11 @@
         context.metrics(),
         context.monitor(),
         context.audit(),
-        new CallerLimits(bounds.maxBodyBytes(), bounds.maxHeaderBytes(), bounds.maxInFlight()));
+        new CallerLimits(
+            bounds.maxBodyBytes(),
+            bounds.maxHeaderBytes(),
+            bounds.maxInFlight(),
+            bounds.drainTimeoutMillis()));
   }
 
   private void onHeartbeat(IncarnationId from, Heartbeat heartbeat) {
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/CallerFixture.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/CallerFixture.java
@@ -86,7 +86,7 @@
             metrics,
             monitor,
             audit::add,
-            new CallerLimits(10_000, 4_000, 100));
+            new CallerLimits(10_000, 4_000, 100, 60_000));
     server = CallerServer.create(vertx, context, "127.0.0.1", 0);
     port = server.start().await().indefinitely();
   }
