Take the traffic of claims out of the node

Change: ClaimTraffic sends and relays claims; AddressBook finds an instance of another failure domain. Behaviour is as before.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/AddressBook.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/AddressBook.java
@@ -2,12 +2,14 @@
 
 import io.smallrye.mutiny.Uni;
 import java.util.Optional;
+import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.membership.Member;
 import org.knapweedcleat.core.membership.MemberView;
 import org.knapweedcleat.core.message.PeerMessage;
 import org.knapweedcleat.router.gate.InstanceCalls;
 import org.knapweedcleat.router.gate.InstanceUnreachableException;
+import org.knapweedcleat.router.limit.DomainDraw;
 import org.knapweedcleat.router.peer.PeerAddress;
 import org.knapweedcleat.router.peer.PeerTransport;
 import org.knapweedcleat.router.placement.SchedulerLink;
@@ -55,6 +57,19 @@
     return view.isLive(incarnation);
   }
 
+  /** Draws tokens through any live instance of another failure domain. */
+  Uni<PeerMessage> drawIn(FailureDomainId domain, DomainDraw draw) {
+    Optional<IncarnationId> contact =
+        view.live().stream()
+            .filter(member -> member.domain().equals(domain) && !member.leaving())
+            .map(Member::incarnation)
+            .findFirst();
+    IncarnationId target = contact.orElse(view.self().incarnation());
+    return contact.isEmpty()
+        ? Uni.createFrom().failure(new InstanceUnreachableException(target, false))
+        : ask(target, draw, NodeTimes.DOMAIN_DRAW_TIMEOUT_MILLIS);
+  }
+
   private Optional<PeerAddress> addressOf(IncarnationId target) {
     return view.live().stream()
         .filter(member -> member.incarnation().equals(target))
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/Duties.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/Duties.java
@@ -77,14 +77,6 @@
         .toList();
   }
 
-  /** Finds a live instance of another failure domain. */
-  Optional<IncarnationId> contactIn(FailureDomainId domain) {
-    return view.live().stream()
-        .filter(member -> member.domain().equals(domain) && !member.leaving())
-        .map(Member::incarnation)
-        .findFirst();
-  }
-
   private boolean isInRegion(FailureDomainSpec domain) {
     return document()
         .map(known -> known.domains().get(view.self().domain()))
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
@@ -15,7 +15,6 @@
 import org.knapweedcleat.core.drain.DrainState;
 import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.IncarnationId;
-import org.knapweedcleat.core.id.PoolId;
 import org.knapweedcleat.core.id.RequestId;
 import org.knapweedcleat.core.limit.LimitMessage;
 import org.knapweedcleat.core.limit.ShareLimiter;
@@ -36,7 +35,6 @@
 import org.knapweedcleat.router.document.DocumentKeeper;
 import org.knapweedcleat.router.document.PeerDocumentFetch;
 import org.knapweedcleat.router.gate.DocumentKeyCheck;
-import org.knapweedcleat.router.gate.InstanceUnreachableException;
 import org.knapweedcleat.router.lifecycle.Closer;
 import org.knapweedcleat.router.limit.DomainDraw;
 import org.knapweedcleat.router.limit.DomainDrawAnswer;
@@ -72,6 +70,7 @@
   private final LoadPoller poller;
   private final OrderDesk orders;
   private final PlacementDesk placements;
+  private final ClaimTraffic claims;
   private final LimitDesk limits;
   private final DomainLimitGate domainLimits;
   private final CallerServer callers;
@@ -119,9 +118,10 @@
     this.orders = OrderDesk.create(vertx, context.metrics(), context.audit(), context::nowMillis);
     this.placements =
         PlacementDesk.of(view, schedulers, addresses, context::nowMillis, context.metrics());
+    this.claims = ClaimTraffic.of(context.incarnation(), duties, placements, schedulers, addresses);
     this.limits = newLimitDesk();
     this.domainLimits =
-        DomainLimitGate.of(limits, this::askInDomain, context::nowMillis, context.metrics());
+        DomainLimitGate.of(limits, addresses::drawIn, context::nowMillis, context.metrics());
     this.readiness =
         Readiness.of(
             keeper,
@@ -166,8 +166,8 @@
     } else if (message instanceof PlacementProgress progress) {
       schedulers.progress(progress);
       placements.report(progress);
-    } else if (message instanceof RunningClaims claims) {
-      onClaims(from, claims);
+    } else if (message instanceof RunningClaims running) {
+      claims.receive(from, running);
     } else {
       context.metrics().counter("peer.messages.unexpected").inc();
     }
@@ -279,7 +279,7 @@
     every(NodeTimes.TICK_MILLIS, this::tick);
     every(NodeTimes.MEMBERSHIP_TICK_MILLIS, () -> run(membership.tick(context.nowMillis())));
     every(NodeTimes.POLL_MILLIS, this::lookAfterEngines);
-    every(NodeTimes.CLAIM_MILLIS, this::sendClaims);
+    every(NodeTimes.CLAIM_MILLIS, claims::send);
     return this;
   }
 
@@ -363,16 +363,6 @@
     return addresses.ask(peer, request, NodeTimes.DOCUMENT_TIMEOUT_MILLIS);
   }
 
-  private Uni<PeerMessage> askInDomain(FailureDomainId domain, DomainDraw draw) {
-    return duties
-        .contactIn(domain)
-        .map(contact -> addresses.ask(contact, draw, NodeTimes.DOMAIN_DRAW_TIMEOUT_MILLIS))
-        .orElseGet(
-            () ->
-                Uni.createFrom()
-                    .failure(new InstanceUnreachableException(context.incarnation(), false)));
-  }
-
   private void run(List<MembershipAction> actions) {
     for (MembershipAction action : actions) {
       if (action instanceof MembershipAction.Send message) {
@@ -400,31 +390,4 @@
     long epoch = membership.view().epoch();
     keeper.current().ifPresent(snapshot -> orders.step(engines, snapshot, epoch));
   }
-
-  private void sendClaims() {
-    duties.pools().forEach(this::sendClaims);
-  }
-
-  private void sendClaims(PoolId pool) {
-    RunningClaims claims = RunningClaims.of(context.incarnation(), pool, placements.placed(pool));
-    Set<IncarnationId> receivers = placements.placers(pool);
-    duties.schedulerOf(pool).ifPresent(receivers::add);
-    receivers.forEach(receiver -> pass(receiver, claims));
-  }
-
-  /** Takes claims, and brings those of another failure domain to the schedulers of this one. */
-  private void onClaims(IncarnationId from, RunningClaims claims) {
-    schedulers.claims(claims);
-    if (!duties.isInDomain(from)) {
-      duties.schedulerOf(claims.pool()).ifPresent(scheduler -> pass(scheduler, claims));
-    }
-  }
-
-  private void pass(IncarnationId receiver, RunningClaims claims) {
-    if (receiver.equals(context.incarnation())) {
-      schedulers.claims(claims);
-      return;
-    }
-    addresses.tell(receiver, claims);
-  }
 }
