Forget relayed placements whose instance never reported an end

Cause: an instance that relays for another failure domain kept each placement until its end was reported; when that instance died the entry stayed for good. Change: what was relayed is forgotten after ten minutes. Found by reading; the test forgetsWhatWasRelayedForInstanceThatNeverReportsAnEnd passes.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/PlacementDesk.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/PlacementDesk.java
@@ -35,6 +35,7 @@
 public final class PlacementDesk implements PlacementGate {
 
   private static final int MAX_PLACEMENTS_ALONE = 4;
+  private static final long RELAYED_MEMORY_MILLIS = 600_000;
 
   private final IncarnationId self;
   private final LocalSchedulers local;
@@ -126,9 +127,13 @@
     }
   }
 
-  /** Refuses the questions whose deadline has passed without a decision. */
+  /**
+   * Refuses the questions whose deadline has passed without a decision, and forgets what was
+   * relayed for instances that never reported an end.
+   */
   public void tick() {
     long now = nowMillis.getAsLong();
+    placed.entrySet().removeIf(entry -> isForgotten(entry.getKey(), entry.getValue(), now));
     for (OpenQuestion open : List.copyOf(pending.values())) {
       if (open.isOverdue(now) && pending.remove(open.id(), open)) {
         withdraw(open);
@@ -202,7 +207,8 @@
 
   private void ask(OpenQuestion open, IncarnationId scheduler) {
     PlacementRequest asked = open.askedOf(scheduler, nowMillis.getAsLong());
-    Placed leg = new Placed(scheduler, open.legId(), poolOf(open).orElseThrow());
+    Placed leg =
+        new Placed(scheduler, open.legId(), poolOf(open).orElseThrow(), nowMillis.getAsLong());
     if (scheduler.equals(self)) {
       local.submit(asked).subscribe().with(decision -> onDecision(open, leg, decision));
       return;
@@ -263,6 +269,11 @@
     return poolOf(open).filter(pool -> local.placements(pool) < MAX_PLACEMENTS_ALONE).isPresent();
   }
 
+  private boolean isForgotten(AttemptId id, Placed known, long now) {
+    return now - known.askedMillis() > RELAYED_MEMORY_MILLIS
+        && id.request().owner().filter(self::equals).isEmpty();
+  }
+
   private boolean isOpen(OpenQuestion open) {
     return pending.get(open.id()) == open;
   }
@@ -286,5 +297,5 @@
   }
 
   /** Where a placement was made, and the name under which it is known there. */
-  private record Placed(IncarnationId scheduler, AttemptId legId, PoolId pool) {}
+  private record Placed(IncarnationId scheduler, AttemptId legId, PoolId pool, long askedMillis) {}
 }
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/placement/PlacementDeskTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/placement/PlacementDeskTest.java
@@ -75,6 +75,8 @@
       port = 2
       """;
 
+  private static final PoolId POOL = PoolId.of("desk");
+
   private final MetricRegistry metrics = new MetricRegistry();
   private final FakeLink link = new FakeLink();
   private final List<PlacementDecision> decisions = new ArrayList<>();
@@ -133,10 +135,23 @@
     PlacementDesk desk = desk(view(near));
     place(desk);
     link.answer(0, link.placement(0));
-    assertThat(desk.placers(PoolId.of("desk")), is(Set.of(near.incarnation())));
+    assertThat(desk.placers(POOL), is(Set.of(near.incarnation())));
     desk.report(new PlacementProgress(request().request(), 1, PlacementStage.FINISHED, 0));
     assertThat(link.told, contains(Map.entry(near.incarnation(), PlacementStage.FINISHED)));
-    assertThat(desk.placers(PoolId.of("desk")), empty());
+    assertThat(desk.placers(POOL), empty());
+  }
+
+  @Test
+  void forgetsWhatWasRelayedForInstanceThatNeverReportsAnEnd() {
+    PlacementDesk desk = desk(view(near));
+    place(desk);
+    link.answer(0, link.placement(0));
+    PlacementRequest foreign = request(far.incarnation());
+    desk.relay(foreign).subscribe().with(decisions::add);
+    link.answer(1, link.placement(1));
+    nowMillis = 600_001;
+    desk.tick();
+    assertThat(desk.placed(POOL), is(Set.of(request().request())));
   }
 
   private void place(PlacementDesk desk) {
@@ -172,10 +187,14 @@
   }
 
   private PlacementRequest request() {
+    return request(self.incarnation());
+  }
+
+  private static PlacementRequest request(IncarnationId owner) {
     return new PlacementRequest(
-        RequestId.of(self.incarnation(), 1),
+        RequestId.of(owner, 1),
         1,
-        self.incarnation(),
+        owner,
         ServiceId.of("book"),
         AccountId.of("x"),
         true,
