Ask another failure domain again at once where no question left

Change: only a question that may have left is remembered as unanswered, and an unanswered one no longer shortens the time that callers are told. Ruled out: a shorter time for all, since a failure domain that is cut off costs each request its time limit.

--- a/knapweedcleat-bench/src/main/java/org/knapweedcleat/bench/LimitNode.java
+++ b/knapweedcleat-bench/src/main/java/org/knapweedcleat/bench/LimitNode.java
@@ -168,16 +168,19 @@
       FailureDomainId domain, AccountId account, long tokens, Consumer<LimitAction> answer) {
     List<Member> live =
         membership.view().live().stream().filter(one -> one.domain().equals(domain)).toList();
-    LimitAction lost =
-        new LimitAction.Denied(
-            DrawId.of(0), account, DenialReason.HOME_UNREACHABLE, UNREACHABLE_MILLIS);
     if (live.isEmpty()) {
-      answer.accept(lost);
+      answer.accept(unreachable(account, 0));
     } else {
+      LimitAction lost = unreachable(account, UNREACHABLE_MILLIS);
       fleet.askElsewhere(this, fleet.any(live), account, tokens, lost, answer);
     }
   }
 
+  private static LimitAction unreachable(AccountId account, long retryAfterMillis) {
+    DenialReason reason = DenialReason.HOME_UNREACHABLE;
+    return new LimitAction.Denied(DrawId.of(0), account, reason, retryAfterMillis);
+  }
+
   private void act(List<MembershipAction> actions) {
     for (MembershipAction action : actions) {
       if (action instanceof MembershipAction.Send send) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/limit/DomainLimitGate.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/limit/DomainLimitGate.java
@@ -14,6 +14,7 @@
 import org.knapweedcleat.core.limit.DenialReason;
 import org.knapweedcleat.core.limit.DomainDraws;
 import org.knapweedcleat.core.message.PeerMessage;
+import org.knapweedcleat.router.gate.InstanceUnreachableException;
 import org.knapweedcleat.router.gate.LimitGate;
 import org.knapweedcleat.router.gate.LimitOutcome;
 
@@ -92,7 +93,7 @@
     return ask.apply(domain, draw)
         .map(DomainLimitGate::outcomeOf)
         .onFailure()
-        .recoverWithItem(lost -> denied(DenialReason.HOME_UNREACHABLE, UNREACHABLE_MILLIS))
+        .recoverWithItem(DomainLimitGate::unreachable)
         .chain(answer -> elsewhere(draw, better(domain, draw, denied, answer), asked));
   }
 
@@ -104,10 +105,18 @@
     }
     long retryMillis = denied.retryAfterMillis();
     draws.denied(nowMillis.getAsLong(), domain, draw.account(), retryMillis);
-    boolean sooner = denied.reason().isRetryable() && retryMillis < before.retryAfterMillis();
+    boolean known = denied.reason() == DenialReason.OVER_RATE;
+    boolean sooner = known && retryMillis < before.retryAfterMillis();
     return denied(before.reason(), sooner ? retryMillis : before.retryAfterMillis());
   }
 
+  /** A question that never left cost nothing, so that the next request may try again. */
+  private static LimitOutcome unreachable(Throwable cause) {
+    boolean left =
+        !(cause instanceof InstanceUnreachableException lost) || lost.questionMayHaveArrived();
+    return denied(DenialReason.HOME_UNREACHABLE, left ? UNREACHABLE_MILLIS : 0);
+  }
+
   private static LimitOutcome outcomeOf(PeerMessage answer) {
     return answer instanceof DomainDrawAnswer known
         ? known.outcome()
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/limit/DomainLimitGateTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/limit/DomainLimitGateTest.java
@@ -13,8 +13,11 @@
 import org.junit.jupiter.api.Test;
 import org.knapweedcleat.core.id.AccountId;
 import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.InstanceId;
 import org.knapweedcleat.core.limit.DenialReason;
 import org.knapweedcleat.core.message.PeerMessage;
+import org.knapweedcleat.router.gate.InstanceUnreachableException;
 import org.knapweedcleat.router.gate.LimitGate;
 import org.knapweedcleat.router.gate.LimitOutcome;
 
@@ -24,6 +27,8 @@
   private static final FailureDomainId NEAR = FailureDomainId.of("near");
   private static final FailureDomainId FAR = FailureDomainId.of("far");
 
+  private static final IncarnationId SELF = IncarnationId.of(InstanceId.of("a"), 1);
+
   private final List<FailureDomainId> asked = new ArrayList<>();
   private Map<FailureDomainId, LimitOutcome> others = Map.of();
   private LimitOutcome own = denied(DenialReason.OVER_RATE, 900);
@@ -55,6 +60,15 @@
     assertThat(acquire(gate()), is(new LimitOutcome.Granted(5)));
   }
 
+  @Test
+  void asksAgainAtOnceWhereNoQuestionLeft() {
+    others = Map.of(FAR, denied(DenialReason.OVER_RATE, 700));
+    DomainLimitGate gate = gate();
+    assertThat(acquire(gate), is(denied(DenialReason.OVER_RATE, 700)));
+    acquire(gate);
+    assertThat(asked, contains(NEAR, FAR, NEAR));
+  }
+
   @Test
   void asksNobodyForWhatNoWaitingWouldBring() {
     own = denied(DenialReason.OVER_BURST, 0);
@@ -77,7 +91,7 @@
     asked.add(domain);
     LimitOutcome outcome = others.get(domain);
     return outcome == null
-        ? Uni.createFrom().failure(new IllegalStateException("cut off"))
+        ? Uni.createFrom().failure(new InstanceUnreachableException(SELF, false))
         : Uni.createFrom().item(DomainDrawAnswer.of(outcome));
   }
 
