Count a prompt's tokens as engines do, and name the settings of the scheduler

Cause: the router charged and reserved a prompt by its words, engines count a token for each four characters; an account got more engine tokens than its rate (a prompt of 27 words is 38 tokens), and reservations were too small. Change: PromptTokens counts as engines do. SchedulePolicy's 22 settings have names in place of a row of numbers; their values are unchanged. Not done: settling a difference when an engine reports another count.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/SchedulePolicy.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/schedule/SchedulePolicy.java
@@ -53,6 +53,29 @@
     int prefixBlockTokens,
     double queueShare) {
 
+  private static final double PREFILL_TOKENS_PER_SECOND = 8_000;
+  private static final double DECODE_GAP_BASE_MILLIS = 15;
+  private static final double DECODE_GAP_PER_REQUEST_MILLIS = 1;
+  private static final double TRANSFER_TOKENS_PER_SECOND = 50_000;
+  private static final double LEARNING_WEIGHT = 0.1;
+  private static final double OUTPUT_TOKEN_PRICE = 20;
+  private static final double WITHIN_TARGET_QUANTILE = 0.95;
+  private static final int PREFILL_AHEAD_MILLIS = 120;
+  private static final int WARM_UP_MILLIS = 1_000;
+  private static final int REPORT_LAG_MILLIS = 1_000;
+  private static final int ORPHAN_GRACE_MILLIS = 3_000;
+  private static final int DECISION_MEMORY_MILLIS = 30_000;
+  private static final int RESCUE_MILLIS = 5_000;
+  private static final int SILENT_PLACEMENT_MILLIS = 120_000;
+  private static final int FAILURE_BACKOFF_MILLIS = 1_000;
+  private static final int MAX_FAILURE_BACKOFF_MILLIS = 30_000;
+  private static final int MIN_RETRY_AFTER_MILLIS = 100;
+  private static final int MAX_RETRY_AFTER_MILLIS = 60_000;
+  private static final int PLAIN_CONCURRENCY = 32;
+  private static final int PREFIX_CAPACITY = 20_000;
+  private static final int PREFIX_BLOCK_TOKENS = 128;
+  private static final double QUEUE_SHARE = 2;
+
   /** Checks the ranges. */
   public SchedulePolicy {
     requirePositive(prefillTokensPerSecond, "prefillTokensPerSecond");
@@ -70,8 +93,28 @@
    */
   public static SchedulePolicy standard() {
     return new SchedulePolicy(
-        8_000, 15, 1, 50_000, 0.1, 20, 0.95, 120, 1_000, 1_000, 3_000, 30_000, 5_000, 120_000,
-        1_000, 30_000, 100, 60_000, 32, 20_000, 128, 2);
+        PREFILL_TOKENS_PER_SECOND,
+        DECODE_GAP_BASE_MILLIS,
+        DECODE_GAP_PER_REQUEST_MILLIS,
+        TRANSFER_TOKENS_PER_SECOND,
+        LEARNING_WEIGHT,
+        OUTPUT_TOKEN_PRICE,
+        WITHIN_TARGET_QUANTILE,
+        PREFILL_AHEAD_MILLIS,
+        WARM_UP_MILLIS,
+        REPORT_LAG_MILLIS,
+        ORPHAN_GRACE_MILLIS,
+        DECISION_MEMORY_MILLIS,
+        RESCUE_MILLIS,
+        SILENT_PLACEMENT_MILLIS,
+        FAILURE_BACKOFF_MILLIS,
+        MAX_FAILURE_BACKOFF_MILLIS,
+        MIN_RETRY_AFTER_MILLIS,
+        MAX_RETRY_AFTER_MILLIS,
+        PLAIN_CONCURRENCY,
+        PREFIX_CAPACITY,
+        PREFIX_BLOCK_TOKENS,
+        QUEUE_SHARE);
   }
 
   /**
--- /dev/null
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/transfer/PromptTokensTest.java
@@ -0,0 +1,16 @@
+package org.knapweedcleat.core.transfer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class PromptTokensTest {
+
+  @ParameterizedTest
+  @CsvSource({"'', 1", "a, 1", "abcd, 1", "abcde, 2", "one two three four, 5"})
+  void countsOneForEachFourCharacters(String prompt, int tokens) {
+    assertThat(PromptTokens.count(prompt), is(tokens));
+  }
+}
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/SplitInput.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/SplitInput.java
@@ -1,11 +1,11 @@
 package org.knapweedcleat.router.caller;
 
-import java.util.List;
 import org.knapweedcleat.core.account.Sha256;
 import org.knapweedcleat.core.attempt.SplitPlan;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.RequestId;
 import org.knapweedcleat.core.transfer.PrefixHashes;
+import org.knapweedcleat.core.transfer.PromptTokens;
 
 /** A checked split request. */
 record SplitInput(Admitted admitted, SplitPlan plan, String prompt, boolean stream) {
@@ -17,17 +17,16 @@
       IncarnationId owner,
       int firstPosition,
       long deadlineMillis) {
-    List<String> words = PrefixHashes.words(body.prompt());
     SplitPlan plan =
         new SplitPlan(
             request,
             owner,
             admitted.service().id(),
             admitted.account(),
-            words.size(),
+            PromptTokens.count(body.prompt()),
             body.maxTokens(),
             firstPosition,
-            PrefixHashes.of(words),
+            PrefixHashes.of(PrefixHashes.words(body.prompt())),
             deadlineMillis);
     return new SplitInput(admitted, plan, body.prompt(), body.stream());
   }
