Let heartbeats vouch for the document within a failure domain

Cause: instances without the duty to read ask the platform every 15 to 30 s, and only the platform's answers counted as a confirmation: a service with an unconfirmedKeyMillis below that (5 s is allowed) would have refused good keys with KEY_UNCONFIRMED between two answers. Found by reading. Change: a heartbeat says how long ago the platform vouched for the document; ages only add up on their way, so that nothing stays fresh by going round. Seen failing first: the new test did not compile, there was no such age. Ruled out: a message of its own (7 KB/s a reader at 60 instances), and asking the platform every 2 s (600 calls a second at 1,200 nodes).

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/membership/Membership.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/membership/Membership.java
@@ -37,6 +37,7 @@
   private Member self;
   private Revision revision = Revision.NONE;
   private String digest = "";
+  private long confirmedAtMillis = Long.MIN_VALUE;
   private long epoch;
   private long contactRound;
   private long nowMillis = Long.MIN_VALUE;
@@ -130,6 +131,17 @@
     return publishView(new ArrayList<>());
   }
 
+  /**
+   * Tells that the platform vouched for the document that the own instance applies.
+   *
+   * @param nowMillis the time
+   * @param ageMillis how long ago, at least 0
+   */
+  public void confirmed(long nowMillis, long ageMillis) {
+    advance(nowMillis);
+    confirmedAtMillis = Math.max(confirmedAtMillis, this.nowMillis - ageMillis);
+  }
+
   /**
    * Lets time pass; to be called several times in each heartbeat interval.
    *
@@ -245,7 +257,13 @@
   }
 
   private Heartbeat ownHeartbeat(boolean wantsAnswer) {
-    return new Heartbeat(self, revision, digest, ownDomainRevision(), epoch, wantsAnswer);
+    return new Heartbeat(
+        self, revision, digest, documentAgeMillis(), ownDomainRevision(), epoch, wantsAnswer);
+  }
+
+  private long documentAgeMillis() {
+    boolean ever = confirmedAtMillis != Long.MIN_VALUE;
+    return ever ? nowMillis - confirmedAtMillis : Heartbeat.NEVER_CONFIRMED;
   }
 
   private List<MembershipAction> publishView(List<MembershipAction> actions) {
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/membership/KnownInstanceTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/membership/KnownInstanceTest.java
@@ -17,7 +17,7 @@
   @Test
   void heartbeatsAndQuestionsGoToTheSameAddress() {
     Member sender = new Member(IncarnationId.of(ID, 1), DOMAIN, "127.0.0.1", 9001, false);
-    Heartbeat heartbeat = new Heartbeat(sender, Revision.NONE, "", Revision.NONE, 1, false);
+    Heartbeat heartbeat = new Heartbeat(sender, Revision.NONE, "", 0, Revision.NONE, 1, false);
     KnownInstance instance = KnownInstance.of(ID);
     instance.listed(0, new ListedInstance(ID, DOMAIN, "127.0.0.2", 9002, false));
     instance.heard(0, heartbeat);
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/membership/MembershipTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/membership/MembershipTest.java
@@ -118,6 +118,24 @@
     }
   }
 
+  @Test
+  void heartbeatsTellHowLongAgoThePlatformVouchedForTheDocument() {
+    Membership membership = Membership.of(member("a", 1, false), MembershipSettings.DEFAULT);
+    membership.heartbeat(0, heartbeat("b", 1, false));
+    assertThat(sentAt(membership, 1_000).documentAgeMillis(), is(Heartbeat.NEVER_CONFIRMED));
+    membership.confirmed(1_100, 300);
+    membership.confirmed(1_100, 5_000);
+    assertThat(sentAt(membership, 2_100).documentAgeMillis(), is(1_300L));
+  }
+
+  private static Heartbeat sentAt(Membership membership, long millis) {
+    return membership.tick(millis).stream()
+        .filter(MembershipAction.Send.class::isInstance)
+        .map(action -> ((MembershipAction.Send) action).heartbeat())
+        .findFirst()
+        .orElseThrow();
+  }
+
   private static List<String> liveIds(Membership membership) {
     return membership.view().live().stream().map(member -> member.id().value()).toList();
   }
@@ -128,7 +146,7 @@
 
   private static Heartbeat heartbeat(String id, long startNumber, boolean leaving) {
     return new Heartbeat(
-        member(id, startNumber, leaving), Revision.NONE, "", Revision.NONE, 0, false);
+        member(id, startNumber, leaving), Revision.NONE, "", 0, Revision.NONE, 0, false);
   }
 
   private static Member member(String id, long startNumber, boolean leaving) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/document/DocumentKeeper.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/document/DocumentKeeper.java
@@ -98,11 +98,6 @@
     return gate.revision();
   }
 
-  /** Takes note that the platform, or another instance for it, vouches for the document now. */
-  public void confirmed() {
-    confirmed(0);
-  }
-
   /**
    * Takes note that the platform vouched for the document some time ago.
    *
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/AddressBook.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/AddressBook.java
@@ -10,6 +10,7 @@
 import org.knapweedcleat.router.gate.InstanceCalls;
 import org.knapweedcleat.router.gate.InstanceUnreachableException;
 import org.knapweedcleat.router.limit.DomainDraw;
+import org.knapweedcleat.router.peer.DocumentRequest;
 import org.knapweedcleat.router.peer.PeerAddress;
 import org.knapweedcleat.router.peer.PeerTransport;
 import org.knapweedcleat.router.placement.SchedulerLink;
@@ -57,6 +58,11 @@
     return view.isLive(incarnation);
   }
 
+  /** Asks an instance for a part of the document that it announced. */
+  Uni<PeerMessage> askForDocument(IncarnationId peer, DocumentRequest request) {
+    return ask(peer, request, NodeTimes.DOCUMENT_TIMEOUT_MILLIS);
+  }
+
   /** Draws tokens through any live instance of another failure domain. */
   Uni<PeerMessage> drawIn(FailureDomainId domain, DomainDraw draw) {
     Optional<IncarnationId> contact =
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/PlatformReader.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/PlatformReader.java
@@ -33,6 +33,7 @@
       Vertx vertx,
       NodeContext context,
       DocumentKeeper keeper,
+      Runnable onConfirmed,
       Consumer<List<ListedInstance>> onList) {
     InstanceSettings.Platform settings = context.settings().platform();
     PlatformClient client =
@@ -48,7 +49,7 @@
             times,
             context.random()::nextLong,
             found -> keeper.offer(found.revision(), found.value(), DocumentSource.PLATFORM),
-            keeper::confirmed),
+            onConfirmed),
         PlatformWatch.create(
             vertx,
             client::instances,
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
@@ -104,7 +104,7 @@
             context::nowMillis,
             this::onDocument);
     this.duties = Duties.of(keeper, view);
-    this.fetch = PeerDocumentFetch.of(keeper, this::askForDocument);
+    this.fetch = PeerDocumentFetch.of(keeper, addresses::askForDocument);
     this.canceller = EngineCanceller.create(vertx, keeper, context.metrics());
     this.schedulers =
         LocalSchedulers.of(
@@ -132,7 +132,8 @@
             NodeTimes.shareWaitMillis(settings.peers()));
     this.callers =
         CallerServer.create(vertx, callerContext(), settings.host(), settings.callerPort());
-    this.platform = PlatformReader.create(vertx, context, keeper, this::onListed);
+    this.platform =
+        PlatformReader.create(vertx, context, keeper, () -> onConfirmed(0), this::onListed);
     NodeOperators sources = NodeOperators.of(this, context);
     this.operators =
         OperatorServer.create(vertx, sources, settings.host(), settings.operatorPort());
@@ -342,10 +343,18 @@
       return;
     }
     run(membership.heartbeat(context.nowMillis(), heartbeat));
+    if (heartbeat.confirms(keeper.revision())) {
+      onConfirmed(heartbeat.documentAgeMillis());
+    }
     readiness.announced(heartbeat.revision());
     fetch.announced(from, heartbeat.revision());
   }
 
+  private void onConfirmed(long ageMillis) {
+    keeper.confirmed(ageMillis);
+    membership.confirmed(context.nowMillis(), ageMillis);
+  }
+
   private void onListed(List<ListedInstance> list) {
     run(membership.listed(context.nowMillis(), list));
   }
@@ -359,10 +368,6 @@
     run(membership.document(context.nowMillis(), snapshot.revision(), snapshot.digest()));
   }
 
-  private Uni<PeerMessage> askForDocument(IncarnationId peer, DocumentRequest request) {
-    return addresses.ask(peer, request, NodeTimes.DOCUMENT_TIMEOUT_MILLIS);
-  }
-
   private void run(List<MembershipAction> actions) {
     for (MembershipAction action : actions) {
       if (action instanceof MembershipAction.Send message) {
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/peer/MessageSizeTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/peer/MessageSizeTest.java
@@ -44,7 +44,7 @@
     Member member = new Member(OWNER, FailureDomainId.of("kayseri-a"), "10.11.12.13", 8082, false);
     Revision revision = Revision.of(1_000_000);
     String digest = "0".repeat(DIGEST_DIGITS);
-    Heartbeat heartbeat = new Heartbeat(member, revision, digest, revision, 1_000, false);
+    Heartbeat heartbeat = new Heartbeat(member, revision, digest, 30_000, revision, 1_000, false);
     int bytes = size("heartbeat", heartbeat);
     assertThat(bytes + HEADER_BYTES, lessThanOrEqualTo(HEARTBEAT_BYTES));
   }
