End the wait for an answer in the test of withdrawn keys after a minute

Cause: with withdrawals left out (a trial) the test waited without end in place of failing. Change: it waits a minute at most.

--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/SplitCallTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/caller/SplitCallTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -144,12 +145,12 @@
       answer.cancel(true);
     } else if (cause == GiveUpCause.KEY_WITHDRAWN) {
       fixture.server.documentChanged(fixture.withdraw("one"));
-      assertError(answer.get(), 499, "KEY_WITHDRAWN", "maybe");
+      assertError(answer.get(1, TimeUnit.MINUTES), 499, "KEY_WITHDRAWN", "maybe");
       AuditEvent withdrawn = new AuditEvent.KeyWithdrawn("one", AccountId.of("account-one"), 1);
       CallerFixture.eventually(() -> fixture.audit.contains(withdrawn));
       assertError(fixture.post("/notes", CallerFixture.prompt(1, true)), 401, "UNKNOWN_KEY", "no");
     } else {
-      assertError(answer.get(), 502, "ENDPOINT_LOST", "maybe");
+      assertError(answer.get(1, TimeUnit.MINUTES), 502, "ENDPOINT_LOST", "maybe");
     }
     CallerFixture.eventually(() -> decodeEngine.held().isEmpty());
     assertThat(fixture.server.running().await().indefinitely().isEmpty(), is(true));
