--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
@@ -0,0 +1,225 @@
+package org.knapweedcleat.core.balance;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.Stream;
+import org.knapweedcleat.core.directory.EndpointEntry;
+import org.knapweedcleat.core.directory.EndpointStage;
+import org.knapweedcleat.core.directory.EngineProfile;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.ServiceId;
+
+/** Chooses where a call runs, by the time until its answer that the known work lets expect. */
+public final class EndpointChooser {
+
+  /** Assumed time of a plain call until some have ended. */
+  private static final double PLAIN_CALL_MILLIS = 60;
+
+  /** What a share of failures costs: a failed call is lost or starts again after about that. */
+  private static final double FAILURE_MILLIS = 1_500;
+
+  /** Expected times within this part of each other count as alike, so that instances spread. */
+  private static final double JITTER = 0.1;
+
+  /** The part of an engine's memory that placements fill; the rest is for rounding to blocks. */
+  private static final double USABLE_MEMORY = 0.97;
+
+  /** How much a full decode engine is slower than an empty one, over the tokens of an answer. */
+  private static final double FULL_ENGINE_MILLIS = 200;
+
+  /** How many of the best engines of each stage are tried in pairs. */
+  private static final int PAIR_CANDIDATES = 5;
+
+  private final DomainMap domains;
+  private final WorkBook work;
+  private final HealthBook health;
+  private final DoubleSupplier random;
+  private final Map<ServiceId, EngineSpeed> speeds = new HashMap<>();
+
+  private EndpointChooser(
+      DomainMap domains, WorkBook work, HealthBook health, DoubleSupplier random) {
+    this.domains = domains;
+    this.work = work;
+    this.health = health;
+    this.random = random;
+  }
+
+  /**
+   * Returns a chooser.
+   *
+   * @param domains the failure domains
+   * @param work the work at each endpoint
+   * @param health the health of each endpoint
+   * @param random gives numbers from 0 up to but not including 1
+   * @return the chooser
+   */
+  public static EndpointChooser of(
+      DomainMap domains, WorkBook work, HealthBook health, DoubleSupplier random) {
+    return new EndpointChooser(domains, work, health, random);
+  }
+
+  /**
+   * Returns the learned speed of a service's engines.
+   *
+   * @param service the service
+   * @return the speed
+   */
+  public EngineSpeed speed(ServiceId service) {
+    return speeds.computeIfAbsent(service, id -> EngineSpeed.initial());
+  }
+
+  /**
+   * Chooses an endpoint for a plain call.
+   *
+   * @param nowMillis the time
+   * @param candidates the endpoints that take work
+   * @param tried the endpoints that have failed this call, used only if there is no other
+   * @return the endpoint, if there is any
+   */
+  public Optional<EndpointEntry> plain(
+      long nowMillis, List<EndpointEntry> candidates, Set<EndpointId> tried) {
+    return best(nowMillis, candidates, tried, entry -> plainMillis(nowMillis, entry));
+  }
+
+  /**
+   * Places a streamed request.
+   *
+   * @param nowMillis the time
+   * @param candidates the engines that take work
+   * @param tried the engines that have failed this request, used only if there is no other
+   * @param profile what an engine holds
+   * @param promptTokens the tokens to read
+   * @param memoryTokens the tokens that the request occupies in the end
+   * @param split whether another engine may read the prompt
+   * @return the placement; empty if no engine that runs requests has room
+   */
+  public Optional<StreamPlacement> stream(
+      long nowMillis,
+      List<EndpointEntry> candidates,
+      Set<EndpointId> tried,
+      EngineProfile profile,
+      long promptTokens,
+      long memoryTokens,
+      boolean split) {
+    List<EndpointEntry> decoders =
+        candidates.stream()
+            .filter(entry -> entry.stage().runsRequests())
+            .filter(entry -> hasRoom(nowMillis, entry, profile, memoryTokens))
+            .toList();
+    List<EndpointEntry> nearDecoders =
+        ranked(nowMillis, decoders, tried, entry -> decodeMillis(nowMillis, entry, profile));
+    List<EndpointEntry> readers =
+        split
+            ? ranked(
+                nowMillis,
+                candidates.stream().filter(e -> e.stage() == EndpointStage.PREFILL).toList(),
+                tried,
+                entry -> prefillMillis(nowMillis, entry, promptTokens))
+            : List.of();
+    return nearDecoders.stream()
+        .limit(PAIR_CANDIDATES)
+        .flatMap(
+            decode ->
+                Stream.concat(
+                    Stream.of(alone(nowMillis, decode, profile, promptTokens)),
+                    readers.stream()
+                        .limit(PAIR_CANDIDATES)
+                        .map(reader -> pair(nowMillis, reader, decode, profile, promptTokens))))
+        .min(Comparator.comparingDouble(StreamPlacement::firstEventMillis));
+  }
+
+  private StreamPlacement alone(
+      long nowMillis, EndpointEntry decode, EngineProfile profile, long promptTokens) {
+    long ahead = work.at(decode.id(), nowMillis).promptTokens();
+    double millis =
+        decodeMillis(nowMillis, decode, profile)
+            + speed(decode.service()).decodeMillis(ahead + promptTokens);
+    return new StreamPlacement(Optional.empty(), decode, millis);
+  }
+
+  private StreamPlacement pair(
+      long nowMillis,
+      EndpointEntry reader,
+      EndpointEntry decode,
+      EngineProfile profile,
+      long promptTokens) {
+    double millis =
+        prefillMillis(nowMillis, reader, promptTokens)
+            + domains.between(reader.domain(), decode.domain()).transferMillis()
+            + decodeMillis(nowMillis, decode, profile);
+    return new StreamPlacement(Optional.of(reader), decode, millis);
+  }
+
+  private boolean hasRoom(
+      long nowMillis, EndpointEntry entry, EngineProfile profile, long memoryTokens) {
+    EndpointWork there = work.at(entry.id(), nowMillis);
+    return there.calls() < profile.slots()
+        && there.memoryTokens() + memoryTokens <= profile.memoryTokens() * USABLE_MEMORY;
+  }
+
+  private double plainMillis(long nowMillis, EndpointEntry entry) {
+    int calls = work.at(entry.id(), nowMillis).calls();
+    double callMillis = health.of(entry.id()).meanMillis(PLAIN_CALL_MILLIS);
+    double waiting = Math.max(0, calls + 1 - entry.slots());
+    double busy = (double) Math.min(calls, entry.slots()) / Math.max(1, entry.slots());
+    return callMillis * (1 + busy / 2 + waiting / Math.max(1, entry.slots()));
+  }
+
+  private double prefillMillis(long nowMillis, EndpointEntry entry, long promptTokens) {
+    long ahead = work.at(entry.id(), nowMillis).promptTokens();
+    return speed(entry.service()).prefillMillis(ahead + promptTokens)
+        + domains.toOwn(entry.domain()).roundTripMillis()
+        + FAILURE_MILLIS * health.of(entry.id()).failureShare();
+  }
+
+  private double decodeMillis(long nowMillis, EndpointEntry entry, EngineProfile profile) {
+    EndpointWork there = work.at(entry.id(), nowMillis);
+    double full = (double) there.memoryTokens() / Math.max(1, profile.memoryTokens());
+    return FULL_ENGINE_MILLIS * full
+        + domains.toOwn(entry.domain()).roundTripMillis()
+        + FAILURE_MILLIS * health.of(entry.id()).failureShare();
+  }
+
+  private Optional<EndpointEntry> best(
+      long nowMillis,
+      List<EndpointEntry> candidates,
+      Set<EndpointId> tried,
+      ToDoubleFunction<EndpointEntry> millis) {
+    ToDoubleFunction<EndpointEntry> whole =
+        entry ->
+            millis.applyAsDouble(entry)
+                + domains.toOwn(entry.domain()).roundTripMillis()
+                + FAILURE_MILLIS * health.of(entry.id()).failureShare();
+    return ranked(nowMillis, candidates, tried, whole).stream().findFirst();
+  }
+
+  /** Sorts by expected time; endpoints that are not trusted stand in only for none. */
+  private List<EndpointEntry> ranked(
+      long nowMillis,
+      List<EndpointEntry> candidates,
+      Set<EndpointId> tried,
+      ToDoubleFunction<EndpointEntry> millis) {
+    List<EndpointEntry> trusted =
+        candidates.stream()
+            .filter(entry -> !tried.contains(entry.id()))
+            .filter(entry -> health.of(entry.id()).isTrusted(nowMillis))
+            .toList();
+    List<EndpointEntry> untried =
+        candidates.stream().filter(entry -> !tried.contains(entry.id())).toList();
+    List<EndpointEntry> usable = trusted.isEmpty() ? untried : trusted;
+    if (usable.isEmpty()) {
+      usable = candidates;
+    }
+    Map<EndpointEntry, Double> expected = new HashMap<>();
+    usable.forEach(
+        entry ->
+            expected.put(entry, millis.applyAsDouble(entry) * (1 + JITTER * random.getAsDouble())));
+    return usable.stream().sorted(Comparator.comparingDouble(expected::get)).toList();
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointHealth.java
@@ -0,0 +1,123 @@
+package org.knapweedcleat.core.balance;
+
+/**
+ * What is seen of one endpoint's health.
+ *
+ * <p>An endpoint that fails is left alone for a time, which doubles while it goes on to fail; after
+ * that it gets one call at a time until one succeeds. One that fails a part of its calls is left
+ * alone when that part is large.
+ */
+public final class EndpointHealth {
+
+  /** The first time alone; about as long as a call takes. */
+  private static final long FIRST_PAUSE_MILLIS = 500;
+
+  /** The longest time alone, so that a returned endpoint is found within seconds. */
+  private static final long MAX_PAUSE_MILLIS = 4_000;
+
+  /** How much the newest outcome counts in the share of failures. */
+  private static final double OUTCOME_WEIGHT = 0.15;
+
+  /** A share of failures above this is worse than a detour to another region. */
+  private static final double MAX_FAILURE_SHARE = 0.25;
+
+  /** How much the newest time counts in the mean time of a call. */
+  private static final double TIME_WEIGHT = 0.2;
+
+  private int failuresInRow;
+  private double failureShare;
+  private long aloneUntilMillis = Long.MIN_VALUE;
+  private boolean onProbation;
+  private boolean probing;
+  private double meanMillis = -1;
+
+  private EndpointHealth() {}
+
+  /**
+   * Returns the health of an endpoint of which nothing was seen.
+   *
+   * @return the health
+   */
+  public static EndpointHealth unknown() {
+    return new EndpointHealth();
+  }
+
+  /**
+   * Notes a call that the endpoint answered well.
+   *
+   * @param tookMillis how long it took
+   */
+  public void succeeded(double tookMillis) {
+    failuresInRow = 0;
+    onProbation = false;
+    probing = false;
+    failureShare *= 1 - OUTCOME_WEIGHT;
+    meanMillis = meanMillis < 0 ? tookMillis : meanMillis + TIME_WEIGHT * (tookMillis - meanMillis);
+  }
+
+  /**
+   * Notes a call that failed because of the endpoint.
+   *
+   * @param nowMillis the time
+   * @param silent whether the endpoint did not react at all
+   */
+  public void failed(long nowMillis, boolean silent) {
+    failuresInRow++;
+    probing = false;
+    failureShare += OUTCOME_WEIGHT * (1 - failureShare);
+    if (silent || onProbation || failuresInRow >= 2 || failureShare > MAX_FAILURE_SHARE) {
+      int doublings = Math.min(failuresInRow - 1, 3);
+      long pauseMillis = Math.min(MAX_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << doublings);
+      aloneUntilMillis = nowMillis + pauseMillis;
+      onProbation = true;
+    }
+  }
+
+  /** Notes that a call is sent to the endpoint. */
+  public void sending() {
+    probing = onProbation;
+  }
+
+  /** Notes that a call ended without telling anything of the endpoint. */
+  public void inconclusive() {
+    probing = false;
+  }
+
+  /**
+   * Tells whether the endpoint may get a call now.
+   *
+   * @param nowMillis the time
+   * @return false while it is left alone or tried with one call
+   */
+  public boolean isTrusted(long nowMillis) {
+    return nowMillis >= aloneUntilMillis && !probing;
+  }
+
+  /**
+   * Tells whether a failure has not been followed by a success.
+   *
+   * @return true for an endpoint that is left alone or tried
+   */
+  public boolean isOnProbation() {
+    return onProbation;
+  }
+
+  /**
+   * Returns the share of failures among recent calls.
+   *
+   * @return 0 to 1
+   */
+  public double failureShare() {
+    return failureShare;
+  }
+
+  /**
+   * Returns how long recent calls took.
+   *
+   * @param fallbackMillis what counts as long as no call has ended
+   * @return milliseconds
+   */
+  public double meanMillis(double fallbackMillis) {
+    return meanMillis < 0 ? fallbackMillis : meanMillis;
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/WorkBook.java
@@ -0,0 +1,101 @@
+package org.knapweedcleat.core.balance;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.knapweedcleat.core.id.EndpointId;
+
+/** The work at each endpoint: the own work exactly, that of other instances as last told. */
+public final class WorkBook {
+
+  private final long maxAgeMillis;
+  private final Map<EndpointId, EndpointWork> own = new HashMap<>();
+  private final Map<String, Told> told = new HashMap<>();
+
+  private record Told(long atMillis, Map<EndpointId, EndpointWork> work) {}
+
+  private WorkBook(long maxAgeMillis) {
+    this.maxAgeMillis = maxAgeMillis;
+  }
+
+  /**
+   * Returns an empty book.
+   *
+   * @param maxAgeMillis how long counts what another instance told
+   * @return the book
+   */
+  public static WorkBook of(long maxAgeMillis) {
+    return new WorkBook(maxAgeMillis);
+  }
+
+  /**
+   * Notes work that the own instance gives to an endpoint.
+   *
+   * @param endpoint the endpoint
+   * @param work the work
+   */
+  public void begin(EndpointId endpoint, EndpointWork work) {
+    own.merge(endpoint, work, EndpointWork::plus);
+  }
+
+  /**
+   * Notes that own work has ended.
+   *
+   * @param endpoint the endpoint
+   * @param work the work, as it was begun
+   */
+  public void end(EndpointId endpoint, EndpointWork work) {
+    own.computeIfPresent(
+        endpoint,
+        (id, before) -> {
+          EndpointWork left = before.minus(work);
+          return left.equals(EndpointWork.NONE) ? null : left;
+        });
+  }
+
+  /**
+   * Takes what another instance tells of its work; it replaces what that instance told before.
+   *
+   * @param instance names the instance
+   * @param nowMillis the time
+   * @param work its work by endpoint
+   */
+  public void told(String instance, long nowMillis, Map<EndpointId, EndpointWork> work) {
+    told.put(instance, new Told(nowMillis, Map.copyOf(work)));
+  }
+
+  /**
+   * Forgets an instance.
+   *
+   * @param instance names the instance
+   */
+  public void ended(String instance) {
+    told.remove(instance);
+  }
+
+  /**
+   * Returns the own work.
+   *
+   * @return the work by endpoint
+   */
+  public Map<EndpointId, EndpointWork> own() {
+    return Map.copyOf(own);
+  }
+
+  /**
+   * Returns all work at an endpoint that is known.
+   *
+   * @param endpoint the endpoint
+   * @param nowMillis the time
+   * @return the own work and that of the other instances
+   */
+  public EndpointWork at(EndpointId endpoint, long nowMillis) {
+    EndpointWork sum = own.getOrDefault(endpoint, EndpointWork.NONE);
+    for (Told one : told.values()) {
+      EndpointWork work = one.work().get(endpoint);
+      if (work != null && nowMillis - one.atMillis() <= maxAgeMillis) {
+        sum = sum.plus(work);
+      }
+    }
+    return sum;
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/package-info.java
@@ -0,0 +1,2 @@
+/** Chooses endpoints by their distance, their work and what is seen of their health. */
+package org.knapweedcleat.core.balance;
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderKeys.java
@@ -0,0 +1,131 @@
+package org.knapweedcleat.core.config;
+
+import io.vavr.collection.List;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.InstanceId;
+import org.knapweedcleat.core.id.RegionId;
+
+/** The keys of a forwarding instance's settings. */
+public final class ForwarderKeys {
+
+  private static final String MILLIS = "milliseconds";
+
+  static final SettingKey<InstanceId> ID =
+      SettingKey.required(
+          SectionKind.FORWARDER,
+          "id",
+          ValueRules.name().as(InstanceId::of),
+          "",
+          "the instance's name, different from that of all others");
+  static final SettingKey<FailureDomainId> DOMAIN =
+      SettingKey.required(
+          SectionKind.FORWARDER,
+          "domain",
+          ValueRules.name().as(FailureDomainId::of),
+          "",
+          "the failure domain it stands in");
+  static final SettingKey<InetAddressPort> CALLERS =
+      address(SectionKind.FORWARDER, "callerAddress", "where it listens for callers");
+  static final SettingKey<InetAddressPort> READINESS =
+      address(SectionKind.FORWARDER, "readinessAddress", "where it tells whether it is ready");
+  static final SettingKey<InetAddressPort> PEERS =
+      address(SectionKind.FORWARDER, "peerAddress", "where it listens for other instances");
+  static final SettingKey<InetAddressPort> METRICS =
+      address(SectionKind.FORWARDER, "metricsAddress", "where it serves its metrics");
+
+  static final SettingKey<List<InetAddressPort>> SEEDS =
+      SettingKey.optional(
+          SectionKind.DISCOVERY,
+          "seeds",
+          ValueRules.addresses(),
+          "",
+          "",
+          "where other instances may be found at first");
+  static final SettingKey<InetAddressPort> STORE =
+      address(
+          SectionKind.DISCOVERY,
+          "storeAddress",
+          "where the configuration and the endpoints are published");
+  static final SettingKey<Integer> GOSSIP =
+      SettingKey.optional(
+          SectionKind.DISCOVERY,
+          "gossipMillis",
+          ValueRules.whole(20, 60_000),
+          MILLIS,
+          "200",
+          "the time between messages to each other instance in a small fleet");
+
+  static final SettingKey<Integer> STOP =
+      SettingKey.optional(
+          SectionKind.BOUNDS,
+          "stopMillis",
+          ValueRules.whole(100, 3_600_000),
+          MILLIS,
+          "8000",
+          "how long a planned stop may take");
+  static final SettingKey<Double> REPEAT_RATIO =
+      SettingKey.optional(
+          SectionKind.BOUNDS,
+          "repeatRatio",
+          ValueRules.decimal(0, 10),
+          "repeats a call",
+          "0.2",
+          "repeats that each call of a service allows");
+  static final SettingKey<Integer> REPEAT_WINDOW =
+      SettingKey.optional(
+          SectionKind.BOUNDS,
+          "repeatWindowMillis",
+          ValueRules.whole(100, 3_600_000),
+          MILLIS,
+          "10000",
+          "the window in which repeats are counted");
+  static final SettingKey<Integer> REPEAT_SLACK =
+      SettingKey.optional(
+          SectionKind.BOUNDS,
+          "repeatSlack",
+          ValueRules.whole(0, 1_000_000),
+          "repeats",
+          "20",
+          "repeats that the fleet may send in a window besides");
+
+  static final SettingKey<RegionId> REGION =
+      SettingKey.required(
+          SectionKind.FORWARDER_DOMAIN,
+          "region",
+          ValueRules.name().as(RegionId::of),
+          "",
+          "the region it lies in");
+
+  private static final List<SettingKey<?>> ALL =
+      List.of(
+          ID,
+          DOMAIN,
+          CALLERS,
+          READINESS,
+          PEERS,
+          METRICS,
+          SEEDS,
+          STORE,
+          GOSSIP,
+          STOP,
+          REPEAT_RATIO,
+          REPEAT_WINDOW,
+          REPEAT_SLACK,
+          REGION);
+
+  private ForwarderKeys() {}
+
+  /**
+   * Lists every key of a forwarding instance's settings.
+   *
+   * @return the keys, those of a section together
+   */
+  public static List<SettingKey<?>> all() {
+    return ALL;
+  }
+
+  private static SettingKey<InetAddressPort> address(
+      SectionKind section, String name, String meaning) {
+    return SettingKey.required(section, name, ValueRules.address(), "", meaning);
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettings.java
@@ -0,0 +1,52 @@
+package org.knapweedcleat.core.config;
+
+import java.util.List;
+import java.util.Map;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.InstanceId;
+import org.knapweedcleat.core.id.RegionId;
+
+/**
+ * What one forwarding instance is told about itself when it starts.
+ *
+ * @param id the instance's name
+ * @param domain the failure domain it stands in
+ * @param callers where it listens for callers
+ * @param readiness where it tells whether it is ready
+ * @param peers where it listens for other instances
+ * @param metrics where it serves its metrics
+ * @param regions the region of each failure domain
+ * @param discovery how it finds the others and the configuration
+ * @param bounds what the fleet keeps to
+ */
+public record ForwarderSettings(
+    InstanceId id,
+    FailureDomainId domain,
+    InetAddressPort callers,
+    InetAddressPort readiness,
+    InetAddressPort peers,
+    InetAddressPort metrics,
+    Map<FailureDomainId, RegionId> regions,
+    Discovery discovery,
+    Bounds bounds) {
+
+  /**
+   * How an instance finds the others and the configuration.
+   *
+   * @param seeds where other instances may be found at first
+   * @param store where the configuration and the endpoints are published
+   * @param gossipMillis the time between messages to each other instance in a small fleet
+   */
+  public record Discovery(List<InetAddressPort> seeds, InetAddressPort store, int gossipMillis) {}
+
+  /**
+   * Times and budgets of the whole fleet.
+   *
+   * @param stopMillis how long a planned stop may take
+   * @param repeatRatio repeats that each call of a service allows
+   * @param repeatWindowMillis the window in which repeats are counted
+   * @param repeatSlack repeats that the fleet may send besides
+   */
+  public record Bounds(
+      int stopMillis, double repeatRatio, int repeatWindowMillis, int repeatSlack) {}
+}
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SectionKind.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SectionKind.java
@@ -32,7 +32,15 @@
   /** The limits of the instance. */
   LIMITS(SettingsFile.INSTANCE, "limits", 0, "how much the instance accepts"),
   /** The other instances. */
-  PEERS(SettingsFile.INSTANCE, "peers", 0, "timing between instances");
+  PEERS(SettingsFile.INSTANCE, "peers", 0, "timing between instances"),
+  /** The forwarding instance itself. */
+  FORWARDER(SettingsFile.FORWARDER, "instance", 0, "the instance's name and addresses"),
+  /** How a forwarding instance finds the others and the configuration. */
+  DISCOVERY(SettingsFile.FORWARDER, "discovery", 0, "where others and the configuration are found"),
+  /** What a forwarding instance keeps to. */
+  BOUNDS(SettingsFile.FORWARDER, "bounds", 0, "times and budgets of the whole fleet"),
+  /** A failure domain that a forwarding instance knows. */
+  FORWARDER_DOMAIN(SettingsFile.FORWARDER, "domain", 1, "a failure domain");
 
   private final SettingsFile file;
   private final String word;
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SettingsFile.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SettingsFile.java
@@ -5,5 +5,7 @@
   /** The document that is published for the whole deployment. */
   DOCUMENT,
   /** What one instance is told about itself. */
-  INSTANCE
+  INSTANCE,
+  /** What one instance is told that forwards calls for an adapter of a platform. */
+  FORWARDER
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ValueRules.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ValueRules.java
@@ -78,6 +78,48 @@
         text -> Option.of(text).filter(ValueRules::isIpNumber));
   }
 
+  /**
+   * Returns the rule for addresses.
+   *
+   * @return the rule
+   */
+  public static ValueRule<InetAddressPort> address() {
+    return ValueRule.of(
+        "an IP number and a port such as 127.0.0.1:8080",
+        text -> {
+          int colon = text.lastIndexOf(':');
+          return Option.when(colon > 0, () -> text)
+              .flatMap(
+                  whole ->
+                      ipNumber()
+                          .read(whole.substring(0, colon))
+                          .flatMap(
+                              host ->
+                                  port()
+                                      .read(whole.substring(colon + 1))
+                                      .map(port -> new InetAddressPort(host, port))));
+        });
+  }
+
+  static ValueRule<List<InetAddressPort>> addresses() {
+    return ValueRule.of(
+        "addresses such as 127.0.0.1:8080, separated by commas",
+        text -> {
+          List<String> parts = List.of(text.split(",")).map(String::trim).reject(String::isEmpty);
+          List<Option<InetAddressPort>> read = parts.map(part -> address().read(part));
+          return Option.when(read.forAll(Option::isDefined), () -> read.map(Option::get));
+        });
+  }
+
+  static ValueRule<Double> decimal(double lowest, double highest) {
+    return ValueRule.of(
+        "a number from " + lowest + " to " + highest,
+        text ->
+            Try.of(() -> Double.parseDouble(text))
+                .toOption()
+                .filter(number -> number >= lowest && number <= highest));
+  }
+
   static ValueRule<Boolean> yesNo() {
     return ValueRule.of(
         "yes or no",
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/directory/EngineProfile.java
@@ -0,0 +1,14 @@
+package org.knapweedcleat.core.directory;
+
+/**
+ * What the engines of a service can hold.
+ *
+ * @param slots how many requests an engine runs at once
+ * @param memoryTokens how many tokens an engine's memory holds
+ * @param handleMillis how long an engine keeps the result of a prefill that is not fetched
+ */
+public record EngineProfile(int slots, long memoryTokens, long handleMillis) {
+
+  /** Stands for a service without model engines. */
+  public static final EngineProfile NONE = new EngineProfile(0, 0, 0);
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/directory/RoutingConfig.java
@@ -0,0 +1,126 @@
+package org.knapweedcleat.core.directory;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.knapweedcleat.core.account.KeyDigest;
+import org.knapweedcleat.core.id.AccountId;
+import org.knapweedcleat.core.id.ServiceId;
+
+/** One version of the published routes, services and accounts; immutable. */
+public final class RoutingConfig {
+
+  private final RoutingContent content;
+  private final Map<String, List<ForwardRoute>> routesByHost;
+  private final Map<ServiceId, ServiceProfile> services;
+  private final Map<KeyDigest, AccountQuota> accountsByKey = new HashMap<>();
+  private final Map<AccountId, AccountQuota> accounts = new HashMap<>();
+
+  private RoutingConfig(RoutingContent content) {
+    this.content = content;
+    Comparator<ForwardRoute> longestFirst =
+        Comparator.comparingInt(route -> -route.prefix().length());
+    this.routesByHost =
+        content.routes().stream()
+            .sorted(longestFirst)
+            .collect(Collectors.groupingBy(ForwardRoute::host));
+    this.services =
+        content.services().stream()
+            .collect(Collectors.toMap(ServiceProfile::service, one -> one, (one, other) -> other));
+    for (AccountQuota account : content.accounts()) {
+      accounts.put(account.account(), account);
+      account.keys().forEach(key -> accountsByKey.put(key, account));
+    }
+  }
+
+  /**
+   * Returns a configuration.
+   *
+   * @param content what was published
+   * @return the configuration
+   */
+  public static RoutingConfig of(RoutingContent content) {
+    return new RoutingConfig(content);
+  }
+
+  /**
+   * Returns what was published.
+   *
+   * @return the content
+   */
+  public RoutingContent content() {
+    return content;
+  }
+
+  /**
+   * Returns the version.
+   *
+   * @return a number that rises
+   */
+  public long version() {
+    return content.version();
+  }
+
+  /**
+   * Finds the route of a call: of the host's routes the one with the longest prefix.
+   *
+   * @param host the host without a port
+   * @param path the path without a query
+   * @return the route, if one matches
+   */
+  public Optional<ForwardRoute> route(String host, String path) {
+    return routesByHost.getOrDefault(host, List.of()).stream()
+        .filter(route -> path.startsWith(route.prefix()))
+        .findFirst();
+  }
+
+  /**
+   * Returns a service.
+   *
+   * @param service its id
+   * @return the service, if it is published
+   */
+  public Optional<ServiceProfile> service(ServiceId service) {
+    return Optional.ofNullable(services.get(service));
+  }
+
+  /**
+   * Finds the account that holds a key.
+   *
+   * @param key the key's digest
+   * @return the account, if one holds it
+   */
+  public Optional<AccountQuota> holder(KeyDigest key) {
+    return Optional.ofNullable(accountsByKey.get(key));
+  }
+
+  /**
+   * Returns the accounts.
+   *
+   * @return all accounts by their ids
+   */
+  public Map<AccountId, AccountQuota> accounts() {
+    return Map.copyOf(accounts);
+  }
+
+  /**
+   * Tells whether calls need a key unless their route is open.
+   *
+   * @return true if the configuration has accounts
+   */
+  public boolean isKeyed() {
+    return content.keyed();
+  }
+
+  /**
+   * Returns what callers may send.
+   *
+   * @return the bounds
+   */
+  public CallerBounds bounds() {
+    return content.bounds();
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/fleet/FleetMembers.java
@@ -0,0 +1,173 @@
+package org.knapweedcleat.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.InstanceId;
+
+/**
+ * The other instances, known from seeds, from what they send and from whom they name.
+ *
+ * <p>An instance that was not heard for {@link #LIVE_INTERVALS} intervals is not live; it is still
+ * tried and counted as possible for {@link #MEMORY_MILLIS}, since it may be cut off.
+ */
+public final class FleetMembers {
+
+  /** How many messages in a row may be lost or late before an instance is not live. */
+  public static final int LIVE_INTERVALS = 4;
+
+  /** Longer than a machine that is cut off or stopped usually stays away. */
+  public static final long MEMORY_MILLIS = 30_000;
+
+  /** The time between messages grows by this much an instance, which bounds an instance's cost. */
+  private static final int INTERVAL_MILLIS_PER_MEMBER = 10;
+
+  private final FleetMember self;
+  private final int intervalMillis;
+  private final Map<InstanceId, Known> others = new TreeMap<>();
+
+  private static final class Known {
+    private FleetMember member;
+    private long heardAtMillis;
+    private long namedAtMillis;
+
+    Known(FleetMember member) {
+      this.member = member;
+      this.heardAtMillis = Long.MIN_VALUE / 2;
+      this.namedAtMillis = Long.MIN_VALUE / 2;
+    }
+  }
+
+  private FleetMembers(FleetMember self, int intervalMillis) {
+    this.self = self;
+    this.intervalMillis = intervalMillis;
+  }
+
+  /**
+   * Returns the members as an instance knows them that has heard of none.
+   *
+   * @param self the own run
+   * @param intervalMillis the time between messages in a small fleet
+   * @return the members
+   */
+  public static FleetMembers of(FleetMember self, int intervalMillis) {
+    return new FleetMembers(self, intervalMillis);
+  }
+
+  /**
+   * Returns the time between messages to each other instance.
+   *
+   * @return milliseconds
+   */
+  public long intervalMillis() {
+    return Math.max(intervalMillis, (long) others.size() * INTERVAL_MILLIS_PER_MEMBER);
+  }
+
+  /**
+   * Notes a message of another instance.
+   *
+   * @param nowMillis the time
+   * @param member the sender
+   * @param named the instances that it heard lately
+   * @return the sender's run that has ended with this news, if any, else the sender's own
+   */
+  public IncarnationId heard(long nowMillis, FleetMember member, Collection<FleetMember> named) {
+    IncarnationId before = member.incarnation();
+    if (isOther(member)) {
+      Known known = others.computeIfAbsent(id(member), id -> new Known(member));
+      before = known.member.incarnation();
+      if (member.incarnation().startNumber() >= before.startNumber()) {
+        known.member = member;
+        known.heardAtMillis = nowMillis;
+        known.namedAtMillis = nowMillis;
+      }
+    }
+    named.stream().filter(this::isOther).forEach(one -> named(nowMillis, one));
+    return before;
+  }
+
+  /**
+   * Forgets instances that were not heard for long.
+   *
+   * @param nowMillis the time
+   * @return the runs that were forgotten
+   */
+  public List<IncarnationId> forget(long nowMillis) {
+    List<IncarnationId> gone = new ArrayList<>();
+    others
+        .values()
+        .removeIf(
+            known -> {
+              boolean old = nowMillis - known.namedAtMillis > MEMORY_MILLIS;
+              if (old) {
+                gone.add(known.member.incarnation());
+              }
+              return old;
+            });
+    return gone;
+  }
+
+  /**
+   * Forgets an instance that says it ends.
+   *
+   * @param incarnation the run that ends
+   */
+  public void left(IncarnationId incarnation) {
+    others.computeIfPresent(
+        incarnation.instance(),
+        (id, known) -> known.member.incarnation().equals(incarnation) ? null : known);
+  }
+
+  /**
+   * Lists the instances to send to: all that may live.
+   *
+   * @return the instances in the order of their names
+   */
+  public List<FleetMember> possible() {
+    return others.values().stream().map(known -> known.member).toList();
+  }
+
+  /**
+   * Lists the instances that were heard lately.
+   *
+   * @param nowMillis the time
+   * @return the instances in the order of their names, without the own one
+   */
+  public List<FleetMember> live(long nowMillis) {
+    long sinceMillis = nowMillis - LIVE_INTERVALS * intervalMillis();
+    return others.values().stream()
+        .filter(known -> known.heardAtMillis >= sinceMillis)
+        .map(known -> known.member)
+        .toList();
+  }
+
+  /**
+   * Tells whether an address belongs to a known instance.
+   *
+   * @param address IP number and port
+   * @return true for the own address and those of known instances
+   */
+  public boolean isKnown(String address) {
+    return address.equals(self.address())
+        || others.values().stream().anyMatch(known -> known.member.address().equals(address));
+  }
+
+  private void named(long nowMillis, FleetMember member) {
+    Known known = others.computeIfAbsent(id(member), id -> new Known(member));
+    if (member.incarnation().startNumber() > known.member.incarnation().startNumber()) {
+      known.member = member;
+    }
+    known.namedAtMillis = nowMillis;
+  }
+
+  private boolean isOther(FleetMember member) {
+    return !id(member).equals(id(self));
+  }
+
+  private static InstanceId id(FleetMember member) {
+    return member.incarnation().instance();
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/forward/RepeatBudget.java
@@ -0,0 +1,91 @@
+package org.knapweedcleat.core.forward;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * Bounds the sends beyond the first of each call to a share of the calls in a sliding window.
+ *
+ * <p>Each instance keeps to its own part of the fleet's slack, so that all together keep to the
+ * whole without talking to each other.
+ */
+public final class RepeatBudget {
+
+  private final double ratio;
+  private final long windowMillis;
+  private final Deque<Long> calls = new ArrayDeque<>();
+  private final Deque<Long> repeats = new ArrayDeque<>();
+  private double slack;
+
+  private RepeatBudget(double ratio, long windowMillis, double slack) {
+    this.ratio = ratio;
+    this.windowMillis = windowMillis;
+    this.slack = slack;
+  }
+
+  /**
+   * Returns an unused budget.
+   *
+   * @param ratio how many repeats a call allows
+   * @param windowMillis the length of the window
+   * @param slack how many repeats are allowed besides
+   * @return the budget
+   */
+  public static RepeatBudget of(double ratio, long windowMillis, double slack) {
+    return new RepeatBudget(ratio, windowMillis, slack);
+  }
+
+  /**
+   * Sets the own part of the fleet's slack.
+   *
+   * @param slack how many repeats are allowed besides the ratio
+   */
+  public void slack(double slack) {
+    this.slack = slack;
+  }
+
+  /**
+   * Counts a call.
+   *
+   * @param nowMillis the time
+   */
+  public void onCall(long nowMillis) {
+    expire(nowMillis);
+    calls.add(nowMillis);
+  }
+
+  /**
+   * Takes one repeat.
+   *
+   * @param nowMillis the time
+   * @return true if the budget had one
+   */
+  public boolean trySpend(long nowMillis) {
+    boolean allowed = hasOne(nowMillis);
+    if (allowed) {
+      repeats.add(nowMillis);
+    }
+    return allowed;
+  }
+
+  /**
+   * Tells whether a repeat is left.
+   *
+   * @param nowMillis the time
+   * @return true if one could be taken
+   */
+  public boolean hasOne(long nowMillis) {
+    expire(nowMillis);
+    return repeats.size() + 1 <= ratio * calls.size() + slack;
+  }
+
+  private void expire(long nowMillis) {
+    long sinceMillis = nowMillis - windowMillis;
+    while (!calls.isEmpty() && calls.peek() <= sinceMillis) {
+      calls.poll();
+    }
+    while (!repeats.isEmpty() && repeats.peek() <= sinceMillis) {
+      repeats.poll();
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/forward/package-info.java
@@ -0,0 +1,2 @@
+/** Decides what becomes of a forwarded call: send again, answer or give up. */
+package org.knapweedcleat.core.forward;
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/ForwarderMain.java
@@ -0,0 +1,103 @@
+package org.knapweedcleat.router;
+
+import io.vavr.control.Validation;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ServiceLoader;
+import java.util.concurrent.CountDownLatch;
+import org.knapweedcleat.core.config.ForwarderSettings;
+import org.knapweedcleat.core.config.ForwarderSettingsParser;
+import org.knapweedcleat.router.forward.codec.PlatformAdapter;
+import org.knapweedcleat.router.forward.node.ForwarderNode;
+import org.knapweedcleat.router.forward.node.SettingsFollower;
+import org.knapweedcleat.router.operator.Logs;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Runs {@code knapweedcleatd} as an instance that forwards calls on a platform. */
+final class ForwarderMain {
+
+  private static final Logger LOG = LoggerFactory.getLogger(ForwarderMain.class);
+  private static final int USAGE = 2;
+  private static final int FAILED = 1;
+
+  private ForwarderMain() {}
+
+  static void run(Path settingsFile, String adapterName) {
+    PlatformAdapter adapter = adapter(adapterName);
+    ForwarderSettings settings = read(settingsFile);
+    VertxOptions options =
+        new VertxOptions()
+            .setEventLoopPoolSize(1)
+            .setWorkerPoolSize(1)
+            .setInternalBlockingPoolSize(1)
+            .setFileSystemOptions(
+                new FileSystemOptions()
+                    .setFileCachingEnabled(false)
+                    .setClassPathResolvingEnabled(false));
+    Vertx vertx = Vertx.vertx(options);
+    ForwarderNode.start(vertx, settings, adapter)
+        .onSuccess(node -> follow(vertx, node, settingsFile))
+        .onFailure(
+            failure -> {
+              LOG.error("cannot start", failure);
+              end(FAILED);
+            });
+  }
+
+  private static void follow(Vertx vertx, ForwarderNode node, Path settingsFile) {
+    SettingsFollower.follow(vertx, settingsFile, node::reload);
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(node), "drain"));
+  }
+
+  /** Blocks the end of the process until the planned stop is over. */
+  private static void drain(ForwarderNode node) {
+    CountDownLatch done = new CountDownLatch(1);
+    node.drain().onComplete(drained -> done.countDown());
+    try {
+      done.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    Logs.flush();
+  }
+
+  private static PlatformAdapter adapter(String name) {
+    return ServiceLoader.load(PlatformAdapter.class).stream()
+        .map(ServiceLoader.Provider::get)
+        .filter(adapter -> adapter.name().equals(name))
+        .findFirst()
+        .orElseGet(
+            () -> {
+              System.err.println("knapweedcleatd: no adapter " + name + " on the class path");
+              System.exit(USAGE);
+              throw new IllegalStateException("exiting");
+            });
+  }
+
+  private static ForwarderSettings read(Path file) {
+    try {
+      Validation<?, ForwarderSettings> settings =
+          ForwarderSettingsParser.parse(file.toString(), Files.readString(file))
+              .mapError(
+                  faults -> {
+                    faults.forEach(System.err::println);
+                    return faults;
+                  });
+      return settings.getOrElseThrow(() -> new IllegalStateException("settings with faults"));
+    } catch (IOException | IllegalStateException e) {
+      System.err.println("knapweedcleatd: cannot use " + file + ": " + e.getMessage());
+      System.exit(USAGE);
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static void end(int status) {
+    Logs.flush();
+    new Thread(() -> System.exit(status), "end").start();
+  }
+}
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/RouterMain.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/RouterMain.java
@@ -31,6 +31,12 @@
   @Option(name = "--settings", metaVar = "FILE", usage = "the instance's settings", required = true)
   private Path settingsFile;
 
+  @Option(
+      name = "--adapter",
+      metaVar = "NAME",
+      usage = "forwards calls on the platform that the named adapter speaks for")
+  private String adapterName;
+
   @Option(name = "--help", help = true, usage = "prints this text")
   private boolean help;
 
@@ -52,11 +58,15 @@
       System.exit(USAGE);
     }
     if (main.help) {
-      System.out.println("usage: knapweedcleatd --settings FILE");
+      System.out.println("usage: knapweedcleatd --settings FILE [--adapter NAME]");
       parser.printUsage(System.out);
       return;
     }
-    main.run();
+    if (main.adapterName == null) {
+      main.run();
+    } else {
+      ForwarderMain.run(main.settingsFile, main.adapterName);
+    }
   }
 
   private void run() {
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardDesk.java
@@ -0,0 +1,124 @@
+package org.knapweedcleat.router.forward.call;
+
+import io.vavr.control.Either;
+import java.util.Optional;
+import org.knapweedcleat.core.account.KeyDigest;
+import org.knapweedcleat.core.directory.AccountQuota;
+import org.knapweedcleat.core.directory.ForwardRoute;
+import org.knapweedcleat.core.directory.RoutingConfig;
+import org.knapweedcleat.router.forward.codec.CallFault;
+import org.knapweedcleat.router.forward.codec.InboundCall;
+import org.knapweedcleat.router.forward.codec.TokenUsage;
+import org.knapweedcleat.router.forward.http.CallerExchange;
+import org.knapweedcleat.router.forward.http.CallerHandler;
+
+/** Admits calls: finds the route, the client account and its quota, and starts the call. */
+public final class ForwardDesk implements CallerHandler {
+
+  /** When to come back to an instance that has not learned the configuration yet. */
+  private static final long STARTING_MILLIS = 500;
+
+  /** A store that was silent for longer may hold a newer configuration. */
+  private static final long STALE_MILLIS = 5_000;
+
+  private final ForwardContext context;
+
+  private ForwardDesk(ForwardContext context) {
+    this.context = context;
+  }
+
+  /**
+   * Returns a desk.
+   *
+   * @param context what its calls share
+   * @return the desk
+   */
+  public static ForwardDesk of(ForwardContext context) {
+    return new ForwardDesk(context);
+  }
+
+  @Override
+  public void handle(CallerExchange exchange) {
+    context.metrics().counter("calls.received").inc();
+    Either<CallFault, InboundCall> read = context.codec().inbound(exchange.head());
+    if (read.isLeft()) {
+      refuse(exchange, "", OwnAnswer.MALFORMED, read.getLeft().message(), Optional.empty());
+      return;
+    }
+    InboundCall call = read.get();
+    if (!context.directory().isKnown()) {
+      String why = "no configuration is known yet";
+      refuse(exchange, call.requestId(), OwnAnswer.NOT_RUN, why, Optional.of(STARTING_MILLIS));
+      return;
+    }
+    context.directory().config().ifPresent(config -> admit(exchange, call, config));
+  }
+
+  private void admit(CallerExchange exchange, InboundCall call, RoutingConfig config) {
+    Optional<ForwardRoute> route = config.route(call.host(), exchange.head().path());
+    if (route.isEmpty()) {
+      unknown(exchange, call, OwnAnswer.NO_ROUTE, "no route for host and path");
+      return;
+    }
+    Optional<AccountQuota> account = call.key().map(KeyDigest::ofKey).flatMap(config::holder);
+    if (config.isKeyed() && !route.get().open() && account.isEmpty()) {
+      unknown(exchange, call, OwnAnswer.UNKNOWN_KEY, "the key is missing or unknown");
+      return;
+    }
+    long units = account.map(quota -> units(call, quota)).orElse(0L);
+    long waitMillis =
+        account.map(quota -> context.quota().take(context.nowMillis(), quota, units)).orElse(0L);
+    if (waitMillis > 0) {
+      String why = "account " + account.get().account() + " has spent its quota";
+      refuse(exchange, call.requestId(), OwnAnswer.OVER_QUOTA, why, Optional.of(waitMillis));
+      return;
+    }
+    ForwardedCall forwarded =
+        route.get().kind().isStreamed()
+            ? new StreamForward(context, exchange, call, route.get(), account, units)
+            : new PlainForward(context, exchange, call, route.get(), account, units);
+    forwarded.start();
+  }
+
+  private static long units(InboundCall call, AccountQuota quota) {
+    return call.usage().map(TokenUsage::total).orElse(quota.unitsWithoutUsage());
+  }
+
+  /** Refuses for good only if no newer configuration may exist that this instance cannot see. */
+  private void unknown(CallerExchange exchange, InboundCall call, OwnAnswer answer, String why) {
+    if (context.directory().storeAgeMillis() > STALE_MILLIS) {
+      refuse(
+          exchange,
+          call.requestId(),
+          OwnAnswer.NOT_RUN,
+          why + ", but the configuration may be old",
+          Optional.of(STARTING_MILLIS));
+      return;
+    }
+    refuse(exchange, call.requestId(), answer, why, Optional.empty());
+  }
+
+  private void refuse(
+      CallerExchange exchange,
+      String requestId,
+      OwnAnswer answer,
+      String why,
+      Optional<Long> retryAfterMillis) {
+    context.metrics().counter("calls." + answer.word()).inc();
+    context
+        .log()
+        .failure(
+            "call." + answer.word(),
+            "requestId",
+            requestId,
+            "why",
+            why,
+            "retryAfterMillis",
+            retryAfterMillis.orElse(0L),
+            "configVersion",
+            context.directory().config().map(RoutingConfig::version).orElse(0L),
+            "storeAgeMillis",
+            context.directory().storeAgeMillis());
+    ForwardedCall.respond(context, exchange, requestId, answer, retryAfterMillis);
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -0,0 +1,334 @@
+package org.knapweedcleat.router.forward.call;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.knapweedcleat.core.balance.EndpointWork;
+import org.knapweedcleat.core.directory.AccountQuota;
+import org.knapweedcleat.core.directory.EndpointEntry;
+import org.knapweedcleat.core.directory.ForwardRoute;
+import org.knapweedcleat.core.forward.CallLedger;
+import org.knapweedcleat.core.forward.NextStep;
+import org.knapweedcleat.core.forward.RepeatBudget;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.ServiceId;
+import org.knapweedcleat.router.forward.codec.Dispatch;
+import org.knapweedcleat.router.forward.codec.HeaderField;
+import org.knapweedcleat.router.forward.codec.InboundCall;
+import org.knapweedcleat.router.forward.codec.KvHandle;
+import org.knapweedcleat.router.forward.codec.RequestHead;
+import org.knapweedcleat.router.forward.http.CallerExchange;
+import org.knapweedcleat.router.forward.http.EndpointRequest;
+
+/** One admitted call, from its first endpoint to its final answer. */
+abstract class ForwardedCall {
+
+  /** What a client account's rank is at the endpoint when neither account nor route has one. */
+  private static final double SECOND_MILLIS = 1_000;
+
+  /** Retry-After of a call that found no place: about as long as a place stays taken. */
+  private static final long RETRY_AFTER_MILLIS = 700;
+
+  protected final ForwardContext context;
+  protected final CallerExchange exchange;
+  protected final InboundCall call;
+  protected final ForwardRoute route;
+  protected final ServiceId service;
+  protected final CallLedger ledger;
+  protected final long beganMillis;
+  private final Optional<AccountQuota> account;
+  private final long units;
+  private final long endMillis;
+  private final RepeatBudget budget;
+  private final Map<EndpointId, EndpointWork> begunWork = new HashMap<>();
+  private Optional<EndpointRequest> request = Optional.empty();
+  private boolean over;
+  private long deadlineTimer;
+  private long patienceTimer = -1;
+
+  ForwardedCall(
+      ForwardContext context,
+      CallerExchange exchange,
+      InboundCall call,
+      ForwardRoute route,
+      Optional<AccountQuota> account,
+      long units) {
+    this.context = context;
+    this.exchange = exchange;
+    this.call = call;
+    this.route = route;
+    this.service = route.choose(context.random().getAsDouble());
+    this.account = account;
+    this.units = units;
+    this.budget = context.budgets().of(service);
+    this.ledger = CallLedger.of(route, budget);
+    this.beganMillis = context.nowMillis();
+    this.endMillis =
+        beganMillis + Math.min(route.timeoutMillis(), call.deadlineMillis().orElse(Long.MAX_VALUE));
+  }
+
+  /** Begins the call. */
+  final void start() {
+    budget.onCall(beganMillis);
+    exchange.onLeft(this::callerLeft);
+    long millis = Math.max(1, remainingMillis());
+    deadlineTimer = context.vertx().setTimer(millis, timer -> timeIsOver());
+    place();
+  }
+
+  /** Chooses an endpoint and sends the call there. */
+  protected abstract void place();
+
+  /** Frees what the call holds at endpoints. */
+  protected void releaseHeld() {}
+
+  protected final boolean isOver() {
+    return over;
+  }
+
+  protected final RepeatBudget budget() {
+    return budget;
+  }
+
+  protected final long remainingMillis() {
+    return endMillis - context.nowMillis();
+  }
+
+  protected final Dispatch dispatch(
+      EndpointEntry endpoint,
+      boolean prefillOnly,
+      Optional<KvHandle> cache,
+      Optional<String> resumeAfter) {
+    int rank =
+        account
+            .map(AccountQuota::rank)
+            .filter(own -> own != AccountQuota.NO_RANK)
+            .orElse(route.rank());
+    return new Dispatch(
+        endpoint.id(),
+        account.map(AccountQuota::account),
+        Math.max(1, remainingMillis()),
+        rank,
+        prefillOnly,
+        cache,
+        resumeAfter);
+  }
+
+  protected final RequestHead outbound(Dispatch dispatch) {
+    return context.codec().outbound(exchange.head(), dispatch);
+  }
+
+  protected final void sending(EndpointRequest next) {
+    if (!over) {
+      request = Optional.of(next);
+    } else {
+      next.abort();
+    }
+  }
+
+  protected final Optional<EndpointRequest> request() {
+    return request;
+  }
+
+  /** Ends the send that is under way, if any, so that nothing more is heard of it. */
+  protected final void abortSend() {
+    request.ifPresent(EndpointRequest::abort);
+    request = Optional.empty();
+    endPatience();
+  }
+
+  protected final void patience(long millis, Runnable runsOut) {
+    endPatience();
+    patienceTimer =
+        context
+            .vertx()
+            .setTimer(
+                Math.max(1, millis),
+                timer -> {
+                  patienceTimer = -1;
+                  if (!over) {
+                    runsOut.run();
+                  }
+                });
+  }
+
+  protected final void endPatience() {
+    if (patienceTimer >= 0) {
+      context.vertx().cancelTimer(patienceTimer);
+      patienceTimer = -1;
+    }
+  }
+
+  protected final void beginWork(EndpointId endpoint, EndpointWork work) {
+    context.work().begin(endpoint, work);
+    begunWork.merge(endpoint, work, EndpointWork::plus);
+  }
+
+  protected final void endWork(EndpointId endpoint) {
+    EndpointWork work = begunWork.remove(endpoint);
+    if (work != null) {
+      context.work().end(endpoint, work);
+    }
+  }
+
+  protected final void follow(NextStep step, String why) {
+    switch (step) {
+      case AGAIN -> {
+        context
+            .log()
+            .failure(
+                "call.again",
+                "requestId",
+                call.requestId(),
+                "why",
+                why,
+                "sends",
+                ledger.sends(),
+                "remainingMillis",
+                remainingMillis());
+        place();
+      }
+      case REFUSE -> refuse(why, RETRY_AFTER_MILLIS);
+      case FAIL -> fail(why);
+      default -> throw new IllegalStateException(step.name());
+    }
+  }
+
+  /** Tells the caller that the call has not run and when to come back. */
+  protected final void refuse(String why, long retryAfterMillis) {
+    if (ledger.mayHaveRun()) {
+      fail(why);
+      return;
+    }
+    account.ifPresent(quota -> context.quota().giveBack(quota, units));
+    double spread = 1 + context.random().getAsDouble() / 2;
+    own(OwnAnswer.NOT_RUN, why, Optional.of((long) (retryAfterMillis * spread)));
+  }
+
+  /** Tells the caller that the call may have run. */
+  protected final void fail(String why) {
+    own(OwnAnswer.FAILED, why, Optional.empty());
+  }
+
+  /** Ends the call after its whole answer was passed on. */
+  protected final void answered(int status, EndpointId endpoint, long firstMillis) {
+    if (close()) {
+      long millis = context.nowMillis() - beganMillis;
+      context.metrics().counter("calls.answered").inc();
+      context
+          .metrics()
+          .histogram("calls.first." + route.kind().name().toLowerCase(Locale.ROOT) + ".millis")
+          .update(firstMillis);
+      context
+          .metrics()
+          .timer("calls.whole." + route.kind().name().toLowerCase(Locale.ROOT))
+          .update(millis, TimeUnit.MILLISECONDS);
+      context
+          .log()
+          .routine(
+              "call.answered",
+              "requestId",
+              call.requestId(),
+              "route",
+              route.name(),
+              "status",
+              status,
+              "endpoint",
+              endpoint,
+              "sends",
+              ledger.sends(),
+              "firstMillis",
+              firstMillis,
+              "millis",
+              millis);
+    }
+  }
+
+  /** Ends an answer that was begun and cannot be completed. */
+  protected final void breakOff(String why) {
+    if (close()) {
+      context.metrics().counter("calls.broken_off").inc();
+      logEnd("call.broken_off", why);
+      exchange.abort();
+    }
+  }
+
+  private void own(OwnAnswer answer, String why, Optional<Long> retryAfterMillis) {
+    if (exchange.isBegun()) {
+      breakOff(why);
+      return;
+    }
+    if (close()) {
+      context.metrics().counter("calls." + answer.word()).inc();
+      logEnd("call." + answer.word(), why);
+      respond(context, exchange, call.requestId(), answer, retryAfterMillis);
+    }
+  }
+
+  static void respond(
+      ForwardContext context,
+      CallerExchange exchange,
+      String requestId,
+      OwnAnswer answer,
+      Optional<Long> retryAfterMillis) {
+    List<HeaderField> headers = new ArrayList<>(context.codec().ownAnswer(requestId));
+    retryAfterMillis.ifPresent(
+        millis ->
+            headers.add(
+                new HeaderField(
+                    "Retry-After",
+                    String.format(Locale.ROOT, "%.3f", Math.max(1, millis) / SECOND_MILLIS))));
+    exchange.respond(answer.status(), headers, Buffer.buffer());
+  }
+
+  private void timeIsOver() {
+    own(OwnAnswer.TIMED_OUT, "the time for the answer is over", Optional.empty());
+  }
+
+  private void callerLeft() {
+    if (close()) {
+      context.metrics().counter("calls.caller_left").inc();
+      logEnd("call.caller_left", "the caller closed its connection");
+    }
+  }
+
+  private void logEnd(String event, String why) {
+    context
+        .log()
+        .failure(
+            event,
+            "requestId",
+            call.requestId(),
+            "route",
+            route.name(),
+            "why",
+            why,
+            "mayHaveRun",
+            ledger.mayHaveRun(),
+            "tried",
+            ledger.tried(),
+            "millis",
+            context.nowMillis() - beganMillis,
+            "configVersion",
+            context.directory().config().map(one -> one.version()).orElse(0L),
+            "storeAgeMillis",
+            context.directory().storeAgeMillis());
+  }
+
+  private boolean close() {
+    if (over) {
+      return false;
+    }
+    over = true;
+    context.vertx().cancelTimer(deadlineTimer);
+    abortSend();
+    releaseHeld();
+    List.copyOf(begunWork.keySet()).forEach(this::endWork);
+    return true;
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/PlainForward.java
@@ -0,0 +1,188 @@
+package org.knapweedcleat.router.forward.call;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.List;
+import java.util.Optional;
+import org.knapweedcleat.core.balance.EndpointHealth;
+import org.knapweedcleat.core.balance.EndpointWork;
+import org.knapweedcleat.core.directory.AccountQuota;
+import org.knapweedcleat.core.directory.EndpointEntry;
+import org.knapweedcleat.core.directory.ForwardRoute;
+import org.knapweedcleat.router.forward.codec.Dispatch;
+import org.knapweedcleat.router.forward.codec.InboundCall;
+import org.knapweedcleat.router.forward.codec.ReplyHead;
+import org.knapweedcleat.router.forward.codec.ReplyNature;
+import org.knapweedcleat.router.forward.http.BrokenCause;
+import org.knapweedcleat.router.forward.http.CallerExchange;
+import org.knapweedcleat.router.forward.http.ReplyListener;
+
+/** A call with one answer, which is passed on when it is whole. */
+final class PlainForward extends ForwardedCall {
+
+  private static final EndpointWork ONE_CALL = new EndpointWork(1, 0, 0);
+
+  /** Answers longer than this are passed on as they come; far above the users' answers. */
+  private static final int MAX_COLLECTED_BYTES = 256 * 1024;
+
+  /** A repeatable call is sent again after this many times its target. */
+  private static final double PATIENCE_TARGETS = 1.5;
+
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  PlainForward(
+      ForwardContext context,
+      CallerExchange exchange,
+      InboundCall call,
+      ForwardRoute route,
+      Optional<AccountQuota> account,
+      long units) {
+    super(context, exchange, call, route, account, units);
+  }
+
+  @Override
+  protected void place() {
+    List<EndpointEntry> candidates = context.directory().endpoints().usable(service);
+    Optional<EndpointEntry> chosen =
+        context.chooser().plain(context.nowMillis(), candidates, ledger.tried());
+    if (chosen.isEmpty()) {
+      follow(ledger.end(), "no endpoint of the service is known");
+      return;
+    }
+    send(chosen.get());
+  }
+
+  private void send(EndpointEntry endpoint) {
+    Dispatch dispatch = dispatch(endpoint, false, Optional.empty(), call.resumeAfter());
+    beginWork(endpoint.id(), ONE_CALL);
+    context.health().of(endpoint.id()).sending();
+    ledger.sent(endpoint.id());
+    Send send = new Send(endpoint);
+    sending(
+        context
+            .pool()
+            .send(
+                endpoint.host(),
+                endpoint.port(),
+                outbound(dispatch),
+                exchange.body(),
+                head -> context.codec().nature(head, call.requestId()) != ReplyNature.FOREIGN,
+                send));
+    if (route.isRepeatable()) {
+      patience((long) (PATIENCE_TARGETS * route.targetMillis()), send::tooSlow);
+    }
+  }
+
+  private final class Send implements ReplyListener {
+    private final EndpointEntry endpoint;
+    private final EndpointHealth health;
+    private final long sentMillis = context.nowMillis();
+    private final Buffer collected = Buffer.buffer();
+    private ReplyHead head;
+    private ReplyNature nature;
+
+    Send(EndpointEntry endpoint) {
+      this.endpoint = endpoint;
+      this.health = context.health().of(endpoint.id());
+    }
+
+    @Override
+    public void onHead(ReplyHead reply) {
+      head = reply;
+      nature = context.codec().nature(reply, call.requestId());
+    }
+
+    @Override
+    public void onBody(Buffer bytes) {
+      if (exchange.isBegun()) {
+        exchange.write(bytes);
+        pauseWhileBackedUp();
+        return;
+      }
+      collected.appendBuffer(bytes);
+      if (collected.length() > MAX_COLLECTED_BYTES && nature == ReplyNature.GENUINE) {
+        exchange.begin(head.status(), context.codec().answer(head));
+        exchange.write(collected);
+      }
+    }
+
+    @Override
+    public void onEnd() {
+      endPatience();
+      endWork(endpoint.id());
+      long nowMillis = context.nowMillis();
+      switch (nature) {
+        case NOT_RUN -> {
+          health.failed(nowMillis, false);
+          follow(ledger.refused(nowMillis), "endpoint " + endpoint.id() + " refused");
+        }
+        case GENUINE -> genuine(nowMillis);
+        default -> {
+          health.failed(nowMillis, false);
+          follow(ledger.broken(nowMillis), "endpoint " + endpoint.id() + " gave no proof");
+        }
+      }
+    }
+
+    private void genuine(long nowMillis) {
+      if (head.status() >= FIRST_SERVER_ERROR) {
+        health.failed(nowMillis, false);
+        if (route.isRepeatable() && !exchange.isBegun() && canRepeat(nowMillis)) {
+          return;
+        }
+      } else {
+        health.succeeded(nowMillis - sentMillis);
+      }
+      if (exchange.isBegun()) {
+        exchange.end();
+      } else {
+        exchange.respond(head.status(), context.codec().answer(head), collected);
+      }
+      answered(head.status(), endpoint.id(), nowMillis - beganMillis);
+    }
+
+    private boolean canRepeat(long nowMillis) {
+      switch (ledger.broken(nowMillis)) {
+        case AGAIN -> {
+          place();
+          return true;
+        }
+        default -> {
+          return false;
+        }
+      }
+    }
+
+    @Override
+    public void onBroken(BrokenCause cause) {
+      endPatience();
+      endWork(endpoint.id());
+      long nowMillis = context.nowMillis();
+      health.failed(nowMillis, cause == BrokenCause.NOT_CONNECTED);
+      if (exchange.isBegun()) {
+        breakOff("endpoint " + endpoint.id() + ": " + cause);
+      } else if (cause.mayHaveArrived()) {
+        follow(ledger.broken(nowMillis), "endpoint " + endpoint.id() + ": " + cause);
+      } else {
+        follow(ledger.notSent(), "endpoint " + endpoint.id() + ": " + cause);
+      }
+    }
+
+    void tooSlow() {
+      if (exchange.isBegun() || !ledger.canRepeat(context.nowMillis())) {
+        return;
+      }
+      abortSend();
+      endWork(endpoint.id());
+      long nowMillis = context.nowMillis();
+      health.failed(nowMillis, true);
+      follow(ledger.broken(nowMillis), "endpoint " + endpoint.id() + " is silent");
+    }
+
+    private void pauseWhileBackedUp() {
+      if (exchange.isBackedUp()) {
+        request().ifPresent(one -> one.pause());
+        exchange.onDrained(() -> request().ifPresent(one -> one.resume()));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -0,0 +1,413 @@
+package org.knapweedcleat.router.forward.call;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.List;
+import java.util.Optional;
+import org.knapweedcleat.core.balance.EndpointHealth;
+import org.knapweedcleat.core.balance.EndpointWork;
+import org.knapweedcleat.core.balance.StreamPlacement;
+import org.knapweedcleat.core.directory.AccountQuota;
+import org.knapweedcleat.core.directory.EndpointEntry;
+import org.knapweedcleat.core.directory.EngineProfile;
+import org.knapweedcleat.core.directory.ForwardRoute;
+import org.knapweedcleat.core.forward.EventSplitter;
+import org.knapweedcleat.core.forward.NextStep;
+import org.knapweedcleat.router.forward.codec.InboundCall;
+import org.knapweedcleat.router.forward.codec.KvHandle;
+import org.knapweedcleat.router.forward.codec.ReplyHead;
+import org.knapweedcleat.router.forward.codec.ReplyNature;
+import org.knapweedcleat.router.forward.codec.TokenUsage;
+import org.knapweedcleat.router.forward.http.BrokenCause;
+import org.knapweedcleat.router.forward.http.CallerExchange;
+import org.knapweedcleat.router.forward.http.ReplyListener;
+
+/**
+ * A call whose answer is a stream of events.
+ *
+ * <p>A prefill engine reads the prompt and a decode engine fetches the result, or a decode engine
+ * does both. Only whole events are passed on; a stream that breaks goes on at another engine after
+ * the last of them where its route allows that.
+ */
+final class StreamForward extends ForwardedCall {
+
+  private static final int MAX_EVENT_BYTES = 1024 * 1024;
+
+  /** A prefill that takes this many times as long as expected is given up. */
+  private static final double PREFILL_PATIENCE = 3;
+
+  /** The least time that a prefill gets; longer than a round trip between regions. */
+  private static final long MIN_PREFILL_MILLIS = 350;
+
+  /** How long a repeatable stream waits for its first event beyond the time expected. */
+  private static final long FIRST_EVENT_MILLIS = 900;
+
+  /** How long a resumable stream waits for its next event: callers give up after two seconds. */
+  private static final long NEXT_EVENT_MILLIS = 1_000;
+
+  /** How long a call that finds no room is tried again before it is refused. */
+  private static final long ROOM_WAIT_MILLIS = 110;
+
+  /** The pause between tries to find room. */
+  private static final long ROOM_RETRY_MILLIS = 25;
+
+  /** How long the call that frees a KV cache may take. */
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  private static final TokenUsage UNKNOWN_USAGE = new TokenUsage(1, 1);
+
+  private final TokenUsage usage;
+  private final EngineProfile profile;
+  private final EventSplitter splitter = EventSplitter.of(MAX_EVENT_BYTES);
+  private Optional<KvHandle> held = Optional.empty();
+  private boolean splitFailed;
+  private int prefills;
+  private long firstMillis = -1;
+
+  StreamForward(
+      ForwardContext context,
+      CallerExchange exchange,
+      InboundCall call,
+      ForwardRoute route,
+      Optional<AccountQuota> account,
+      long units) {
+    super(context, exchange, call, route, account, units);
+    this.usage = call.usage().orElse(UNKNOWN_USAGE);
+    this.profile =
+        context
+            .directory()
+            .config()
+            .flatMap(config -> config.service(service))
+            .map(one -> one.engine())
+            .orElse(EngineProfile.NONE);
+  }
+
+  @Override
+  protected void place() {
+    List<EndpointEntry> candidates = context.directory().endpoints().usable(service);
+    boolean split = !splitFailed && !exchange.isBegun();
+    Optional<StreamPlacement> placement =
+        context.chooser().stream(
+            context.nowMillis(),
+            candidates,
+            ledger.tried(),
+            profile,
+            usage.promptTokens(),
+            usage.total(),
+            split);
+    if (placement.isPresent()) {
+      StreamPlacement found = placement.get();
+      found.prefill().ifPresentOrElse(reader -> prefill(reader, found), () -> alone(found));
+    } else if (context.nowMillis() - beganMillis < ROOM_WAIT_MILLIS || exchange.isBegun()) {
+      patience(ROOM_RETRY_MILLIS, this::place);
+    } else {
+      follow(ledger.end(), "no engine has room");
+    }
+  }
+
+  @Override
+  protected void releaseHeld() {
+    held.ifPresent(this::free);
+    held = Optional.empty();
+  }
+
+  private void free(KvHandle handle) {
+    int colon = handle.address().lastIndexOf(':');
+    context.metrics().counter("prefill.freed").inc();
+    context
+        .pool()
+        .send(
+            handle.address().substring(0, colon),
+            Integer.parseInt(handle.address().substring(colon + 1)),
+            context.codec().release(handle),
+            Buffer.buffer(),
+            head -> true,
+            new Unheard());
+  }
+
+  private void prefill(EndpointEntry reader, StreamPlacement placement) {
+    if (prefills > 0 && !budget().trySpend(context.nowMillis())) {
+      splitFailed = true;
+      place();
+      return;
+    }
+    prefills++;
+    long prompt = usage.promptTokens();
+    boolean idle = context.work().at(reader.id(), context.nowMillis()).promptTokens() == 0;
+    beginWork(reader.id(), new EndpointWork(1, prompt, prompt));
+    beginWork(placement.decode().id(), new EndpointWork(1, 0, usage.total()));
+    context.health().of(reader.id()).sending();
+    Prefill prefill = new Prefill(reader, placement.decode(), idle);
+    sending(
+        context
+            .pool()
+            .send(
+                reader.host(),
+                reader.port(),
+                outbound(dispatch(reader, true, Optional.empty(), call.resumeAfter())),
+                exchange.body(),
+                head -> context.codec().nature(head, call.requestId()) != ReplyNature.FOREIGN,
+                prefill));
+    long patienceMillis = (long) (PREFILL_PATIENCE * placement.firstEventMillis());
+    patience(Math.max(MIN_PREFILL_MILLIS, patienceMillis), prefill::tooSlow);
+  }
+
+  private void alone(StreamPlacement placement) {
+    beginWork(placement.decode().id(), new EndpointWork(1, usage.promptTokens(), usage.total()));
+    run(placement.decode(), Optional.empty(), (long) placement.firstEventMillis());
+  }
+
+  private void run(EndpointEntry engine, Optional<KvHandle> cache, long expectedMillis) {
+    Optional<String> resumeAfter =
+        splitter.lastId().isPresent() ? splitter.lastId() : call.resumeAfter();
+    context.health().of(engine.id()).sending();
+    ledger.sent(engine.id());
+    Run run = new Run(engine, cache.isPresent());
+    sending(
+        context
+            .pool()
+            .send(
+                engine.host(),
+                engine.port(),
+                outbound(dispatch(engine, false, cache, resumeAfter)),
+                exchange.body(),
+                head -> context.codec().nature(head, call.requestId()) != ReplyNature.FOREIGN,
+                run));
+    if (route.isRepeatable()) {
+      patience(expectedMillis + FIRST_EVENT_MILLIS, run::tooSlow);
+    }
+  }
+
+  /** Hears the answer to a prefill. */
+  private final class Prefill implements ReplyListener {
+    private final EndpointEntry reader;
+    private final EndpointEntry decode;
+    private final boolean wasIdle;
+    private final EndpointHealth health;
+    private final long sentMillis = context.nowMillis();
+    private final Buffer body = Buffer.buffer();
+    private ReplyHead head;
+
+    Prefill(EndpointEntry reader, EndpointEntry decode, boolean wasIdle) {
+      this.reader = reader;
+      this.decode = decode;
+      this.wasIdle = wasIdle;
+      this.health = context.health().of(reader.id());
+    }
+
+    @Override
+    public void onHead(ReplyHead reply) {
+      head = reply;
+    }
+
+    @Override
+    public void onBody(Buffer bytes) {
+      body.appendBuffer(bytes);
+    }
+
+    @Override
+    public void onEnd() {
+      endPatience();
+      endWork(reader.id());
+      if (!head.isSuccess()) {
+        failed("status " + head.status(), false);
+        return;
+      }
+      context
+          .codec()
+          .prefilled(body.getBytes())
+          .peek(this::prefilled)
+          .peekLeft(fault -> failed(fault.message(), false));
+    }
+
+    @Override
+    public void onBroken(BrokenCause cause) {
+      endPatience();
+      endWork(reader.id());
+      failed(cause.name(), cause == BrokenCause.NOT_CONNECTED);
+    }
+
+    void tooSlow() {
+      abortSend();
+      endWork(reader.id());
+      failed("silent", true);
+    }
+
+    private void prefilled(String handle) {
+      long tookMillis = context.nowMillis() - sentMillis;
+      health.succeeded(tookMillis);
+      if (wasIdle) {
+        context.chooser().speed(service).observed(Math.max(1, usage.promptTokens()), tookMillis);
+      }
+      KvHandle cache = new KvHandle(reader.address(), handle);
+      held = Optional.of(cache);
+      run(decode, held, 0);
+    }
+
+    private void failed(String why, boolean silent) {
+      health.failed(context.nowMillis(), silent);
+      endWork(decode.id());
+      context.metrics().counter("prefill.failed").inc();
+      context
+          .log()
+          .failure(
+              "prefill.failed", "requestId", call.requestId(), "endpoint", reader.id(), "why", why);
+      splitFailed = true;
+      place();
+    }
+  }
+
+  /** Hears the events of a stream. */
+  private final class Run implements ReplyListener {
+    private final EndpointEntry engine;
+    private final boolean fetches;
+    private final EndpointHealth health;
+    private final long sentMillis = context.nowMillis();
+    private ReplyHead head;
+    private ReplyNature nature;
+    private Buffer unstreamed = Buffer.buffer();
+    private boolean heardEvent;
+
+    Run(EndpointEntry engine, boolean fetches) {
+      this.engine = engine;
+      this.fetches = fetches;
+      this.health = context.health().of(engine.id());
+    }
+
+    @Override
+    public void onHead(ReplyHead reply) {
+      head = reply;
+      nature = context.codec().nature(reply, call.requestId());
+      if (nature == ReplyNature.GENUINE && reply.isSuccess()) {
+        held = Optional.empty();
+      }
+    }
+
+    @Override
+    public void onBody(Buffer bytes) {
+      if (nature != ReplyNature.GENUINE || !head.isSuccess()) {
+        unstreamed.appendBuffer(bytes);
+        return;
+      }
+      List<byte[]> events;
+      try {
+        events = splitter.take(bytes.getBytes());
+      } catch (IllegalArgumentException e) {
+        context
+            .log()
+            .failure("stream.unreadable", "requestId", call.requestId(), "why", e.getMessage());
+        abortSend();
+        broken(BrokenCause.NOT_HTTP);
+        return;
+      }
+      events.forEach(this::pass);
+      if (!events.isEmpty() && route.isRepeatable()) {
+        patience(NEXT_EVENT_MILLIS, this::tooSlow);
+      }
+    }
+
+    private void pass(byte[] event) {
+      if (!heardEvent) {
+        heardEvent = true;
+        endWork(engine.id());
+        beginWork(engine.id(), new EndpointWork(1, 0, usage.total()));
+      }
+      if (firstMillis < 0) {
+        firstMillis = context.nowMillis() - beganMillis;
+      }
+      exchange.begin(head.status(), context.codec().answer(head));
+      exchange.write(Buffer.buffer(event));
+      if (exchange.isBackedUp()) {
+        request().ifPresent(one -> one.pause());
+        exchange.onDrained(() -> request().ifPresent(one -> one.resume()));
+      }
+    }
+
+    @Override
+    public void onEnd() {
+      endPatience();
+      endWork(engine.id());
+      long nowMillis = context.nowMillis();
+      if (nature == ReplyNature.NOT_RUN) {
+        health.inconclusive();
+        splitFailed = splitFailed || fetches;
+        releaseHeld();
+        follow(ledger.refused(nowMillis), "engine " + engine.id() + " refused");
+      } else if (nature == ReplyNature.GENUINE && head.isSuccess()) {
+        ended(nowMillis);
+      } else if (nature == ReplyNature.GENUINE) {
+        failure(nowMillis);
+      } else {
+        health.failed(nowMillis, false);
+        follow(ledger.broken(nowMillis), "engine " + engine.id() + " gave no proof");
+      }
+    }
+
+    private void ended(long nowMillis) {
+      if (!splitter.isBetweenEvents() || !exchange.isBegun()) {
+        broken(BrokenCause.CONNECTION_LOST);
+        return;
+      }
+      health.succeeded(nowMillis - sentMillis);
+      exchange.end();
+      answered(head.status(), engine.id(), firstMillis);
+    }
+
+    /** Passes an engine's own failure on, unless another engine can run the request. */
+    private void failure(long nowMillis) {
+      if (head.status() >= FIRST_SERVER_ERROR) {
+        health.failed(nowMillis, false);
+        if (ledger.broken(nowMillis) == NextStep.AGAIN) {
+          place();
+          return;
+        }
+      }
+      if (exchange.isBegun()) {
+        breakOff("engine " + engine.id() + " answered " + head.status());
+        return;
+      }
+      exchange.respond(head.status(), context.codec().answer(head), unstreamed);
+      answered(head.status(), engine.id(), nowMillis - beganMillis);
+    }
+
+    @Override
+    public void onBroken(BrokenCause cause) {
+      broken(cause);
+    }
+
+    void tooSlow() {
+      if (!ledger.canRepeat(context.nowMillis())) {
+        return;
+      }
+      abortSend();
+      broken(BrokenCause.SILENT);
+    }
+
+    private void broken(BrokenCause cause) {
+      endPatience();
+      endWork(engine.id());
+      long nowMillis = context.nowMillis();
+      health.failed(nowMillis, cause == BrokenCause.NOT_CONNECTED || cause == BrokenCause.SILENT);
+      splitter.dropPartial();
+      splitFailed = true;
+      releaseHeld();
+      String why = "engine " + engine.id() + ": " + cause;
+      NextStep step = cause.mayHaveArrived() ? ledger.broken(nowMillis) : ledger.notSent();
+      follow(step, why);
+    }
+  }
+
+  /** Ignores the answer to a call whose outcome changes nothing. */
+  private static final class Unheard implements ReplyListener {
+    @Override
+    public void onHead(ReplyHead head) {}
+
+    @Override
+    public void onBody(Buffer bytes) {}
+
+    @Override
+    public void onEnd() {}
+
+    @Override
+    public void onBroken(BrokenCause cause) {}
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/codec/CallCodec.java
@@ -0,0 +1,66 @@
+package org.knapweedcleat.router.forward.codec;
+
+import io.vavr.control.Either;
+import java.util.List;
+
+/** Translates calls; has no state and decides nothing. */
+public interface CallCodec {
+
+  /**
+   * Reads what a caller's request says to the router.
+   *
+   * @param head the request's head
+   * @return the call, or what is wrong with it
+   */
+  Either<CallFault, InboundCall> inbound(RequestHead head);
+
+  /**
+   * Writes the head of a request to an endpoint.
+   *
+   * @param head the caller's head
+   * @param dispatch what the router adds
+   * @return the head without headers of the connection
+   */
+  RequestHead outbound(RequestHead head, Dispatch dispatch);
+
+  /**
+   * Tells what an answer says of a request.
+   *
+   * @param reply the answer's head
+   * @param requestId the request that was sent
+   * @return the answer's nature
+   */
+  ReplyNature nature(ReplyHead reply, String requestId);
+
+  /**
+   * Returns the headers of an endpoint's answer that callers get.
+   *
+   * @param reply the answer's head
+   * @return the headers without those of the connection
+   */
+  List<HeaderField> answer(ReplyHead reply);
+
+  /**
+   * Returns the headers of an answer of the router's own.
+   *
+   * @param requestId the request
+   * @return the headers
+   */
+  List<HeaderField> ownAnswer(String requestId);
+
+  /**
+   * Reads the answer to a prefill.
+   *
+   * @param body the answer's body
+   * @return the handle of the KV cache, or what is wrong
+   */
+  Either<CallFault, String> prefilled(byte[] body);
+
+  /**
+   * Writes the call that frees a KV cache.
+   *
+   * @param handle the KV cache
+   * @return the call's head
+   */
+  RequestHead release(KvHandle handle);
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/codec/CallFault.java
@@ -0,0 +1,9 @@
+package org.knapweedcleat.router.forward.codec;
+
+/**
+ * Why a message could not be understood.
+ *
+ * @param status the HTTP status that a caller gets for it
+ * @param message a phrase for people
+ */
+public record CallFault(int status, String message) {}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/DirectoryAnswer.java
@@ -0,0 +1,26 @@
+package org.knapweedcleat.router.forward.fleet;
+
+import java.util.List;
+import org.knapweedcleat.core.directory.EndpointEntry;
+import org.knapweedcleat.core.directory.RoutingContent;
+import org.knapweedcleat.core.message.PeerMessage;
+
+/**
+ * What is published, as far as the answering instance knows more than the asker.
+ *
+ * @param config the configuration, at most one
+ * @param endpoints all endpoints, none if the asker knows as much
+ * @param endpointsRevision the revision up to which they are whole, -1 if there are none
+ */
+public record DirectoryAnswer(
+    List<RoutingContent> config, List<Known> endpoints, long endpointsRevision)
+    implements PeerMessage {
+
+  /**
+   * An endpoint.
+   *
+   * @param entry what it says of itself
+   * @param revision the revision of its last change
+   */
+  public record Known(EndpointEntry entry, long revision) {}
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetNews.java
@@ -0,0 +1,28 @@
+package org.knapweedcleat.router.forward.fleet;
+
+import java.util.List;
+import java.util.Map;
+import org.knapweedcleat.core.balance.EndpointWork;
+import org.knapweedcleat.core.fleet.FleetMember;
+import org.knapweedcleat.core.message.PeerMessage;
+
+/**
+ * What an instance tells the others at short intervals.
+ *
+ * @param sender the sender
+ * @param ends whether the sender is about to end
+ * @param heard the instances that the sender heard lately
+ * @param configVersion the version of the configuration that the sender applies, -1 for none
+ * @param endpointsRevision how far the sender's list of endpoints is, -1 if it has none
+ * @param spent the units that the sender has spent of each account since its start
+ * @param work the sender's work at each endpoint
+ */
+public record FleetNews(
+    FleetMember sender,
+    boolean ends,
+    List<FleetMember> heard,
+    long configVersion,
+    long endpointsRevision,
+    Map<String, Long> spent,
+    Map<String, EndpointWork> work)
+    implements PeerMessage {}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
@@ -0,0 +1,266 @@
+package org.knapweedcleat.router.forward.http;
+
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.internal.buffer.BufferInternal;
+import io.vertx.core.internal.net.NetSocketInternal;
+import java.util.function.Predicate;
+import org.knapweedcleat.router.forward.codec.HeaderField;
+import org.knapweedcleat.router.forward.codec.ReplyHead;
+import org.knapweedcleat.router.forward.codec.RequestHead;
+
+/** One connection to an endpoint; carries one request at a time. */
+final class EndpointConnection {
+
+  private static final int MAX_HEADER_BYTES = 65_536;
+  private static final int CONTINUE = 100;
+  private static final int SUCCESS = 200;
+
+  /** Kept unused before an endpoint's own timeout, so that its close does not cross a request. */
+  private static final long KEEP_ALIVE_MARGIN_MILLIS = 1_000;
+
+  /** How long a connection is kept that does not say how long its endpoint keeps it. */
+  private static final long KEEP_ALIVE_MILLIS = 4_000;
+
+  private static final long SECOND_MILLIS = 1_000;
+
+  private final NetSocketInternal socket;
+  private ReplyListener listener;
+  private Predicate<ReplyHead> belongs;
+  private Runnable onFree;
+  private boolean headOnly;
+  private boolean written;
+  private boolean foreign;
+  private boolean inReply;
+  private boolean closesAfter;
+  private boolean tainted;
+  private boolean endsWithConnection;
+  private boolean failed;
+  private boolean open = true;
+  private long keepMillis = KEEP_ALIVE_MILLIS;
+
+  private EndpointConnection(NetSocketInternal socket) {
+    this.socket = socket;
+  }
+
+  /**
+   * Takes over an open socket.
+   *
+   * @param socket the socket
+   */
+  static EndpointConnection of(NetSocketInternal socket) {
+    EndpointConnection connection = new EndpointConnection(socket);
+    ChannelPipeline pipeline = socket.channelHandlerContext().pipeline();
+    pipeline.addBefore("handler", "answers", connection.new AnswerDecoder());
+    pipeline.addBefore("handler", "requests", new HttpRequestEncoder());
+    socket.messageHandler(connection::onMessage);
+    socket.exceptionHandler(failure -> connection.failed = true);
+    socket.closeHandler(ignored -> connection.onClosed());
+    return connection;
+  }
+
+  boolean isOpen() {
+    return open;
+  }
+
+  /** Returns how long the connection may be kept unused. */
+  long keepMillis() {
+    return keepMillis;
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @param head its head without headers of the connection
+   * @param body its body
+   * @param belongs tells whether an answer is one to this request
+   * @param reply hears the answer
+   * @param free runs when the connection can carry another request
+   */
+  void send(
+      RequestHead head,
+      Buffer body,
+      Predicate<ReplyHead> belongs,
+      ReplyListener reply,
+      Runnable free) {
+    this.listener = reply;
+    this.belongs = belongs;
+    this.onFree = free;
+    this.headOnly = "HEAD".equals(head.method());
+    this.written = false;
+    this.foreign = false;
+    this.inReply = false;
+    this.closesAfter = false;
+    this.endsWithConnection = false;
+    DefaultHttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            HttpMethod.valueOf(head.method()),
+            head.target(),
+            ((BufferInternal) body).getByteBuf());
+    for (HeaderField header : head.headers()) {
+      request.headers().add(header.name(), header.value());
+    }
+    if (body.length() > 0 || carriesBody(head.method())) {
+      request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length());
+    }
+    socket.writeMessage(request).onSuccess(done -> written = true);
+  }
+
+  /** Pauses the answer while its reader does not keep up. */
+  void pause() {
+    socket.pause();
+  }
+
+  void resume() {
+    socket.resume();
+  }
+
+  /** Gives the request up; the endpoint sees the connection close. */
+  void abort() {
+    listener = null;
+    close();
+  }
+
+  void close() {
+    open = false;
+    socket.close();
+  }
+
+  private static boolean carriesBody(String method) {
+    return "POST".equals(method) || "PUT".equals(method) || "PATCH".equals(method);
+  }
+
+  private void onMessage(Object message) {
+    try {
+      if (listener == null) {
+        close();
+        return;
+      }
+      if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
+        end(BrokenCause.NOT_HTTP);
+        return;
+      }
+      if (message instanceof HttpResponse head) {
+        onHead(head);
+      }
+      if (message instanceof HttpContent content && listener != null && inReply) {
+        onContent(content);
+      }
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  private void onHead(HttpResponse message) {
+    int status = message.status().code();
+    inReply = status >= SUCCESS;
+    if (!inReply) {
+      tainted = tainted || status != CONTINUE;
+      return;
+    }
+    closesAfter = !HttpUtil.isKeepAlive(message);
+    endsWithConnection = !headOnly && hasNoLength(message);
+    readKeepAlive(message);
+    ReplyHead head = new ReplyHead(status, Heads.endToEnd(message.headers()));
+    foreign = !belongs.test(head);
+    tainted = tainted || foreign;
+    if (!foreign) {
+      listener.onHead(head);
+    }
+  }
+
+  private void onContent(HttpContent content) {
+    if (!foreign && content.content().isReadable()) {
+      byte[] copy = new byte[content.content().readableBytes()];
+      content.content().readBytes(copy);
+      listener.onBody(Buffer.buffer(copy));
+    }
+    if (content instanceof LastHttpContent && listener != null) {
+      inReply = false;
+      if (foreign) {
+        foreign = false;
+      } else if (endsWithConnection && failed) {
+        end(BrokenCause.CONNECTION_LOST);
+      } else {
+        complete();
+      }
+    }
+  }
+
+  private void complete() {
+    ReplyListener done = listener;
+    listener = null;
+    if (closesAfter || tainted || !written || endsWithConnection || !open) {
+      close();
+      done.onEnd();
+    } else {
+      Runnable free = onFree;
+      done.onEnd();
+      free.run();
+    }
+  }
+
+  private void end(BrokenCause cause) {
+    ReplyListener ended = listener;
+    listener = null;
+    close();
+    if (ended != null) {
+      ended.onBroken(cause);
+    }
+  }
+
+  private void onClosed() {
+    open = false;
+    ReplyListener ended = listener;
+    listener = null;
+    if (ended != null) {
+      ended.onBroken(BrokenCause.CONNECTION_LOST);
+    }
+  }
+
+  private void readKeepAlive(HttpResponse message) {
+    String value = message.headers().get("Keep-Alive", "");
+    for (String part : value.split(",")) {
+      String[] pair = part.trim().split("=");
+      if (pair.length == 2 && "timeout".equalsIgnoreCase(pair[0]) && pair[1].matches("\\d{1,6}")) {
+        long saidMillis = Long.parseLong(pair[1]) * SECOND_MILLIS;
+        keepMillis = Math.max(0, saidMillis - KEEP_ALIVE_MARGIN_MILLIS);
+      }
+    }
+  }
+
+  private static boolean hasNoLength(HttpMessage message) {
+    return !HttpUtil.isTransferEncodingChunked(message) && !HttpUtil.isContentLengthSet(message);
+  }
+
+  private final class AnswerDecoder extends HttpResponseDecoder {
+    AnswerDecoder() {
+      super(
+          new HttpDecoderConfig()
+              .setMaxInitialLineLength(MAX_HEADER_BYTES)
+              .setMaxHeaderSize(MAX_HEADER_BYTES)
+              .setAllowDuplicateContentLengths(false));
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+      return headOnly || super.isContentAlwaysEmpty(message);
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointPool.java
@@ -0,0 +1,148 @@
+package org.knapweedcleat.router.forward.http;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.internal.net.NetSocketInternal;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+import org.knapweedcleat.router.forward.codec.ReplyHead;
+import org.knapweedcleat.router.forward.codec.RequestHead;
+
+/** Keeps connections to endpoints for more than one request, since new ones cost both sides. */
+public final class EndpointPool {
+
+  /** Longer than a connection takes between regions, shorter than a lost packet's repeat. */
+  private static final int CONNECT_MILLIS = 700;
+
+  private static final long SWEEP_MILLIS = 250;
+
+  private final Vertx vertx;
+  private final NetClient client;
+  private final LongSupplier clock;
+  private final MetricRegistry metrics;
+  private final Map<String, Deque<Idle>> idle = new HashMap<>();
+  private final long sweepTimer;
+
+  private record Idle(EndpointConnection connection, long untilMillis) {}
+
+  private EndpointPool(Vertx vertx, LongSupplier clock, MetricRegistry metrics) {
+    this.vertx = vertx;
+    this.clock = clock;
+    this.metrics = metrics;
+    this.client =
+        vertx.createNetClient(
+            new NetClientOptions().setConnectTimeout(CONNECT_MILLIS).setTcpNoDelay(true));
+    this.sweepTimer = vertx.setPeriodic(SWEEP_MILLIS, timer -> sweep());
+  }
+
+  /**
+   * Returns a pool without connections.
+   *
+   * @param vertx runs it
+   * @param clock gives the time in milliseconds
+   * @param metrics counts connections
+   * @return the pool
+   */
+  public static EndpointPool create(Vertx vertx, LongSupplier clock, MetricRegistry metrics) {
+    return new EndpointPool(vertx, clock, metrics);
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @param host the endpoint's IP number
+   * @param port its TCP port
+   * @param head the request's head without headers of the connection
+   * @param body its body
+   * @param belongs tells whether an answer is one to this request
+   * @param listener hears the answer
+   * @return the request under way
+   */
+  public EndpointRequest send(
+      String host,
+      int port,
+      RequestHead head,
+      Buffer body,
+      Predicate<ReplyHead> belongs,
+      ReplyListener listener) {
+    String address = host + ":" + port;
+    EndpointRequest request = new EndpointRequest(listener);
+    EndpointConnection kept = takeIdle(address);
+    if (kept != null) {
+      request.begin(kept);
+      kept.send(head, body, belongs, request, () -> release(address, kept));
+      return request;
+    }
+    metrics.counter("endpoint.connections.opened").inc();
+    client
+        .connect(port, host)
+        .onSuccess(
+            socket -> {
+              if (request.isOver()) {
+                socket.close();
+                return;
+              }
+              EndpointConnection connection = EndpointConnection.of((NetSocketInternal) socket);
+              request.begin(connection);
+              connection.send(head, body, belongs, request, () -> release(address, connection));
+            })
+        .onFailure(
+            failure -> {
+              metrics.counter("endpoint.connections.failed").inc();
+              request.onBroken(BrokenCause.NOT_CONNECTED);
+            });
+    return request;
+  }
+
+  /** Closes all idle connections. */
+  public void close() {
+    vertx.cancelTimer(sweepTimer);
+    idle.values().forEach(kept -> kept.forEach(one -> one.connection().close()));
+    idle.clear();
+  }
+
+  private EndpointConnection takeIdle(String address) {
+    Deque<Idle> kept = idle.get(address);
+    while (kept != null && !kept.isEmpty()) {
+      Idle last = kept.pollLast();
+      if (last.connection().isOpen() && clock.getAsLong() < last.untilMillis()) {
+        return last.connection();
+      }
+      last.connection().close();
+    }
+    return null;
+  }
+
+  private void release(String address, EndpointConnection connection) {
+    long untilMillis = clock.getAsLong() + connection.keepMillis();
+    idle.computeIfAbsent(address, one -> new ArrayDeque<>())
+        .addLast(new Idle(connection, untilMillis));
+  }
+
+  private void sweep() {
+    long nowMillis = clock.getAsLong();
+    Iterator<Deque<Idle>> all = idle.values().iterator();
+    while (all.hasNext()) {
+      Deque<Idle> kept = all.next();
+      kept.removeIf(
+          one -> {
+            boolean ended = !one.connection().isOpen() || nowMillis >= one.untilMillis();
+            if (ended) {
+              one.connection().close();
+            }
+            return ended;
+          });
+      if (kept.isEmpty()) {
+        all.remove();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointRequest.java
@@ -0,0 +1,79 @@
+package org.knapweedcleat.router.forward.http;
+
+import io.vertx.core.buffer.Buffer;
+import org.knapweedcleat.router.forward.codec.ReplyHead;
+
+/** A request to an endpoint that is under way; its connection is its own until its answer ends. */
+public final class EndpointRequest implements ReplyListener {
+
+  private final ReplyListener listener;
+  private EndpointConnection connection;
+  private boolean over;
+
+  EndpointRequest(ReplyListener listener) {
+    this.listener = listener;
+  }
+
+  void begin(EndpointConnection carrier) {
+    connection = carrier;
+  }
+
+  boolean isOver() {
+    return over;
+  }
+
+  /**
+   * Tells whether bytes of the request may have left.
+   *
+   * @return false as long as no connection has come about
+   */
+  public boolean isSent() {
+    return connection != null;
+  }
+
+  /** Gives the request up; its listener hears nothing more. */
+  public void abort() {
+    if (!over && connection != null) {
+      connection.abort();
+    }
+    over = true;
+  }
+
+  /** Pauses the answer. */
+  public void pause() {
+    if (!over && connection != null) {
+      connection.pause();
+    }
+  }
+
+  /** Lets the answer go on. */
+  public void resume() {
+    if (!over && connection != null) {
+      connection.resume();
+    }
+  }
+
+  @Override
+  public void onHead(ReplyHead head) {
+    listener.onHead(head);
+  }
+
+  @Override
+  public void onBody(Buffer bytes) {
+    listener.onBody(bytes);
+  }
+
+  @Override
+  public void onEnd() {
+    over = true;
+    listener.onEnd();
+  }
+
+  @Override
+  public void onBroken(BrokenCause cause) {
+    if (!over) {
+      over = true;
+      listener.onBroken(cause);
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -0,0 +1,233 @@
+package org.knapweedcleat.router.forward.node;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.knapweedcleat.core.balance.DomainMap;
+import org.knapweedcleat.core.balance.EndpointChooser;
+import org.knapweedcleat.core.balance.HealthBook;
+import org.knapweedcleat.core.balance.WorkBook;
+import org.knapweedcleat.core.config.ForwarderSettings;
+import org.knapweedcleat.core.directory.CallerBounds;
+import org.knapweedcleat.core.directory.RoutingConfig;
+import org.knapweedcleat.core.fleet.FleetMember;
+import org.knapweedcleat.core.fleet.FleetMembers;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.quota.FleetQuota;
+import org.knapweedcleat.router.forward.call.ForwardContext;
+import org.knapweedcleat.router.forward.call.ForwardDesk;
+import org.knapweedcleat.router.forward.call.ServiceBudgets;
+import org.knapweedcleat.router.forward.codec.PlatformAdapter;
+import org.knapweedcleat.router.forward.fleet.FleetLink;
+import org.knapweedcleat.router.forward.http.CallerServer;
+import org.knapweedcleat.router.forward.http.EndpointPool;
+import org.knapweedcleat.router.forward.log.DecisionLog;
+import org.knapweedcleat.router.forward.store.PublishedDirectory;
+import org.knapweedcleat.router.forward.store.PublishedKind;
+import org.knapweedcleat.router.forward.store.PublishedStore;
+import org.knapweedcleat.router.forward.store.StoreWatch;
+import org.knapweedcleat.router.lifecycle.Closer;
+import org.knapweedcleat.router.operator.MetricsPage;
+import org.knapweedcleat.router.peer.Hello;
+import org.knapweedcleat.router.peer.PeerTransport;
+
+/** One run of a forwarding instance: all its parts on one event loop. */
+public final class ForwarderNode {
+
+  private static final long TICK_MILLIS = 20;
+
+  /** How long other instances' reports of their work count; several intervals. */
+  private static final long WORK_AGE_MILLIS = 1_500;
+
+  /** How far an instance may exceed its part of a quota while others are silent. */
+  private static final double PART_TOLERANCE = 1.15;
+
+  /** After this the platform's balancer sends no new connections; it asks once a second. */
+  private static final long LEAVING_MILLIS = 2_600;
+
+  /** The pause between looks whether the last call has ended. */
+  private static final long FINISH_MILLIS = 50;
+
+  /** Kept of the time for a stop, for the process to end in. */
+  private static final long END_MARGIN_MILLIS = 500;
+
+  private static final int READY = 200;
+  private static final int NOT_READY = 503;
+
+  private final Vertx vertx;
+  private final ForwarderSettings settings;
+  private final PlatformAdapter adapter;
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final DecisionLog log = DecisionLog.of(ForwarderNode::nowMillis, metrics);
+  private final Closer closer = Closer.create();
+  private final PublishedDirectory directory;
+  private final FleetLink fleet;
+  private final CallerServer callers;
+  private final Promise<Void> stopped = Promise.promise();
+  private boolean leaving;
+
+  private ForwarderNode(Vertx vertx, ForwarderSettings settings, PlatformAdapter adapter) {
+    this.vertx = vertx;
+    this.settings = settings;
+    this.adapter = adapter;
+    IncarnationId incarnation = IncarnationId.of(settings.id(), System.currentTimeMillis());
+    FleetMember self =
+        new FleetMember(incarnation, settings.peers().host(), settings.peers().port());
+    this.directory = PublishedDirectory.of(ForwarderNode::nowMillis, log, config -> {});
+    WorkBook work = WorkBook.of(WORK_AGE_MILLIS);
+    HealthBook health = HealthBook.create();
+    FleetQuota quota = FleetQuota.of(PART_TOLERANCE);
+    ServiceBudgets budgets = ServiceBudgets.of(settings.bounds());
+    Random random = new Random(incarnation.hashCode());
+    DomainMap domains = DomainMap.of(settings.domain(), settings.regions());
+    EndpointPool pool = EndpointPool.create(vertx, ForwarderNode::nowMillis, metrics);
+    closer.add(pool::close);
+    ForwardContext context =
+        new ForwardContext(
+            vertx,
+            ForwarderNode::nowMillis,
+            random::nextDouble,
+            adapter.calls(),
+            directory,
+            EndpointChooser.of(domains, work, health, random::nextDouble),
+            work,
+            health,
+            quota,
+            budgets,
+            pool,
+            log,
+            metrics);
+    this.callers =
+        CallerServer.create(
+            vertx,
+            ForwarderNode::nowMillis,
+            () -> directory.config().map(RoutingConfig::bounds).orElse(CallerBounds.INITIAL),
+            ForwardDesk.of(context),
+            this::rejected);
+    FleetMembers members = FleetMembers.of(self, settings.discovery().gossipMillis());
+    this.fleet =
+        FleetLink.of(self, members, directory, work, quota, budgets, ForwarderNode::nowMillis, log);
+    fleet.seeds(settings.discovery().seeds());
+    fleet.transport(
+        PeerTransport.create(vertx, new Hello(incarnation, settings.domain()), metrics, fleet));
+  }
+
+  /**
+   * Starts a run of an instance.
+   *
+   * @param vertx runs it
+   * @param settings what it is told about itself
+   * @param adapter speaks the platform's protocols
+   * @return the run, once it listens; it is ready later, when it knows what is published
+   */
+  public static Future<ForwarderNode> start(
+      Vertx vertx, ForwarderSettings settings, PlatformAdapter adapter) {
+    Promise<ForwarderNode> started = Promise.promise();
+    vertx
+        .getOrCreateContext()
+        .runOnContext(
+            ignored -> {
+              ForwarderNode node = new ForwarderNode(vertx, settings, adapter);
+              node.begin().onComplete(started);
+            });
+    return started.future();
+  }
+
+  /**
+   * Takes changed settings; only the seeds change while an instance runs.
+   *
+   * @param changed the settings
+   */
+  public void reload(ForwarderSettings changed) {
+    vertx.runOnContext(
+        ignored -> {
+          fleet.seeds(changed.discovery().seeds());
+          log.belief("instance.reloaded", "seeds", changed.discovery().seeds());
+        });
+  }
+
+  /**
+   * Stops as planned: takes no new callers, finishes what runs and closes.
+   *
+   * @return succeeds when the process may end
+   */
+  public Future<Void> drain() {
+    vertx.runOnContext(ignored -> leave());
+    return stopped.future();
+  }
+
+  private Future<ForwarderNode> begin() {
+    PublishedStore store = adapter.store(vertx, settings.discovery().store());
+    SmallServer readiness =
+        SmallServer.create(vertx, settings.readiness(), adapter.readinessPath(), this::readiness);
+    MetricsPage page = MetricsPage.of(metrics);
+    SmallServer metricsServer =
+        SmallServer.create(
+            vertx,
+            settings.metrics(),
+            "/metrics",
+            () -> new SmallServer.Answer(READY, page.prometheus()));
+    for (PublishedKind kind : PublishedKind.values()) {
+      StoreWatch watch = StoreWatch.of(vertx, store, kind, directory);
+      closer.add(watch::close);
+      watch.start();
+    }
+    long timer = vertx.setPeriodic(TICK_MILLIS, tick -> tick());
+    closer.add(() -> vertx.cancelTimer(timer));
+    return fleet
+        .listen(settings.peers())
+        .compose(port -> readiness.listen())
+        .compose(port -> metricsServer.listen())
+        .compose(port -> callers.listen(settings.callers()))
+        .map(
+            port -> {
+              log.belief(
+                  "instance.started", "instance", settings.id(), "domain", settings.domain());
+              return this;
+            });
+  }
+
+  private void tick() {
+    directory.tick();
+    fleet.tick();
+  }
+
+  private SmallServer.Answer readiness() {
+    boolean ready = directory.isKnown() && !leaving;
+    return new SmallServer.Answer(ready ? READY : NOT_READY, "");
+  }
+
+  private void rejected(int status, String reason) {
+    metrics.counter("calls.unreadable").inc();
+    log.failure("call.unreadable", "status", status, "why", reason);
+  }
+
+  private void leave() {
+    if (leaving) {
+      return;
+    }
+    leaving = true;
+    long endMillis = nowMillis() + settings.bounds().stopMillis() - END_MARGIN_MILLIS;
+    log.belief("instance.leaving", "busy", callers.busy());
+    callers.beginClose();
+    vertx.setTimer(LEAVING_MILLIS, timer -> finish(endMillis));
+  }
+
+  private void finish(long endMillis) {
+    callers.closeIdle();
+    if (callers.busy() > 0 && nowMillis() < endMillis) {
+      vertx.setTimer(FINISH_MILLIS, timer -> finish(endMillis));
+      return;
+    }
+    log.belief("instance.stopped", "cut", callers.busy());
+    fleet.leave();
+    closer.closeAll().onComplete(closed -> callers.close().onComplete(stopped));
+  }
+
+  private static long nowMillis() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/SettingsFollower.java
@@ -0,0 +1,92 @@
+package org.knapweedcleat.router.forward.node;
+
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.lang.reflect.InvocationHandler;
+import java.lang.reflect.Proxy;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.function.Consumer;
+import org.knapweedcleat.core.config.ForwarderSettings;
+import org.knapweedcleat.core.config.ForwarderSettingsParser;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Reads the settings again when their file changes or the process gets SIGHUP. */
+public final class SettingsFollower {
+
+  private static final Logger LOG = LoggerFactory.getLogger(SettingsFollower.class);
+
+  /** The file may change without a signal; seeds that are out of date matter only after that. */
+  private static final long LOOK_MILLIS = 1_000;
+
+  private final Path file;
+  private final Consumer<ForwarderSettings> onChange;
+  private String text;
+
+  private SettingsFollower(Path file, Consumer<ForwarderSettings> onChange) {
+    this.file = file;
+    this.onChange = onChange;
+    this.text = "";
+  }
+
+  /**
+   * Begins to follow a file.
+   *
+   * @param vertx runs it
+   * @param file the settings
+   * @param onChange hears settings that check and differ from those before
+   */
+  public static void follow(Vertx vertx, Path file, Consumer<ForwarderSettings> onChange) {
+    SettingsFollower follower = new SettingsFollower(file, onChange);
+    follower.readText();
+    vertx.setPeriodic(LOOK_MILLIS, timer -> follower.look());
+    onHangup(() -> vertx.runOnContext(ignored -> follower.look()));
+  }
+
+  /**
+   * Takes SIGHUP, which would end the process. The JDK's only class for that is not part of its
+   * documented interface, so it is looked up by name; without it SIGHUP keeps its meaning.
+   */
+  private static void onHangup(Runnable action) {
+    try {
+      Class<?> signal = Class.forName("sun.misc.Signal");
+      Class<?> handler = Class.forName("sun.misc.SignalHandler");
+      InvocationHandler calls =
+          (proxy, method, arguments) -> {
+            action.run();
+            return null;
+          };
+      Object proxy =
+          Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler}, calls);
+      Object hangup = signal.getConstructor(String.class).newInstance("HUP");
+      signal.getMethod("handle", signal, handler).invoke(null, hangup, proxy);
+    } catch (ReflectiveOperationException e) {
+      LOG.warn("SIGHUP cannot be taken; changes of the settings file are still seen", e);
+    }
+  }
+
+  private boolean readText() {
+    try {
+      String now = Files.readString(file);
+      boolean changed = !now.equals(text);
+      text = now;
+      return changed;
+    } catch (IOException e) {
+      LOG.warn("cannot read {}; the settings before it hold", file, e);
+      return false;
+    }
+  }
+
+  private void look() {
+    if (readText()) {
+      ForwarderSettingsParser.parse(file.toString(), text)
+          .peek(onChange)
+          .mapError(
+              faults -> {
+                LOG.warn("the settings before hold, since the new ones have faults: {}", faults);
+                return faults;
+              });
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/package-info.java
@@ -0,0 +1,2 @@
+/** Puts the parts of a forwarding instance together. */
+package org.knapweedcleat.router.forward.node;
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/DirectoryListener.java
@@ -0,0 +1,33 @@
+package org.knapweedcleat.router.forward.store;
+
+import java.util.List;
+
+/** Hears what a store publishes. */
+public interface DirectoryListener {
+
+  /**
+   * Takes all items of a kind.
+   *
+   * @param kind the kind
+   * @param items the items
+   * @param at the revision up to which the listing is whole
+   */
+  void listed(PublishedKind kind, List<PublishedItem> items, long at);
+
+  /**
+   * Takes changes.
+   *
+   * @param kind the kind of the items
+   * @param items the changed items
+   * @param at the revision up to which nothing else has changed
+   */
+  void changed(PublishedKind kind, List<PublishedItem> items, long at);
+
+  /**
+   * Hears that the store does not answer.
+   *
+   * @param kind the kind that was asked for
+   * @param failure why
+   */
+  void lost(PublishedKind kind, StoreException failure);
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/PublishedDirectory.java
@@ -0,0 +1,256 @@
+package org.knapweedcleat.router.forward.store;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+import org.knapweedcleat.core.directory.EndpointDirectory;
+import org.knapweedcleat.core.directory.EndpointEntry;
+import org.knapweedcleat.core.directory.RoutingConfig;
+import org.knapweedcleat.core.directory.RoutingContent;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.router.forward.log.DecisionLog;
+
+/**
+ * What is published as this instance knows it, from the store and from other instances.
+ *
+ * <p>Endpoints whose entries are missing just after the store was away are kept for a moment: the
+ * entries of those that live are back by then.
+ */
+public final class PublishedDirectory implements DirectoryListener {
+
+  /** The users' figure for the return of lapsed entries is about two seconds. */
+  private static final long LAPSE_MILLIS = 2_200;
+
+  /** A store that was away for less than this has let no entry lapse. */
+  private static final long OUTAGE_MILLIS = 1_000;
+
+  private final EndpointDirectory endpoints = EndpointDirectory.create();
+  private final Map<EndpointId, Long> lapsing = new HashMap<>();
+  private final LongSupplier clock;
+  private final DecisionLog log;
+  private final Consumer<RoutingConfig> onConfig;
+  private Optional<RoutingConfig> config = Optional.empty();
+  private boolean listedEndpoints;
+  private long lostSinceMillis = -1;
+  private long contactAtMillis = Long.MIN_VALUE / 2;
+  private long lapseUntilMillis = Long.MIN_VALUE;
+
+  private PublishedDirectory(
+      LongSupplier clock, DecisionLog log, Consumer<RoutingConfig> onConfig) {
+    this.clock = clock;
+    this.log = log;
+    this.onConfig = onConfig;
+  }
+
+  /**
+   * Returns a directory that knows nothing.
+   *
+   * @param clock gives the time in milliseconds
+   * @param log takes what changes
+   * @param onConfig hears each configuration that comes into force
+   * @return the directory
+   */
+  public static PublishedDirectory of(
+      LongSupplier clock, DecisionLog log, Consumer<RoutingConfig> onConfig) {
+    return new PublishedDirectory(clock, log, onConfig);
+  }
+
+  /**
+   * Returns the configuration in force.
+   *
+   * @return the configuration, once one is known
+   */
+  public Optional<RoutingConfig> config() {
+    return config;
+  }
+
+  /**
+   * Returns the endpoints.
+   *
+   * @return the endpoints
+   */
+  public EndpointDirectory endpoints() {
+    return endpoints;
+  }
+
+  /**
+   * Tells whether calls can be served.
+   *
+   * @return true once a configuration and the endpoints are known
+   */
+  public boolean isKnown() {
+    return config.isPresent() && listedEndpoints;
+  }
+
+  /**
+   * Returns how long ago the store last answered.
+   *
+   * @return milliseconds
+   */
+  public long storeAgeMillis() {
+    return clock.getAsLong() - contactAtMillis;
+  }
+
+  /** Removes endpoints whose entries have not come back in time. */
+  public void tick() {
+    long nowMillis = clock.getAsLong();
+    if (lapsing.isEmpty() || nowMillis < lapseUntilMillis) {
+      return;
+    }
+    Map<EndpointId, Long> due = Map.copyOf(lapsing);
+    lapsing.clear();
+    due.forEach(this::removeNow);
+  }
+
+  /**
+   * Takes a configuration that another instance has.
+   *
+   * @param content the configuration
+   */
+  public void learnConfig(RoutingContent content) {
+    applyConfig(content, "peer");
+  }
+
+  /**
+   * Takes the endpoints that another instance knows.
+   *
+   * @param entries the endpoints with the revision of their last change
+   * @param at the revision up to which the list is whole
+   */
+  public void learnEndpoints(Map<EndpointEntry, Long> entries, long at) {
+    entries.forEach(this::put);
+    Set<EndpointId> ids =
+        entries.keySet().stream().map(EndpointEntry::id).collect(Collectors.toSet());
+    endpoints.retain(ids, at).forEach(id -> log.belief("endpoint.gone", "endpoint", id));
+    endpoints.advance(at);
+    listedEndpoints = true;
+  }
+
+  @Override
+  public void listed(PublishedKind kind, List<PublishedItem> items, long at) {
+    regained(kind);
+    items.forEach(this::take);
+    if (kind != PublishedKind.ENDPOINTS) {
+      return;
+    }
+    List<EndpointId> listed = new ArrayList<>();
+    items.forEach(
+        item -> {
+          if (item instanceof PublishedItem.Endpoint endpoint) {
+            listed.add(endpoint.entry().id());
+          }
+        });
+    missing(listed, at).forEach(id -> remove(id, at));
+    endpoints.advance(at);
+    listedEndpoints = true;
+  }
+
+  @Override
+  public void changed(PublishedKind kind, List<PublishedItem> items, long at) {
+    regained(kind);
+    items.forEach(this::take);
+    if (kind == PublishedKind.ENDPOINTS) {
+      endpoints.advance(at);
+    }
+  }
+
+  @Override
+  public void lost(PublishedKind kind, StoreException failure) {
+    if (lostSinceMillis < 0) {
+      lostSinceMillis = clock.getAsLong();
+      log.belief(
+          "store.lost", "kind", kind, "reason", failure.reason(), "message", failure.getMessage());
+    }
+  }
+
+  private void regained(PublishedKind kind) {
+    long nowMillis = clock.getAsLong();
+    contactAtMillis = nowMillis;
+    if (lostSinceMillis >= 0) {
+      long awayMillis = nowMillis - lostSinceMillis;
+      log.belief("store.regained", "kind", kind, "awayMillis", awayMillis);
+      lostSinceMillis = -1;
+      if (awayMillis >= OUTAGE_MILLIS) {
+        lapseUntilMillis = nowMillis + LAPSE_MILLIS;
+      }
+    }
+  }
+
+  private List<EndpointId> missing(List<EndpointId> listed, long at) {
+    return endpoints.all().entrySet().stream()
+        .filter(known -> known.getValue() <= at && !listed.contains(known.getKey().id()))
+        .map(known -> known.getKey().id())
+        .toList();
+  }
+
+  private void take(PublishedItem item) {
+    if (item instanceof PublishedItem.Config one) {
+      applyConfig(one.content(), "store");
+    } else if (item instanceof PublishedItem.Endpoint one) {
+      put(one.entry(), one.revision());
+    } else if (item instanceof PublishedItem.Removed one) {
+      remove(one.endpoint(), one.revision());
+    } else if (item instanceof PublishedItem.Unusable one) {
+      log.belief("published.unusable", "name", one.name(), "reason", one.reason());
+      one.endpoint().ifPresent(id -> remove(id, one.revision()));
+    }
+  }
+
+  private void applyConfig(RoutingContent content, String source) {
+    long before = config.map(RoutingConfig::version).orElse(Long.MIN_VALUE);
+    if (content.version() <= before) {
+      return;
+    }
+    RoutingConfig next = RoutingConfig.of(content);
+    config = Optional.of(next);
+    log.belief(
+        "config.applied",
+        "version",
+        content.version(),
+        "source",
+        source,
+        "routes",
+        content.routes().size(),
+        "accounts",
+        content.accounts().size());
+    onConfig.accept(next);
+  }
+
+  private void put(EndpointEntry entry, long revision) {
+    lapsing.remove(entry.id());
+    if (endpoints.put(entry, revision)) {
+      log.belief(
+          entry.draining() ? "endpoint.draining" : "endpoint.known",
+          "endpoint",
+          entry.id(),
+          "address",
+          entry.address(),
+          "domain",
+          entry.domain(),
+          "stage",
+          entry.stage(),
+          "revision",
+          revision);
+    }
+  }
+
+  private void remove(EndpointId id, long revision) {
+    if (clock.getAsLong() < lapseUntilMillis) {
+      lapsing.put(id, revision);
+      return;
+    }
+    removeNow(id, revision);
+  }
+
+  private void removeNow(EndpointId id, long revision) {
+    if (endpoints.remove(id, revision)) {
+      log.belief("endpoint.gone", "endpoint", id, "revision", revision);
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/package-info.java
@@ -0,0 +1,2 @@
+/** Follows what the platform publishes. */
+package org.knapweedcleat.router.forward.store;
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/operator/MetricsPage.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/operator/MetricsPage.java
@@ -17,7 +17,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** Writes a metric registry as Prometheus text or as JSON. */
-final class MetricsPage {
+public final class MetricsPage {
 
   static final String PROMETHEUS_TYPE = TextFormat.CONTENT_TYPE_004;
 
@@ -33,12 +33,22 @@
             .registerModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false));
   }
 
-  static MetricsPage of(MetricRegistry metrics) {
+  /**
+   * Returns the page of a registry.
+   *
+   * @param metrics the registry
+   * @return the page
+   */
+  public static MetricsPage of(MetricRegistry metrics) {
     return new MetricsPage(metrics);
   }
 
-  /** Returns the metrics as text; the library makes each name legal. */
-  String prometheus() {
+  /**
+   * Returns the metrics as text; the library makes each name legal.
+   *
+   * @return the text in Prometheus's format
+   */
+  public String prometheus() {
     List<Collector.MetricFamilySamples> families = new ArrayList<>(exports.collect());
     families.sort(Comparator.comparing(family -> family.name));
     StringWriter text = new StringWriter();
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerMessageType.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerMessageType.java
@@ -12,6 +12,9 @@
 import org.knapweedcleat.core.schedule.PlacementProgress;
 import org.knapweedcleat.core.schedule.PlacementRequest;
 import org.knapweedcleat.core.schedule.RunningClaims;
+import org.knapweedcleat.router.forward.fleet.DirectoryAnswer;
+import org.knapweedcleat.router.forward.fleet.DirectoryQuestion;
+import org.knapweedcleat.router.forward.fleet.FleetNews;
 import org.knapweedcleat.router.limit.DomainDraw;
 import org.knapweedcleat.router.limit.DomainDrawAnswer;
 
@@ -68,7 +71,13 @@
   /** Brings a call to the incarnation that remembers its outcome. */
   FORWARDED_CALL(80, ForwardedCall.class),
   /** Brings the outcome back. */
-  FORWARDED_ANSWER(81, ForwardedAnswer.class);
+  FORWARDED_ANSWER(81, ForwardedAnswer.class),
+  /** Tells what a forwarding instance knows and does. */
+  FLEET_NEWS(100, FleetNews.class),
+  /** Asks for what is published. */
+  DIRECTORY_QUESTION(101, DirectoryQuestion.class),
+  /** Brings what is published. */
+  DIRECTORY_ANSWER(102, DirectoryAnswer.class);
 
   private static final Map<Short, PeerMessageType> BY_CODE = new HashMap<>();
   private static final Map<Class<?>, PeerMessageType> BY_CLASS = new HashMap<>();
