Count a running request's memory by its mean

Change: a request counts its prompt and 0.35 of its longest answer, and 0.95 of an engine's memory is used.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
@@ -27,8 +27,10 @@
   /** Expected times within this part of each other count as alike, so that instances spread. */
   private static final double JITTER = 0.1;
 
-  /** The part of an engine's memory that placements fill; the rest is for rounding to blocks. */
-  private static final double USABLE_MEMORY = 0.97;
+  /**
+   * The part of an engine's memory that placements fill; the rest is for answers that grow long.
+   */
+  private static final double USABLE_MEMORY = 0.95;
 
   /** How much a full decode engine is slower than an empty one, over the tokens of an answer. */
   private static final double FULL_ENGINE_MILLIS = 200;
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -22,13 +22,13 @@
 import org.knapweedcleat.router.forward.codec.InboundCall;
 import org.knapweedcleat.router.forward.codec.KvHandle;
 import org.knapweedcleat.router.forward.codec.RequestHead;
+import org.knapweedcleat.router.forward.codec.TokenUsage;
 import org.knapweedcleat.router.forward.http.CallerExchange;
 import org.knapweedcleat.router.forward.http.EndpointRequest;
 
 /** One admitted call, from its first endpoint to its final answer. */
 abstract class ForwardedCall {
 
-  /** What a client account's rank is at the endpoint when neither account nor route has one. */
   private static final double SECOND_MILLIS = 1_000;
 
   /** Retry-After of a call that found no place: about as long as a place stays taken. */
@@ -65,7 +65,7 @@
     this.service = route.choose(context.random().getAsDouble());
     this.account = account;
     this.units = units;
-    this.budget = context.budgets().of(service);
+    this.budget = context.budgets().budget(service);
     this.ledger = CallLedger.of(route, budget);
     this.beganMillis = context.nowMillis();
     this.endMillis =
@@ -242,6 +242,10 @@
               endpoint,
               "sends",
               ledger.sends(),
+              "promptTokens",
+              call.usage().map(TokenUsage::promptTokens).orElse(0L),
+              "maxOutputTokens",
+              call.usage().map(TokenUsage::maxOutputTokens).orElse(0L),
               "firstMillis",
               firstMillis,
               "millis",
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/PlainForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/PlainForward.java
@@ -52,10 +52,10 @@
   }
 
   private void send(EndpointEntry endpoint) {
-    Dispatch dispatch = dispatch(endpoint, false, Optional.empty(), call.resumeAfter());
     beginWork(endpoint.id(), ONE_CALL);
     context.health().of(endpoint.id()).sending();
     ledger.sent(endpoint.id());
+    Dispatch dispatch = dispatch(endpoint, false, Optional.empty(), call.resumeAfter());
     Send send = new Send(endpoint);
     sending(
         context
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ServiceBudgets.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ServiceBudgets.java
@@ -46,7 +46,7 @@
    * @param service the service
    * @return its budget
    */
-  public RepeatBudget of(ServiceId service) {
+  public RepeatBudget budget(ServiceId service) {
     return budgets.computeIfAbsent(
         service,
         id ->
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -92,7 +92,7 @@
             ledger.tried(),
             profile,
             usage.promptTokens(),
-            usage.total(),
+            usage.meanMemory(),
             split);
     if (placement.isPresent()) {
       StreamPlacement found = placement.get();
@@ -131,12 +131,12 @@
       return;
     }
     prefills++;
-    long prompt = usage.promptTokens();
     boolean idle = context.work().at(reader.id(), context.nowMillis()).promptTokens() == 0;
+    long prompt = usage.promptTokens();
     beginWork(reader.id(), new EndpointWork(1, prompt, prompt));
-    beginWork(placement.decode().id(), new EndpointWork(1, 0, usage.total()));
+    beginWork(placement.decode().id(), new EndpointWork(1, 0, usage.meanMemory()));
     context.health().of(reader.id()).sending();
-    Prefill prefill = new Prefill(reader, placement.decode(), idle);
+    final Prefill prefill = new Prefill(reader, placement.decode(), idle);
     sending(
         context
             .pool()
@@ -152,7 +152,8 @@
   }
 
   private void alone(StreamPlacement placement) {
-    beginWork(placement.decode().id(), new EndpointWork(1, usage.promptTokens(), usage.total()));
+    beginWork(
+        placement.decode().id(), new EndpointWork(1, usage.promptTokens(), usage.meanMemory()));
     run(placement.decode(), Optional.empty(), (long) placement.firstEventMillis());
   }
 
@@ -309,7 +310,7 @@
       if (!heardEvent) {
         heardEvent = true;
         endWork(engine.id());
-        beginWork(engine.id(), new EndpointWork(1, 0, usage.total()));
+        beginWork(engine.id(), new EndpointWork(1, 0, usage.meanMemory()));
       }
       if (firstMillis < 0) {
         firstMillis = context.nowMillis() - beganMillis;
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/codec/TokenUsage.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/codec/TokenUsage.java
@@ -8,6 +8,18 @@
  */
 public record TokenUsage(long promptTokens, long maxOutputTokens) {
 
+  /** The part of the longest answer that a running request has produced on average. */
+  private static final double MEAN_OUTPUT_PART = 0.35;
+
+  /**
+   * Returns how many tokens of an engine's memory a request occupies on average while it runs.
+   *
+   * @return the prompt and a part of the longest answer
+   */
+  public long meanMemory() {
+    return promptTokens + Math.round(maxOutputTokens * MEAN_OUTPUT_PART);
+  }
+
   /**
    * Returns all tokens.
    *
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetLink.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetLink.java
@@ -178,7 +178,9 @@
       ended(from);
       return;
     }
-    boolean isNew = !members.isKnown(news.sender().address());
+    if (!members.isKnown(news.sender().address())) {
+      send(news.sender(), news(false, members.live(nowMillis)));
+    }
     IncarnationId before = members.heard(nowMillis, news.sender(), news.heard());
     if (!before.equals(from)) {
       ended(before);
@@ -189,9 +191,6 @@
     Map<EndpointId, EndpointWork> told = new HashMap<>();
     news.work().forEach((endpoint, load) -> told.put(EndpointId.of(endpoint), load));
     work.told(from.toString(), nowMillis, told);
-    if (isNew) {
-      send(news.sender(), news(false, members.live(nowMillis)));
-    }
     askIfBehind(nowMillis, from, news);
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -74,8 +74,6 @@
     this.settings = settings;
     this.adapter = adapter;
     IncarnationId incarnation = IncarnationId.of(settings.id(), System.currentTimeMillis());
-    FleetMember self =
-        new FleetMember(incarnation, settings.peers().host(), settings.peers().port());
     this.directory = PublishedDirectory.of(ForwarderNode::nowMillis, log, config -> {});
     WorkBook work = WorkBook.of(WORK_AGE_MILLIS);
     HealthBook health = HealthBook.create();
@@ -107,6 +105,8 @@
             () -> directory.config().map(RoutingConfig::bounds).orElse(CallerBounds.INITIAL),
             ForwardDesk.of(context),
             this::rejected);
+    FleetMember self =
+        new FleetMember(incarnation, settings.peers().host(), settings.peers().port());
     FleetMembers members = FleetMembers.of(self, settings.discovery().gossipMillis());
     this.fleet =
         FleetLink.of(self, members, directory, work, quota, budgets, ForwarderNode::nowMillis, log);
