--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderKeys.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderKeys.java
@@ -88,6 +88,16 @@
           "20",
           "repeats that the fleet may send in a window besides");
 
+  static final SettingKey<Double> PREFILL_PART =
+      SettingKey.optional(
+          SectionKind.BOUNDS,
+          "prefillPart",
+          ValueRules.decimal(0.01, 0.99),
+          "of the engines",
+          "0.27",
+          "the part of a service's engines that read prompts for others; by default the part that"
+              + " prompts of 3,000 tokens need beside answers of 900");
+
   static final SettingKey<RegionId> REGION =
       SettingKey.required(
           SectionKind.FORWARDER_DOMAIN,
@@ -111,6 +121,7 @@
           REPEAT_RATIO,
           REPEAT_WINDOW,
           REPEAT_SLACK,
+          PREFILL_PART,
           REGION);
 
   private ForwarderKeys() {}
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettings.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettings.java
@@ -46,7 +46,12 @@
    * @param repeatRatio repeats that each call of a service allows
    * @param repeatWindowMillis the window in which repeats are counted
    * @param repeatSlack repeats that the fleet may send besides
+   * @param prefillPart the part of a service's engines that read prompts for others
    */
   public record Bounds(
-      int stopMillis, double repeatRatio, int repeatWindowMillis, int repeatSlack) {}
+      int stopMillis,
+      double repeatRatio,
+      int repeatWindowMillis,
+      int repeatSlack,
+      double prefillPart) {}
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingsParser.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingsParser.java
@@ -108,6 +108,7 @@
         section.get(ForwarderKeys.STOP),
         section.get(ForwarderKeys.REPEAT_RATIO),
         section.get(ForwarderKeys.REPEAT_WINDOW),
-        section.get(ForwarderKeys.REPEAT_SLACK));
+        section.get(ForwarderKeys.REPEAT_SLACK),
+        section.get(ForwarderKeys.PREFILL_PART));
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -19,6 +19,7 @@
 import org.knapweedcleat.router.forward.codec.TokenUsage;
 import org.knapweedcleat.router.forward.http.BrokenCause;
 import org.knapweedcleat.router.forward.http.CallerExchange;
+import org.knapweedcleat.router.forward.http.CollectedReply;
 import org.knapweedcleat.router.forward.http.ReplyListener;
 
 /**
@@ -121,7 +122,7 @@
             context.codec().release(handle),
             Buffer.buffer(),
             head -> true,
-            new Unheard());
+            CollectedReply.ignored());
   }
 
   private void prefill(EndpointEntry reader, StreamPlacement placement) {
@@ -396,19 +397,4 @@
       follow(step, why);
     }
   }
-
-  /** Ignores the answer to a call whose outcome changes nothing. */
-  private static final class Unheard implements ReplyListener {
-    @Override
-    public void onHead(ReplyHead head) {}
-
-    @Override
-    public void onBody(Buffer bytes) {}
-
-    @Override
-    public void onEnd() {}
-
-    @Override
-    public void onBroken(BrokenCause cause) {}
-  }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/codec/CallCodec.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/codec/CallCodec.java
@@ -2,6 +2,9 @@
 
 import io.vavr.control.Either;
 import java.util.List;
+import org.knapweedcleat.core.directory.EndpointEntry;
+import org.knapweedcleat.core.id.InstanceId;
+import org.knapweedcleat.core.stage.StageChange;
 
 /** Translates calls; has no state and decides nothing. */
 public interface CallCodec {
@@ -56,6 +59,32 @@
    */
   Either<CallFault, String> prefilled(byte[] body);
 
+  /**
+   * Writes the order that changes an engine's stage.
+   *
+   * @param change the engine and its new stage
+   * @param holder the instance that gives the order
+   * @param fencingToken higher than that of any order before
+   * @return the call
+   */
+  EngineOrder order(StageChange change, InstanceId holder, long fencingToken);
+
+  /**
+   * Writes the question for an engine's state.
+   *
+   * @param engine the engine
+   * @return the call's head
+   */
+  RequestHead report(EndpointEntry engine);
+
+  /**
+   * Reads the answer to the question for an engine's state.
+   *
+   * @param body the answer's body
+   * @return the state, or what is wrong
+   */
+  Either<CallFault, EngineReport> reported(byte[] body);
+
   /**
    * Writes the call that frees a KV cache.
    *
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/codec/EngineOrder.java
@@ -0,0 +1,9 @@
+package org.knapweedcleat.router.forward.codec;
+
+/**
+ * A call that tells an engine to do something.
+ *
+ * @param head the call's head
+ * @param body the call's body
+ */
+public record EngineOrder(RequestHead head, byte[] body) {}
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -17,6 +17,8 @@
 import org.knapweedcleat.core.fleet.FleetMembers;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.quota.FleetQuota;
+import org.knapweedcleat.core.stage.OrderLead;
+import org.knapweedcleat.core.stage.StagePlan;
 import org.knapweedcleat.router.forward.call.ForwardContext;
 import org.knapweedcleat.router.forward.call.ForwardDesk;
 import org.knapweedcleat.router.forward.call.ServiceBudgets;
@@ -51,6 +53,9 @@
   /** The pause between looks whether the last call has ended. */
   private static final long FINISH_MILLIS = 50;
 
+  /** Longer than engines may hear two instances in turn. */
+  private static final long ORDER_QUIET_MILLIS = 3_200;
+
   /** Kept of the time for a stop, for the process to end in. */
   private static final long END_MARGIN_MILLIS = 500;
 
@@ -65,6 +70,7 @@
   private final Closer closer = Closer.create();
   private final PublishedDirectory directory;
   private final FleetLink fleet;
+  private final StageKeeper stages;
   private final CallerServer callers;
   private final Promise<Void> stopped = Promise.promise();
   private boolean leaving;
@@ -110,6 +116,15 @@
     FleetMembers members = FleetMembers.of(self, settings.discovery().gossipMillis());
     this.fleet =
         FleetLink.of(self, members, directory, work, quota, budgets, ForwarderNode::nowMillis, log);
+    this.stages =
+        StageKeeper.of(
+            settings.id(),
+            context,
+            members,
+            OrderLead.of(settings.id(), ORDER_QUIET_MILLIS),
+            StagePlan.of(
+                settings.bounds().prefillPart(), entry -> settings.regions().get(entry.domain())),
+            System::currentTimeMillis);
     fleet.seeds(settings.discovery().seeds());
     fleet.transport(
         PeerTransport.create(vertx, new Hello(incarnation, settings.domain()), metrics, fleet));
@@ -193,6 +208,7 @@
   private void tick() {
     directory.tick();
     fleet.tick();
+    stages.tick();
   }
 
   private SmallServer.Answer readiness() {
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/StageKeeper.java
@@ -0,0 +1,181 @@
+package org.knapweedcleat.router.forward.node;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+import org.knapweedcleat.core.directory.EndpointEntry;
+import org.knapweedcleat.core.directory.EndpointStage;
+import org.knapweedcleat.core.fleet.FleetMember;
+import org.knapweedcleat.core.fleet.FleetMembers;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.InstanceId;
+import org.knapweedcleat.core.id.ServiceId;
+import org.knapweedcleat.core.stage.OrderLead;
+import org.knapweedcleat.core.stage.StageChange;
+import org.knapweedcleat.core.stage.StagePlan;
+import org.knapweedcleat.router.forward.call.ForwardContext;
+import org.knapweedcleat.router.forward.codec.EngineOrder;
+import org.knapweedcleat.router.forward.http.CollectedReply;
+
+/** Gives engines the orders that divide a service's work, while this instance is to give them. */
+final class StageKeeper {
+
+  /** An engine that was told to change is left alone for this long; a change takes seconds. */
+  private static final long ORDER_MILLIS = 20_000;
+
+  /** The pause between looks. */
+  private static final long LOOK_MILLIS = 500;
+
+  /** Engines have to be the same for this long, so that late arrivals are counted. */
+  private static final long SETTLED_MILLIS = 2_000;
+
+  /** A store that was silent for longer may know of other engines. */
+  private static final long STORE_FRESH_MILLIS = 4_000;
+
+  private static final int OK = 200;
+  private static final int ACCEPTED = 202;
+
+  private final InstanceId self;
+  private final ForwardContext context;
+  private final FleetMembers members;
+  private final OrderLead lead;
+  private final StagePlan plan;
+  private final LongSupplier fencingTokens;
+  private final Map<EndpointId, Long> orderedAtMillis = new HashMap<>();
+  private List<EndpointEntry> seen = List.of();
+  private long seenSinceMillis;
+  private long lookedAtMillis = Long.MIN_VALUE / 2;
+  private boolean asking;
+
+  private StageKeeper(
+      InstanceId self,
+      ForwardContext context,
+      FleetMembers members,
+      OrderLead lead,
+      StagePlan plan,
+      LongSupplier fencingTokens) {
+    this.self = self;
+    this.context = context;
+    this.members = members;
+    this.lead = lead;
+    this.plan = plan;
+    this.fencingTokens = fencingTokens;
+  }
+
+  static StageKeeper of(
+      InstanceId self,
+      ForwardContext context,
+      FleetMembers members,
+      OrderLead lead,
+      StagePlan plan,
+      LongSupplier fencingTokens) {
+    return new StageKeeper(self, context, members, lead, plan, fencingTokens);
+  }
+
+  /** Looks whether an order is due; to be called often. */
+  void tick() {
+    long nowMillis = context.clock().getAsLong();
+    lead.observe(nowMillis, ids(members.possible()), ids(members.live(nowMillis)));
+    if (nowMillis - lookedAtMillis < LOOK_MILLIS) {
+      return;
+    }
+    lookedAtMillis = nowMillis;
+    List<EndpointEntry> engines = engines();
+    if (!engines.equals(seen)) {
+      seen = engines;
+      seenSinceMillis = nowMillis;
+    }
+    orderedAtMillis.values().removeIf(atMillis -> nowMillis - atMillis > ORDER_MILLIS);
+    boolean settled = nowMillis - seenSinceMillis >= SETTLED_MILLIS;
+    boolean fresh = context.directory().storeAgeMillis() < STORE_FRESH_MILLIS;
+    if (settled && fresh && !asking && orderedAtMillis.isEmpty() && lead.mayOrder(nowMillis)) {
+      engines.stream()
+          .collect(Collectors.groupingBy(EndpointEntry::service))
+          .values()
+          .forEach(ofService -> plan.next(ofService).ifPresent(this::ask));
+    }
+  }
+
+  private List<EndpointEntry> engines() {
+    return context.directory().endpoints().all().keySet().stream()
+        .filter(entry -> entry.stage() != EndpointStage.WHOLE && !entry.draining())
+        .filter(entry -> isPublished(entry.service()))
+        .toList();
+  }
+
+  private boolean isPublished(ServiceId service) {
+    return context.directory().config().flatMap(config -> config.service(service)).isPresent();
+  }
+
+  private static Set<InstanceId> ids(List<FleetMember> listed) {
+    return listed.stream().map(one -> one.incarnation().instance()).collect(Collectors.toSet());
+  }
+
+  /** Asks the engine first: another instance's order may be under way. */
+  private void ask(StageChange change) {
+    asking = true;
+    EndpointEntry engine = change.engine();
+    context
+        .pool()
+        .send(
+            engine.host(),
+            engine.port(),
+            context.codec().report(engine),
+            Buffer.buffer(),
+            head -> true,
+            CollectedReply.of(
+                (head, body) -> {
+                  asking = false;
+                  context
+                      .codec()
+                      .reported(body)
+                      .filter(report -> !report.isBusy() && report.stage() == engine.stage())
+                      .forEach(free -> order(change));
+                },
+                cause -> asking = false));
+  }
+
+  private void order(StageChange change) {
+    long nowMillis = context.clock().getAsLong();
+    if (!lead.mayOrder(nowMillis)) {
+      return;
+    }
+    EndpointEntry engine = change.engine();
+    orderedAtMillis.put(engine.id(), nowMillis);
+    EngineOrder order = context.codec().order(change, self, fencingTokens.getAsLong());
+    context.metrics().counter("engine.orders").inc();
+    context
+        .pool()
+        .send(
+            engine.host(),
+            engine.port(),
+            order.head(),
+            Buffer.buffer(order.body()),
+            head -> true,
+            CollectedReply.of(
+                (head, body) -> {
+                  boolean taken = head.status() == OK || head.status() == ACCEPTED;
+                  log(taken ? "order.accepted" : "order.refused", change, head.status());
+                },
+                cause -> log("order.unanswered", change, cause)));
+  }
+
+  private void log(String event, StageChange change, Object outcome) {
+    context
+        .log()
+        .belief(
+            event,
+            "endpoint",
+            change.engine().id(),
+            "stage",
+            change.stage(),
+            "outcome",
+            outcome,
+            "endpointsRevision",
+            context.directory().endpoints().revision());
+  }
+}
