Count answers as they grow and offer a refused KV cache again

Change: a running request counts the tokens of the events that it has sent; a refused KV cache goes to another decode engine while it lives; a stream that goes on is placed without room, since engines let it wait.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
@@ -30,7 +30,7 @@
   /**
    * The part of an engine's memory that placements fill; the rest is for answers that grow long.
    */
-  private static final double USABLE_MEMORY = 0.95;
+  private static final double USABLE_MEMORY = 0.93;
 
   /** How much a full decode engine is slower than an empty one, over the tokens of an answer. */
   private static final double FULL_ENGINE_MILLIS = 200;
@@ -96,9 +96,7 @@
    * @param candidates the engines that take work
    * @param tried the engines that have failed this request, used only if there is no other
    * @param profile what an engine holds
-   * @param promptTokens the tokens to read
-   * @param memoryTokens the tokens that the request occupies in the end
-   * @param split whether another engine may read the prompt
+   * @param need what the request needs
    * @return the placement; empty if no engine that runs requests has room
    */
   public Optional<StreamPlacement> stream(
@@ -106,18 +104,18 @@
       List<EndpointEntry> candidates,
       Set<EndpointId> tried,
       EngineProfile profile,
-      long promptTokens,
-      long memoryTokens,
-      boolean split) {
+      StreamNeed need) {
+    long promptTokens = need.promptTokens();
     List<EndpointEntry> decoders =
         candidates.stream()
             .filter(entry -> entry.stage().runsRequests())
-            .filter(entry -> hasRoom(nowMillis, entry, profile, memoryTokens))
+            .filter(
+                entry -> need.begun() || hasRoom(nowMillis, entry, profile, need.memoryTokens()))
             .toList();
     List<EndpointEntry> nearDecoders =
         ranked(nowMillis, decoders, tried, entry -> decodeMillis(nowMillis, entry, profile));
     List<EndpointEntry> readers =
-        split
+        need.split()
             ? ranked(
                 nowMillis,
                 candidates.stream().filter(e -> e.stage() == EndpointStage.PREFILL).toList(),
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/StreamNeed.java
@@ -0,0 +1,11 @@
+package org.knapweedcleat.core.balance;
+
+/**
+ * What a streamed request needs of the engines.
+ *
+ * @param promptTokens the tokens to read
+ * @param memoryTokens the tokens that the request occupies when it begins
+ * @param split whether another engine may read the prompt
+ * @param begun whether the request was running before, so that it is placed even without room
+ */
+public record StreamNeed(long promptTokens, long memoryTokens, boolean split, boolean begun) {}
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.knapweedcleat.core.balance.EndpointHealth;
 import org.knapweedcleat.core.balance.EndpointWork;
+import org.knapweedcleat.core.balance.StreamNeed;
 import org.knapweedcleat.core.balance.StreamPlacement;
 import org.knapweedcleat.core.directory.AccountQuota;
 import org.knapweedcleat.core.directory.EndpointEntry;
@@ -45,6 +46,9 @@
   /** How long a resumable stream waits for its next event: callers give up after two seconds. */
   private static final long NEXT_EVENT_MILLIS = 1_000;
 
+  /** The part of a KV cache's life in which it is still offered to an engine. */
+  private static final double HANDLE_PART = 0.7;
+
   /** How long a call that finds no room is tried again before it is refused. */
   private static final long ROOM_WAIT_MILLIS = 110;
 
@@ -60,6 +64,7 @@
   private final EngineProfile profile;
   private final EventSplitter splitter = EventSplitter.of(MAX_EVENT_BYTES);
   private Optional<KvHandle> held = Optional.empty();
+  private long heldSinceMillis;
   private boolean splitFailed;
   private int prefills;
   private long firstMillis = -1;
@@ -92,10 +97,16 @@
             candidates,
             ledger.tried(),
             profile,
-            usage.promptTokens(),
-            usage.meanMemory(),
-            split);
-    if (placement.isPresent()) {
+            new StreamNeed(usage.promptTokens(), usage.firstMemory(), split, exchange.isBegun()));
+    boolean keeps = context.nowMillis() - heldSinceMillis < profile.handleMillis() * HANDLE_PART;
+    if (!keeps) {
+      releaseHeld();
+    }
+    if (placement.isPresent() && held.isPresent()) {
+      EndpointEntry engine = placement.get().decode();
+      beginWork(engine.id(), new EndpointWork(1, 0, usage.firstMemory()));
+      run(engine, held, 0);
+    } else if (placement.isPresent()) {
       StreamPlacement found = placement.get();
       found.prefill().ifPresentOrElse(reader -> prefill(reader, found), () -> alone(found));
     } else if (context.nowMillis() - beganMillis < ROOM_WAIT_MILLIS || exchange.isBegun()) {
@@ -132,12 +143,11 @@
       return;
     }
     prefills++;
-    boolean idle = context.work().at(reader.id(), context.nowMillis()).promptTokens() == 0;
+    final Prefill prefill = new Prefill(reader, placement.decode());
     long prompt = usage.promptTokens();
     beginWork(reader.id(), new EndpointWork(1, prompt, prompt));
-    beginWork(placement.decode().id(), new EndpointWork(1, 0, usage.meanMemory()));
+    beginWork(placement.decode().id(), new EndpointWork(1, 0, usage.firstMemory()));
     context.health().of(reader.id()).sending();
-    final Prefill prefill = new Prefill(reader, placement.decode(), idle);
     sending(
         context
             .pool()
@@ -154,7 +164,7 @@
 
   private void alone(StreamPlacement placement) {
     beginWork(
-        placement.decode().id(), new EndpointWork(1, usage.promptTokens(), usage.meanMemory()));
+        placement.decode().id(), new EndpointWork(1, usage.promptTokens(), usage.firstMemory()));
     run(placement.decode(), Optional.empty(), (long) placement.firstEventMillis());
   }
 
@@ -189,10 +199,10 @@
     private final Buffer body = Buffer.buffer();
     private ReplyHead head;
 
-    Prefill(EndpointEntry reader, EndpointEntry decode, boolean wasIdle) {
+    Prefill(EndpointEntry reader, EndpointEntry decode) {
       this.reader = reader;
       this.decode = decode;
-      this.wasIdle = wasIdle;
+      this.wasIdle = context.work().at(reader.id(), sentMillis).promptTokens() == 0;
       this.health = context.health().of(reader.id());
     }
 
@@ -242,6 +252,7 @@
       }
       KvHandle cache = new KvHandle(reader.address(), handle);
       held = Optional.of(cache);
+      heldSinceMillis = context.nowMillis();
       run(decode, held, 0);
     }
 
@@ -268,6 +279,7 @@
     private ReplyNature nature;
     private Buffer unstreamed = Buffer.buffer();
     private boolean heardEvent;
+    private long producedTokens;
 
     Run(EndpointEntry engine, boolean fetches) {
       this.engine = engine;
@@ -308,11 +320,7 @@
     }
 
     private void pass(byte[] event) {
-      if (!heardEvent) {
-        heardEvent = true;
-        endWork(engine.id());
-        beginWork(engine.id(), new EndpointWork(1, 0, usage.meanMemory()));
-      }
+      countMemory();
       if (firstMillis < 0) {
         firstMillis = context.nowMillis() - beganMillis;
       }
@@ -324,6 +332,19 @@
       }
     }
 
+    /** Counts what the run occupies: it has read its prompt, and its answer grows. */
+    private void countMemory() {
+      if (!heardEvent) {
+        heardEvent = true;
+        endWork(engine.id());
+        beginWork(engine.id(), new EndpointWork(1, 0, usage.firstMemory()));
+      }
+      producedTokens += profile.tokensPerEvent();
+      if (producedTokens > usage.firstOutput()) {
+        beginWork(engine.id(), new EndpointWork(0, 0, profile.tokensPerEvent()));
+      }
+    }
+
     @Override
     public void onEnd() {
       endPatience();
@@ -332,7 +353,6 @@
       if (nature == ReplyNature.NOT_RUN) {
         health.inconclusive();
         splitFailed = splitFailed || fetches;
-        releaseHeld();
         follow(ledger.refused(nowMillis), "engine " + engine.id() + " refused");
       } else if (nature == ReplyNature.GENUINE && head.isSuccess()) {
         ended(nowMillis);
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/codec/TokenUsage.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/codec/TokenUsage.java
@@ -8,16 +8,25 @@
  */
 public record TokenUsage(long promptTokens, long maxOutputTokens) {
 
-  /** The part of the longest answer that a running request has produced on average. */
-  private static final double MEAN_OUTPUT_PART = 0.35;
+  /** The part of the longest answer that is kept free for a request that begins. */
+  private static final double FIRST_OUTPUT_PART = 0.15;
 
   /**
-   * Returns how many tokens of an engine's memory a request occupies on average while it runs.
+   * Returns how many tokens of an engine's memory a request needs to begin.
    *
-   * @return the prompt and a part of the longest answer
+   * @return the prompt and the beginning of the answer
    */
-  public long meanMemory() {
-    return promptTokens + Math.round(maxOutputTokens * MEAN_OUTPUT_PART);
+  public long firstMemory() {
+    return promptTokens + firstOutput();
+  }
+
+  /**
+   * Returns how many tokens of the answer are counted before they are produced.
+   *
+   * @return the beginning of the answer
+   */
+  public long firstOutput() {
+    return Math.round(maxOutputTokens * FIRST_OUTPUT_PART);
   }
 
   /**
