Let late callers leave room for those that can be on time

Cause: in bursts calls that come back after a refusal, late in any case, took room from new ones, and refused calls came back within a second into the same burst. An engine changes its part later only for a lack that has lasted 12 s.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
@@ -109,8 +109,7 @@
     List<EndpointEntry> decoders =
         candidates.stream()
             .filter(entry -> entry.stage().runsRequests())
-            .filter(
-                entry -> need.begun() || hasRoom(nowMillis, entry, profile, need.memoryTokens()))
+            .filter(entry -> need.begun() || hasRoom(nowMillis, entry, profile, need))
             .toList();
     List<EndpointEntry> nearDecoders =
         ranked(nowMillis, decoders, tried, entry -> decodeMillis(nowMillis, entry, profile));
@@ -157,10 +156,11 @@
   }
 
   private boolean hasRoom(
-      long nowMillis, EndpointEntry entry, EngineProfile profile, long memoryTokens) {
+      long nowMillis, EndpointEntry entry, EngineProfile profile, StreamNeed need) {
     EndpointWork there = work.at(entry.id(), nowMillis);
     return there.calls() < profile.slots()
-        && there.memoryTokens() + memoryTokens <= profile.memoryTokens() * USABLE_MEMORY;
+        && there.memoryTokens() + need.memoryTokens()
+            <= profile.memoryTokens() * need.usableMemory();
   }
 
   private double plainMillis(long nowMillis, EndpointEntry entry) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardContext.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardContext.java
@@ -8,6 +8,7 @@
 import org.knapweedcleat.core.balance.HealthBook;
 import org.knapweedcleat.core.balance.WorkBook;
 import org.knapweedcleat.core.quota.FleetQuota;
+import org.knapweedcleat.core.room.Punctuality;
 import org.knapweedcleat.router.forward.codec.CallCodec;
 import org.knapweedcleat.router.forward.http.EndpointPool;
 import org.knapweedcleat.router.forward.log.DecisionLog;
@@ -26,6 +27,7 @@
  * @param health the health of each endpoint
  * @param quota the client accounts' quotas
  * @param budgets the repeats that each service may get
+ * @param punctuality tells calls that are late in any case
  * @param pool sends requests to endpoints
  * @param log takes decisions
  * @param metrics counts them
@@ -41,6 +43,7 @@
     HealthBook health,
     FleetQuota quota,
     ServiceBudgets budgets,
+    Punctuality punctuality,
     EndpointPool pool,
     DecisionLog log,
     MetricRegistry metrics) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -193,7 +193,8 @@
                 remainingMillis());
         place();
       }
-      case REFUSE -> refuse(why, RETRY_AFTER_MILLIS);
+      case REFUSE ->
+          refuse(why, (long) (RETRY_AFTER_MILLIS * (1 + context.random().getAsDouble() / 2)));
       case FAIL -> fail(why);
       default -> throw new IllegalStateException(step.name());
     }
@@ -206,8 +207,7 @@
       return;
     }
     account.ifPresent(quota -> context.quota().giveBack(quota, units));
-    double spread = 1 + context.random().getAsDouble() / 2;
-    own(OwnAnswer.NOT_RUN, why, Optional.of((long) (retryAfterMillis * spread)));
+    own(OwnAnswer.NOT_RUN, why, Optional.of(retryAfterMillis));
   }
 
   /** Tells the caller that the call may have run. */
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -13,6 +13,7 @@
 import org.knapweedcleat.core.directory.ForwardRoute;
 import org.knapweedcleat.core.forward.EventSplitter;
 import org.knapweedcleat.core.forward.NextStep;
+import org.knapweedcleat.core.room.RoomPolicy;
 import org.knapweedcleat.router.forward.codec.InboundCall;
 import org.knapweedcleat.router.forward.codec.KvHandle;
 import org.knapweedcleat.router.forward.codec.ReplyHead;
@@ -49,19 +50,16 @@
   /** The part of a KV cache's life in which it is still offered to an engine. */
   private static final double HANDLE_PART = 0.7;
 
-  /** How long a call that finds no room is tried again before it is refused. */
-  private static final long ROOM_WAIT_MILLIS = 110;
-
   /** The pause between tries to find room. */
   private static final long ROOM_RETRY_MILLIS = 25;
 
-  /** How long the call that frees a KV cache may take. */
   private static final int FIRST_SERVER_ERROR = 500;
 
   private static final TokenUsage UNKNOWN_USAGE = new TokenUsage(1, 1);
 
   private final TokenUsage usage;
   private final EngineProfile profile;
+  private final RoomPolicy room;
   private final EventSplitter splitter = EventSplitter.of(MAX_EVENT_BYTES);
   private Optional<KvHandle> held = Optional.empty();
   private long heldSinceMillis;
@@ -78,6 +76,7 @@
       long units) {
     super(context, exchange, call, route, account, units);
     this.usage = call.usage().orElse(UNKNOWN_USAGE);
+    this.room = RoomPolicy.of(context.punctuality().isLate(route, call.deadlineMillis()));
     this.profile =
         context
             .directory()
@@ -97,7 +96,12 @@
             candidates,
             ledger.tried(),
             profile,
-            new StreamNeed(usage.promptTokens(), usage.firstMemory(), split, exchange.isBegun()));
+            new StreamNeed(
+                usage.promptTokens(),
+                usage.firstMemory(),
+                split,
+                room.usableMemory(),
+                exchange.isBegun()));
     boolean keeps = context.nowMillis() - heldSinceMillis < profile.handleMillis() * HANDLE_PART;
     if (!keeps) {
       releaseHeld();
@@ -109,10 +113,13 @@
     } else if (placement.isPresent()) {
       StreamPlacement found = placement.get();
       found.prefill().ifPresentOrElse(reader -> prefill(reader, found), () -> alone(found));
-    } else if (context.nowMillis() - beganMillis < ROOM_WAIT_MILLIS || exchange.isBegun()) {
+    } else if (exchange.isBegun()
+        || context.nowMillis() - beganMillis < room.waitMillis(route.targetMillis())) {
       patience(ROOM_RETRY_MILLIS, this::place);
     } else {
-      follow(ledger.end(), "no engine has room");
+      refuse(
+          "no engine has room for a call that is " + room,
+          RoomPolicy.returnMillis(remainingMillis(), context.random().getAsDouble()));
     }
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -17,6 +17,7 @@
 import org.knapweedcleat.core.fleet.FleetMembers;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.quota.FleetQuota;
+import org.knapweedcleat.core.room.Punctuality;
 import org.knapweedcleat.core.stage.OrderLead;
 import org.knapweedcleat.core.stage.StagePlan;
 import org.knapweedcleat.router.forward.call.ForwardContext;
@@ -101,6 +102,7 @@
             health,
             quota,
             budgets,
+            Punctuality.create(),
             pool,
             log,
             metrics);
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/StageKeeper.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/StageKeeper.java
@@ -30,8 +30,14 @@
   /** The pause between looks. */
   private static final long LOOK_MILLIS = 500;
 
-  /** Engines have to be the same for this long, so that late arrivals are counted. */
-  private static final long SETTLED_MILLIS = 2_000;
+  /** Before the first call engines have to be the same for this long: some register late. */
+  private static final long FIRST_SETTLED_MILLIS = 2_000;
+
+  /**
+   * Later engines have to be the same for this long: one that changes its part is away for seconds,
+   * so it changes only for a lasting lack.
+   */
+  private static final long SETTLED_MILLIS = 12_000;
 
   /** A store that was silent for longer may know of other engines. */
   private static final long STORE_FRESH_MILLIS = 4_000;
@@ -90,7 +96,9 @@
       seenSinceMillis = nowMillis;
     }
     orderedAtMillis.values().removeIf(atMillis -> nowMillis - atMillis > ORDER_MILLIS);
-    boolean settled = nowMillis - seenSinceMillis >= SETTLED_MILLIS;
+    boolean first = context.metrics().counter("calls.received").getCount() == 0;
+    boolean settled =
+        nowMillis - seenSinceMillis >= (first ? FIRST_SETTLED_MILLIS : SETTLED_MILLIS);
     boolean fresh = context.directory().storeAgeMillis() < STORE_FRESH_MILLIS;
     if (settled && fresh && !asking && orderedAtMillis.isEmpty() && lead.mayOrder(nowMillis)) {
       engines.stream()
