Keep calls from endpoints that are out of reach until a connection comes about

Cause: after a crash each instance found out by failing calls, again at the end of each pause; a dark engine cost a call up to a second. Change: an endpoint that does not react gets no call until a connection in the background comes about; instances tell each other what they found themselves; a KV cache that was not taken goes to the next engine.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointHealth.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointHealth.java
@@ -3,9 +3,10 @@
 /**
  * What is seen of one endpoint's health.
  *
- * <p>An endpoint that fails is left alone for a time, which doubles while it goes on to fail; after
- * that it gets one call at a time until one succeeds. One that fails a part of its calls is left
- * alone when that part is large.
+ * <p>An endpoint that cannot be reached gets nothing until a connection to it comes about. One that
+ * fails is left alone for a time, which doubles while it goes on to fail; after that it gets one
+ * call at a time until one succeeds. One that fails a part of its calls is left alone when that
+ * part is large.
  */
 public final class EndpointHealth {
 
@@ -24,12 +25,18 @@
   /** How much the newest time counts in the mean time of a call. */
   private static final double TIME_WEIGHT = 0.2;
 
+  /** How long the own contact with an endpoint goes before another instance's word. */
+  private static final long OWN_WORD_MILLIS = 300;
+
   private int failuresInRow;
   private double failureShare;
   private long aloneUntilMillis = Long.MIN_VALUE;
   private boolean onProbation;
   private boolean probing;
   private double meanMillis = -1;
+  private boolean unreachable;
+  private boolean foundOut;
+  private long reachedAtMillis = Long.MIN_VALUE / 2;
 
   private EndpointHealth() {}
 
@@ -42,12 +49,63 @@
     return new EndpointHealth();
   }
 
+  /** Notes that the endpoint did not react: no connection came about or nothing was heard. */
+  public void unreachable() {
+    unreachable = true;
+    foundOut = true;
+    probing = false;
+  }
+
+  /**
+   * Notes that a connection to the endpoint came about.
+   *
+   * @param nowMillis the time
+   */
+  public void reached(long nowMillis) {
+    unreachable = false;
+    foundOut = false;
+    reachedAtMillis = nowMillis;
+  }
+
+  /**
+   * Takes another instance's word that it cannot reach the endpoint; it counts unless this instance
+   * has just reached it.
+   *
+   * @param nowMillis the time
+   */
+  public void doubted(long nowMillis) {
+    if (nowMillis - reachedAtMillis > OWN_WORD_MILLIS) {
+      unreachable = true;
+    }
+  }
+
+  /**
+   * Tells whether the endpoint could not be reached.
+   *
+   * @return true until a connection comes about
+   */
+  public boolean isUnreachable() {
+    return unreachable;
+  }
+
+  /**
+   * Tells whether this instance itself could not reach the endpoint; only that is told to others,
+   * lest they go by each other's word.
+   *
+   * @return true until a connection comes about
+   */
+  public boolean isFoundUnreachable() {
+    return foundOut;
+  }
+
   /**
    * Notes a call that the endpoint answered well.
    *
+   * @param nowMillis the time
    * @param tookMillis how long it took
    */
-  public void succeeded(double tookMillis) {
+  public void succeeded(long nowMillis, double tookMillis) {
+    reached(nowMillis);
     failuresInRow = 0;
     onProbation = false;
     probing = false;
@@ -59,13 +117,12 @@
    * Notes a call that failed because of the endpoint.
    *
    * @param nowMillis the time
-   * @param silent whether the endpoint did not react at all
    */
-  public void failed(long nowMillis, boolean silent) {
+  public void failed(long nowMillis) {
     failuresInRow++;
     probing = false;
     failureShare += OUTCOME_WEIGHT * (1 - failureShare);
-    if (silent || onProbation || failuresInRow >= 2 || failureShare > MAX_FAILURE_SHARE) {
+    if (onProbation || failuresInRow >= 2 || failureShare > MAX_FAILURE_SHARE) {
       int doublings = Math.min(failuresInRow - 1, 3);
       long pauseMillis = Math.min(MAX_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << doublings);
       aloneUntilMillis = nowMillis + pauseMillis;
@@ -90,7 +147,7 @@
    * @return false while it is left alone or tried with one call
    */
   public boolean isTrusted(long nowMillis) {
-    return nowMillis >= aloneUntilMillis && !probing;
+    return !unreachable && nowMillis >= aloneUntilMillis && !probing;
   }
 
   /**
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/HealthBook.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/HealthBook.java
@@ -2,6 +2,9 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.knapweedcleat.core.id.EndpointId;
 
 /** The health of all endpoints. */
@@ -30,6 +33,31 @@
     return endpoints.computeIfAbsent(endpoint, id -> EndpointHealth.unknown());
   }
 
+  /**
+   * Lists the endpoints that could not be reached, by this instance or another.
+   *
+   * @return their ids
+   */
+  public Set<EndpointId> unreachable() {
+    return matching(EndpointHealth::isUnreachable);
+  }
+
+  /**
+   * Lists the endpoints that this instance itself could not reach.
+   *
+   * @return their ids
+   */
+  public Set<EndpointId> foundUnreachable() {
+    return matching(EndpointHealth::isFoundUnreachable);
+  }
+
+  private Set<EndpointId> matching(Predicate<EndpointHealth> condition) {
+    return endpoints.entrySet().stream()
+        .filter(known -> condition.test(known.getValue()))
+        .map(Map.Entry::getKey)
+        .collect(Collectors.toSet());
+  }
+
   /**
    * Forgets an endpoint that has left or started anew.
    *
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.knapweedcleat.core.balance.EndpointHealth;
 import org.knapweedcleat.core.balance.EndpointWork;
 import org.knapweedcleat.core.directory.AccountQuota;
 import org.knapweedcleat.core.directory.EndpointEntry;
@@ -23,6 +24,7 @@
 import org.knapweedcleat.router.forward.codec.KvHandle;
 import org.knapweedcleat.router.forward.codec.RequestHead;
 import org.knapweedcleat.router.forward.codec.TokenUsage;
+import org.knapweedcleat.router.forward.http.BrokenCause;
 import org.knapweedcleat.router.forward.http.CallerExchange;
 import org.knapweedcleat.router.forward.http.EndpointRequest;
 
@@ -164,6 +166,15 @@
     }
   }
 
+  /** Notes why a send to an endpoint got no whole answer. */
+  protected final void noteBroken(EndpointHealth health, BrokenCause cause) {
+    if (cause.isUnreachable()) {
+      health.unreachable();
+    } else {
+      health.failed(context.nowMillis());
+    }
+  }
+
   protected final void beginWork(EndpointId endpoint, EndpointWork work) {
     context.work().begin(endpoint, work);
     begunWork.merge(endpoint, work, EndpointWork::plus);
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/PlainForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/PlainForward.java
@@ -112,12 +112,12 @@
       long nowMillis = context.nowMillis();
       switch (nature) {
         case NOT_RUN -> {
-          health.failed(nowMillis, false);
+          health.failed(nowMillis);
           follow(ledger.refused(nowMillis), "endpoint " + endpoint.id() + " refused");
         }
         case GENUINE -> genuine(nowMillis);
         default -> {
-          health.failed(nowMillis, false);
+          health.failed(nowMillis);
           follow(ledger.broken(nowMillis), "endpoint " + endpoint.id() + " gave no proof");
         }
       }
@@ -125,12 +125,12 @@
 
     private void genuine(long nowMillis) {
       if (head.status() >= FIRST_SERVER_ERROR) {
-        health.failed(nowMillis, false);
+        health.failed(nowMillis);
         if (route.isRepeatable() && !exchange.isBegun() && canRepeat(nowMillis)) {
           return;
         }
       } else {
-        health.succeeded(nowMillis - sentMillis);
+        health.succeeded(nowMillis, nowMillis - sentMillis);
       }
       if (exchange.isBegun()) {
         exchange.end();
@@ -157,7 +157,7 @@
       endPatience();
       endWork(endpoint.id());
       long nowMillis = context.nowMillis();
-      health.failed(nowMillis, cause == BrokenCause.NOT_CONNECTED);
+      noteBroken(health, cause);
       if (exchange.isBegun()) {
         breakOff("endpoint " + endpoint.id() + ": " + cause);
       } else if (cause.mayHaveArrived()) {
@@ -174,7 +174,7 @@
       abortSend();
       endWork(endpoint.id());
       long nowMillis = context.nowMillis();
-      health.failed(nowMillis, true);
+      noteBroken(health, BrokenCause.SILENT);
       follow(ledger.broken(nowMillis), "endpoint " + endpoint.id() + " is silent");
     }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -228,32 +228,35 @@
       endPatience();
       endWork(reader.id());
       if (!head.isSuccess()) {
-        failed("status " + head.status(), false);
+        health.failed(context.nowMillis());
+        failed("status " + head.status());
         return;
       }
       context
           .codec()
           .prefilled(body.getBytes())
           .peek(this::prefilled)
-          .peekLeft(fault -> failed(fault.message(), false));
+          .peekLeft(fault -> failed(fault.message()));
     }
 
     @Override
     public void onBroken(BrokenCause cause) {
       endPatience();
       endWork(reader.id());
-      failed(cause.name(), cause == BrokenCause.NOT_CONNECTED);
+      noteBroken(health, cause);
+      failed(cause.name());
     }
 
     void tooSlow() {
       abortSend();
       endWork(reader.id());
-      failed("silent", true);
+      noteBroken(health, BrokenCause.SILENT);
+      failed("silent");
     }
 
     private void prefilled(String handle) {
       long tookMillis = context.nowMillis() - sentMillis;
-      health.succeeded(tookMillis);
+      health.succeeded(context.nowMillis(), tookMillis);
       if (wasIdle) {
         context.chooser().speed(service).observed(Math.max(1, usage.promptTokens()), tookMillis);
       }
@@ -263,8 +266,7 @@
       run(decode, held, 0);
     }
 
-    private void failed(String why, boolean silent) {
-      health.failed(context.nowMillis(), silent);
+    private void failed(String why) {
       endWork(decode.id());
       context.metrics().counter("prefill.failed").inc();
       context
@@ -366,7 +368,7 @@
       } else if (nature == ReplyNature.GENUINE) {
         failure(nowMillis);
       } else {
-        health.failed(nowMillis, false);
+        health.failed(nowMillis);
         follow(ledger.broken(nowMillis), "engine " + engine.id() + " gave no proof");
       }
     }
@@ -376,7 +378,7 @@
         broken(BrokenCause.CONNECTION_LOST);
         return;
       }
-      health.succeeded(nowMillis - sentMillis);
+      health.succeeded(nowMillis, nowMillis - sentMillis);
       exchange.end();
       answered(head.status(), engine.id(), firstMillis);
     }
@@ -384,7 +386,7 @@
     /** Passes an engine's own failure on, unless another engine can run the request. */
     private void failure(long nowMillis) {
       if (head.status() >= FIRST_SERVER_ERROR) {
-        health.failed(nowMillis, false);
+        health.failed(nowMillis);
         if (ledger.broken(nowMillis) == NextStep.AGAIN) {
           place();
           return;
@@ -414,13 +416,15 @@
     private void broken(BrokenCause cause) {
       endPatience();
       endWork(engine.id());
-      long nowMillis = context.nowMillis();
-      health.failed(nowMillis, cause == BrokenCause.NOT_CONNECTED || cause == BrokenCause.SILENT);
+      noteBroken(health, cause);
       splitter.dropPartial();
-      splitFailed = true;
-      releaseHeld();
+      if (cause.mayHaveArrived()) {
+        splitFailed = true;
+        releaseHeld();
+      }
       String why = "engine " + engine.id() + ": " + cause;
-      NextStep step = cause.mayHaveArrived() ? ledger.broken(nowMillis) : ledger.notSent();
+      NextStep step =
+          cause.mayHaveArrived() ? ledger.broken(context.nowMillis()) : ledger.notSent();
       follow(step, why);
     }
   }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetLink.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetLink.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.function.LongSupplier;
 import org.knapweedcleat.core.balance.EndpointWork;
+import org.knapweedcleat.core.balance.HealthBook;
 import org.knapweedcleat.core.balance.WorkBook;
 import org.knapweedcleat.core.config.InetAddressPort;
 import org.knapweedcleat.core.directory.EndpointEntry;
@@ -44,6 +45,7 @@
   private final FleetMembers members;
   private final PublishedDirectory directory;
   private final WorkBook work;
+  private final HealthBook health;
   private final FleetQuota quota;
   private final ServiceBudgets budgets;
   private final LongSupplier clock;
@@ -59,6 +61,7 @@
       FleetMembers members,
       PublishedDirectory directory,
       WorkBook work,
+      HealthBook health,
       FleetQuota quota,
       ServiceBudgets budgets,
       LongSupplier clock,
@@ -67,6 +70,7 @@
     this.members = members;
     this.directory = directory;
     this.work = work;
+    this.health = health;
     this.quota = quota;
     this.budgets = budgets;
     this.clock = clock;
@@ -81,6 +85,7 @@
    * @param members keeps track of the others
    * @param directory what is published
    * @param work the work at endpoints
+   * @param health the health of endpoints
    * @param quota the client accounts' quotas
    * @param budgets divided among the instances
    * @param clock gives the time in milliseconds
@@ -92,11 +97,12 @@
       FleetMembers members,
       PublishedDirectory directory,
       WorkBook work,
+      HealthBook health,
       FleetQuota quota,
       ServiceBudgets budgets,
       LongSupplier clock,
       DecisionLog log) {
-    return new FleetLink(self, members, directory, work, quota, budgets, clock, log);
+    return new FleetLink(self, members, directory, work, health, quota, budgets, clock, log);
   }
 
   /**
@@ -191,6 +197,9 @@
     Map<EndpointId, EndpointWork> told = new HashMap<>();
     news.work().forEach((endpoint, load) -> told.put(EndpointId.of(endpoint), load));
     work.told(from.toString(), nowMillis, told);
+    for (String endpoint : news.unreachable()) {
+      health.of(EndpointId.of(endpoint)).doubted(nowMillis);
+    }
     askIfBehind(nowMillis, from, news);
   }
 
@@ -254,9 +263,11 @@
   private FleetNews news(boolean ends, List<FleetMember> live) {
     Map<String, Long> spent = new HashMap<>();
     quota.spent().forEach((account, units) -> spent.put(account.value(), units));
+    List<String> unreachable = health.foundUnreachable().stream().map(EndpointId::value).toList();
     Map<String, EndpointWork> own = new HashMap<>();
     work.own().forEach((endpoint, load) -> own.put(endpoint.value(), load));
-    return new FleetNews(self, ends, live, configVersion(), endpointsRevision(), spent, own);
+    return new FleetNews(
+        self, ends, live, configVersion(), endpointsRevision(), spent, unreachable, own);
   }
 
   private long configVersion() {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetNews.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetNews.java
@@ -15,6 +15,7 @@
  * @param configVersion the version of the configuration that the sender applies, -1 for none
  * @param endpointsRevision how far the sender's list of endpoints is, -1 if it has none
  * @param spent the units that the sender has spent of each account since its start
+ * @param unreachable the endpoints that the sender cannot reach
  * @param work the sender's work at each endpoint
  */
 public record FleetNews(
@@ -24,5 +25,6 @@
     long configVersion,
     long endpointsRevision,
     Map<String, Long> spent,
+    List<String> unreachable,
     Map<String, EndpointWork> work)
     implements PeerMessage {}
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/BrokenCause.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/BrokenCause.java
@@ -3,18 +3,29 @@
 /** Why a request to an endpoint got no whole answer. */
 public enum BrokenCause {
   /** No connection came about; no byte of the request was sent. */
-  NOT_CONNECTED(false),
+  NOT_CONNECTED(false, true),
   /** The connection was reset or closed. */
-  CONNECTION_LOST(true),
+  CONNECTION_LOST(true, false),
   /** The bytes that came are no answer. */
-  NOT_HTTP(true),
+  NOT_HTTP(true, false),
   /** Nothing came for too long. */
-  SILENT(true);
+  SILENT(true, true);
 
   private final boolean mayHaveArrived;
+  private final boolean unreachable;
 
-  BrokenCause(boolean mayHaveArrived) {
+  BrokenCause(boolean mayHaveArrived, boolean unreachable) {
     this.mayHaveArrived = mayHaveArrived;
+    this.unreachable = unreachable;
+  }
+
+  /**
+   * Tells whether the endpoint seems to be out of reach.
+   *
+   * @return true if it did not react at all
+   */
+  public boolean isUnreachable() {
+    return unreachable;
   }
 
   /**
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointPool.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointPool.java
@@ -1,6 +1,7 @@
 package org.knapweedcleat.router.forward.http;
 
 import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.internal.net.NetSocketInternal;
@@ -102,6 +103,30 @@
     return request;
   }
 
+  /**
+   * Tries to connect, in place of connections that may have gone silent; one that comes about is
+   * kept for the next request.
+   *
+   * @param host the endpoint's IP number
+   * @param port its TCP port
+   * @return succeeds if a connection came about
+   */
+  public Future<Void> reconnect(String host, int port) {
+    String address = host + ":" + port;
+    Deque<Idle> silent = idle.remove(address);
+    if (silent != null) {
+      silent.forEach(one -> one.connection().close());
+    }
+    return client
+        .connect(port, host)
+        .map(
+            socket -> {
+              metrics.counter("endpoint.connections.opened").inc();
+              release(address, EndpointConnection.of((NetSocketInternal) socket));
+              return null;
+            });
+  }
+
   /** Closes all idle connections. */
   public void close() {
     vertx.cancelTimer(sweepTimer);
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -22,6 +22,7 @@
 import org.knapweedcleat.core.stage.StagePlan;
 import org.knapweedcleat.router.forward.call.ForwardContext;
 import org.knapweedcleat.router.forward.call.ForwardDesk;
+import org.knapweedcleat.router.forward.call.ReachCheck;
 import org.knapweedcleat.router.forward.call.ServiceBudgets;
 import org.knapweedcleat.router.forward.codec.PlatformAdapter;
 import org.knapweedcleat.router.forward.fleet.FleetLink;
@@ -72,6 +73,7 @@
   private final PublishedDirectory directory;
   private final FleetLink fleet;
   private final StageKeeper stages;
+  private final ReachCheck reach;
   private final CallerServer callers;
   private final Promise<Void> stopped = Promise.promise();
   private boolean leaving;
@@ -117,7 +119,9 @@
         new FleetMember(incarnation, settings.peers().host(), settings.peers().port());
     FleetMembers members = FleetMembers.of(self, settings.discovery().gossipMillis());
     this.fleet =
-        FleetLink.of(self, members, directory, work, quota, budgets, ForwarderNode::nowMillis, log);
+        FleetLink.of(
+            self, members, directory, work, health, quota, budgets, ForwarderNode::nowMillis, log);
+    this.reach = ReachCheck.of(context);
     this.stages =
         StageKeeper.of(
             settings.id(),
@@ -211,6 +215,7 @@
     directory.tick();
     fleet.tick();
     stages.tick();
+    reach.tick();
   }
 
   private SmallServer.Answer readiness() {
