Choose no engine out of reach while others are in reach, and mind short-lived KV caches

Change: engines out of reach are left out before room is looked at; a refused fetch counts against the engine that had read the prompt.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
@@ -86,7 +86,7 @@
    */
   public Optional<EndpointEntry> plain(
       long nowMillis, List<EndpointEntry> candidates, Set<EndpointId> tried) {
-    return best(nowMillis, candidates, tried, entry -> plainMillis(nowMillis, entry));
+    return best(nowMillis, inReach(candidates), tried, entry -> plainMillis(nowMillis, entry));
   }
 
   /**
@@ -107,7 +107,7 @@
       StreamNeed need) {
     long promptTokens = need.promptTokens();
     List<EndpointEntry> decoders =
-        candidates.stream()
+        inReach(candidates).stream()
             .filter(entry -> entry.stage().runsRequests())
             .filter(entry -> need.begun() || hasRoom(nowMillis, entry, profile, need))
             .toList();
@@ -117,7 +117,9 @@
         need.split()
             ? ranked(
                 nowMillis,
-                candidates.stream().filter(e -> e.stage() == EndpointStage.PREFILL).toList(),
+                inReach(candidates).stream()
+                    .filter(entry -> entry.stage() == EndpointStage.PREFILL)
+                    .toList(),
                 tried,
                 entry -> prefillMillis(nowMillis, entry, promptTokens))
             : List.of();
@@ -133,6 +135,13 @@
         .min(Comparator.comparingDouble(StreamPlacement::firstEventMillis));
   }
 
+  /** Leaves out what is out of reach, also if the rest is full, unless nothing is in reach. */
+  private List<EndpointEntry> inReach(List<EndpointEntry> candidates) {
+    List<EndpointEntry> reachable =
+        candidates.stream().filter(entry -> !health.of(entry.id()).isUnreachable()).toList();
+    return reachable.isEmpty() ? candidates : reachable;
+  }
+
   private StreamPlacement alone(
       long nowMillis, EndpointEntry decode, EngineProfile profile, long promptTokens) {
     long ahead = work.at(decode.id(), nowMillis).promptTokens();
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -13,6 +13,7 @@
 import org.knapweedcleat.core.directory.ForwardRoute;
 import org.knapweedcleat.core.forward.EventSplitter;
 import org.knapweedcleat.core.forward.NextStep;
+import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.room.RoomPolicy;
 import org.knapweedcleat.router.forward.codec.InboundCall;
 import org.knapweedcleat.router.forward.codec.KvHandle;
@@ -63,6 +64,8 @@
   private final EventSplitter splitter = EventSplitter.of(MAX_EVENT_BYTES);
   private Optional<KvHandle> held = Optional.empty();
   private long heldSinceMillis;
+  private Optional<EndpointId> reader = Optional.empty();
+  private long prefillMillis;
   private boolean splitFailed;
   private int prefills;
   private long firstMillis = -1;
@@ -198,7 +201,7 @@
 
   /** Hears the answer to a prefill. */
   private final class Prefill implements ReplyListener {
-    private final EndpointEntry reader;
+    private final EndpointEntry source;
     private final EndpointEntry decode;
     private final boolean wasIdle;
     private final EndpointHealth health;
@@ -206,11 +209,11 @@
     private final Buffer body = Buffer.buffer();
     private ReplyHead head;
 
-    Prefill(EndpointEntry reader, EndpointEntry decode) {
-      this.reader = reader;
+    Prefill(EndpointEntry source, EndpointEntry decode) {
+      this.source = source;
       this.decode = decode;
-      this.wasIdle = context.work().at(reader.id(), sentMillis).promptTokens() == 0;
-      this.health = context.health().of(reader.id());
+      this.wasIdle = context.work().at(source.id(), sentMillis).promptTokens() == 0;
+      this.health = context.health().of(source.id());
     }
 
     @Override
@@ -226,7 +229,7 @@
     @Override
     public void onEnd() {
       endPatience();
-      endWork(reader.id());
+      endWork(source.id());
       if (!head.isSuccess()) {
         health.failed(context.nowMillis());
         failed("status " + head.status());
@@ -242,26 +245,27 @@
     @Override
     public void onBroken(BrokenCause cause) {
       endPatience();
-      endWork(reader.id());
+      endWork(source.id());
       noteBroken(health, cause);
       failed(cause.name());
     }
 
     void tooSlow() {
       abortSend();
-      endWork(reader.id());
+      endWork(source.id());
       noteBroken(health, BrokenCause.SILENT);
       failed("silent");
     }
 
     private void prefilled(String handle) {
       long tookMillis = context.nowMillis() - sentMillis;
-      health.succeeded(context.nowMillis(), tookMillis);
+      prefillMillis = tookMillis;
       if (wasIdle) {
         context.chooser().speed(service).observed(Math.max(1, usage.promptTokens()), tookMillis);
       }
-      KvHandle cache = new KvHandle(reader.address(), handle);
+      KvHandle cache = new KvHandle(source.address(), handle);
       held = Optional.of(cache);
+      reader = Optional.of(source.id());
       heldSinceMillis = context.nowMillis();
       run(decode, held, 0);
     }
@@ -272,7 +276,7 @@
       context
           .log()
           .failure(
-              "prefill.failed", "requestId", call.requestId(), "endpoint", reader.id(), "why", why);
+              "prefill.failed", "requestId", call.requestId(), "endpoint", source.id(), "why", why);
       splitFailed = true;
       place();
     }
@@ -302,6 +306,9 @@
       nature = context.codec().nature(reply, call.requestId());
       if (nature == ReplyNature.GENUINE && reply.isSuccess()) {
         held = Optional.empty();
+        if (fetches) {
+          reader.ifPresent(id -> context.health().of(id).succeeded(sentMillis, prefillMillis));
+        }
       }
     }
 
@@ -361,7 +368,10 @@
       long nowMillis = context.nowMillis();
       if (nature == ReplyNature.NOT_RUN) {
         health.inconclusive();
-        splitFailed = splitFailed || fetches;
+        if (fetches) {
+          splitFailed = true;
+          reader.ifPresent(id -> context.health().of(id).failed(nowMillis));
+        }
         follow(ledger.refused(nowMillis), "engine " + engine.id() + " refused");
       } else if (nature == ReplyNature.GENUINE && head.isSuccess()) {
         ended(nowMillis);
