Tell full decode engines from prefill engines whose KV caches lapse

Cause: a decode engine that is full refuses like one that cannot fetch; the prefill engine was blamed for both. Change: it is blamed only if the decode engine seemed to have room; an engine that refused is left alone for 150 ms.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointHealth.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointHealth.java
@@ -16,6 +16,9 @@
   /** The longest time alone, so that a returned endpoint is found within seconds. */
   private static final long MAX_PAUSE_MILLIS = 4_000;
 
+  /** How long a full endpoint is left alone; a running request ends about as often. */
+  private static final long FULL_MILLIS = 150;
+
   /** How much the newest outcome counts in the share of failures. */
   private static final double OUTCOME_WEIGHT = 0.15;
 
@@ -130,6 +133,16 @@
     }
   }
 
+  /**
+   * Notes that the endpoint refused a call for want of room.
+   *
+   * @param nowMillis the time
+   */
+  public void full(long nowMillis) {
+    probing = false;
+    aloneUntilMillis = Math.max(aloneUntilMillis, nowMillis + FULL_MILLIS);
+  }
+
   /** Notes that a call is sent to the endpoint. */
   public void sending() {
     probing = onProbation;
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -48,6 +48,9 @@
   /** How long a resumable stream waits for its next event: callers give up after two seconds. */
   private static final long NEXT_EVENT_MILLIS = 1_000;
 
+  /** An engine whose memory seems fuller than this may refuse for want of room. */
+  private static final double LIKELY_FULL = 0.75;
+
   /** The part of a KV cache's life in which it is still offered to an engine. */
   private static final double HANDLE_PART = 0.7;
 
@@ -286,6 +289,7 @@
   private final class Run implements ReplyListener {
     private final EndpointEntry engine;
     private final boolean fetches;
+    private final boolean seemedFull;
     private final EndpointHealth health;
     private final long sentMillis = context.nowMillis();
     private ReplyHead head;
@@ -297,6 +301,8 @@
     Run(EndpointEntry engine, boolean fetches) {
       this.engine = engine;
       this.fetches = fetches;
+      long taken = context.work().at(engine.id(), sentMillis).memoryTokens();
+      this.seemedFull = taken > profile.memoryTokens() * LIKELY_FULL;
       this.health = context.health().of(engine.id());
     }
 
@@ -367,8 +373,8 @@
       endWork(engine.id());
       long nowMillis = context.nowMillis();
       if (nature == ReplyNature.NOT_RUN) {
-        health.inconclusive();
-        if (fetches) {
+        health.full(nowMillis);
+        if (fetches && !seemedFull) {
           splitFailed = true;
           reader.ifPresent(id -> context.health().of(id).failed(nowMillis));
         }
