--- /dev/null
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/balance/EndpointChooserTest.java
@@ -0,0 +1,127 @@
+package org.knapweedcleat.core.balance;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.knapweedcleat.core.directory.EndpointEntry;
+import org.knapweedcleat.core.directory.EndpointStage;
+import org.knapweedcleat.core.directory.EngineProfile;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.RegionId;
+import org.knapweedcleat.core.id.ServiceId;
+
+class EndpointChooserTest {
+
+  private static final EngineProfile PROFILE = new EngineProfile(64, 34_000, 500, 13);
+  private static final StreamNeed NEED = new StreamNeed(3_000, 3_300, true, 0.93, false);
+
+  private final WorkBook work = WorkBook.of(1_000);
+  private final HealthBook health = HealthBook.create();
+  private final EndpointChooser chooser =
+      EndpointChooser.of(
+          DomainMap.of(
+              FailureDomainId.of("near"),
+              Map.of(
+                  FailureDomainId.of("near"), RegionId.of("r1"),
+                  FailureDomainId.of("beside"), RegionId.of("r1"),
+                  FailureDomainId.of("far"), RegionId.of("r2"))),
+          work,
+          health,
+          () -> 0);
+
+  private final EndpointEntry nearReader = engine("p-near", "near", EndpointStage.PREFILL);
+  private final EndpointEntry nearDecoder = engine("d-near", "near", EndpointStage.DECODE);
+  private final EndpointEntry farDecoder = engine("d-far", "far", EndpointStage.DECODE);
+  private final List<EndpointEntry> engines = List.of(nearReader, nearDecoder, farDecoder);
+
+  @Test
+  void plainCallGoesToNearestIdleEndpoint() {
+    EndpointEntry near = engine("near", "near", EndpointStage.WHOLE);
+    EndpointEntry far = engine("far", "far", EndpointStage.WHOLE);
+
+    assertThat(chooser.plain(0, List.of(far, near), Set.of()), is(Optional.of(near)));
+  }
+
+  @Test
+  void plainCallLeavesFullEndpointForFarOne() {
+    EndpointEntry near = engine("near", "near", EndpointStage.WHOLE);
+    EndpointEntry far = engine("far", "far", EndpointStage.WHOLE);
+    work.begin(near.id(), new EndpointWork(20, 0, 0));
+
+    assertThat(chooser.plain(0, List.of(far, near), Set.of()), is(Optional.of(far)));
+  }
+
+  @Test
+  void streamIsSplitWithinDomain() {
+    StreamPlacement placement = place(NEED).get();
+
+    assertThat(placement.prefill(), is(Optional.of(nearReader)));
+    assertThat(placement.decode(), is(nearDecoder));
+  }
+
+  @Test
+  void decodeEngineReadsItselfWhenReadersAreBehind() {
+    work.begin(nearReader.id(), new EndpointWork(8, 30_000, 30_000));
+
+    assertThat(place(NEED).get().prefill(), is(Optional.empty()));
+  }
+
+  @Test
+  void fullEnginesGetNothing() {
+    EndpointWork full = new EndpointWork(9, 0, 31_000);
+    work.begin(nearDecoder.id(), full);
+    assertThat(place(NEED).get().decode(), is(farDecoder));
+
+    work.begin(farDecoder.id(), full);
+    assertThat(place(NEED), is(Optional.empty()));
+  }
+
+  @Test
+  void streamThatGoesOnIsPlacedWithoutRoom() {
+    EndpointWork full = new EndpointWork(9, 0, 34_000);
+    work.begin(nearDecoder.id(), full);
+    work.begin(farDecoder.id(), full);
+
+    assertThat(
+        place(new StreamNeed(3_000, 3_300, false, 0.93, true)).get().decode(), is(nearDecoder));
+  }
+
+  @Test
+  void engineOutOfReachIsLeftOutAlsoWhenRestIsFull() {
+    health.of(nearDecoder.id()).unreachable();
+    work.begin(farDecoder.id(), new EndpointWork(9, 0, 34_000));
+
+    assertThat(place(NEED), is(Optional.empty()));
+  }
+
+  @Test
+  void triedEngineIsNotTriedAgainWhileThereIsAnother() {
+    Optional<StreamPlacement> placement =
+        chooser.stream(0, engines, Set.of(nearDecoder.id()), PROFILE, NEED);
+
+    assertThat(placement.get().decode(), is(farDecoder));
+  }
+
+  private Optional<StreamPlacement> place(StreamNeed need) {
+    return chooser.stream(0, engines, Set.of(), PROFILE, need);
+  }
+
+  private static EndpointEntry engine(String id, String domain, EndpointStage stage) {
+    return new EndpointEntry(
+        EndpointId.of(id),
+        0,
+        ServiceId.of("notes"),
+        "127.0.0.1",
+        9000,
+        FailureDomainId.of(domain),
+        stage,
+        6,
+        false);
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/config/ForwarderSettingsParserTest.java
@@ -0,0 +1,72 @@
+package org.knapweedcleat.core.config;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.RegionId;
+
+class ForwarderSettingsParserTest {
+
+  private static final String TEXT =
+      """
+      [instance]
+      id = west-a-1
+      domain = west-a
+      callerAddress = 127.0.0.1:8080
+      readinessAddress = 127.0.0.1:8081
+      peerAddress = 127.0.0.1:8082
+      metricsAddress = 127.0.0.1:8083
+      [discovery]
+      seeds = 127.0.0.2:8082, 127.0.0.3:8082
+      storeAddress = 127.0.0.9:9000
+      [bounds]
+      repeatRatio = 0.3
+      [domain west-a]
+      region = west
+      """;
+
+  @Test
+  void readsAddressesAndFillsInDefaults() {
+    ForwarderSettings settings = ForwarderSettingsParser.parse("i.ini", TEXT).get();
+
+    assertThat(settings.callers(), is(new InetAddressPort("127.0.0.1", 8080)));
+    assertThat(
+        settings.discovery().seeds(),
+        is(
+            List.of(
+                new InetAddressPort("127.0.0.2", 8082), new InetAddressPort("127.0.0.3", 8082))));
+    assertThat(settings.regions().get(FailureDomainId.of("west-a")), is(RegionId.of("west")));
+    assertThat(settings.bounds().repeatRatio(), is(0.3));
+    assertThat(settings.bounds().stopMillis(), is(8_000));
+  }
+
+  @Test
+  void seedsMayBeMissing() {
+    String text = TEXT.replace("seeds = 127.0.0.2:8082, 127.0.0.3:8082", "seeds =");
+
+    assertThat(
+        ForwarderSettingsParser.parse("i.ini", text).get().discovery().seeds(), is(List.of()));
+  }
+
+  @Test
+  void namesSectionKeyAndLineOfEachFault() {
+    String text =
+        TEXT.replace("127.0.0.9:9000", "store:9000")
+            .replace("[domain west-a]", "[domain west-b]")
+            .replace("repeatRatio = 0.3", "repeatRatio = many");
+
+    assertThat(
+        ForwarderSettingsParser.parse("i.ini", text).getError().map(ConfigFault::toString).asJava(),
+        contains(
+            "i.ini:3: [instance] domain: found \"west-a\" (unresolved reference);"
+                + " allowed: the name of a section [domain NAME] of this file",
+            "i.ini:10: [discovery] storeAddress: found \"store:9000\" (bad value);"
+                + " allowed: an IP number and a port such as 127.0.0.1:8080",
+            "i.ini:12: [bounds] repeatRatio: found \"many\" (bad value);"
+                + " allowed: a number from 0.0 to 10.0 (repeats a call)"));
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/fleet/FleetMembersTest.java
@@ -0,0 +1,76 @@
+package org.knapweedcleat.core.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.InstanceId;
+
+class FleetMembersTest {
+
+  private static final FleetMember ONE = member("one", 1);
+  private static final FleetMember TWO = member("two", 1);
+
+  private final FleetMembers members = FleetMembers.of(member("self", 1), 200);
+
+  @Test
+  void namedInstanceIsTriedButNotLive() {
+    members.heard(0, ONE, List.of(TWO));
+
+    assertThat(members.possible(), contains(ONE, TWO));
+    assertThat(members.live(0), contains(ONE));
+  }
+
+  @Test
+  void silentInstanceStaysPossible() {
+    members.heard(0, ONE, List.of());
+
+    assertThat(members.live(801), empty());
+    assertThat(members.possible(), contains(ONE));
+    assertThat(members.forget(FleetMembers.MEMORY_MILLIS), empty());
+    assertThat(members.forget(FleetMembers.MEMORY_MILLIS + 1), contains(ONE.incarnation()));
+    assertThat(members.possible(), empty());
+  }
+
+  @Test
+  void newerRunReplacesOlderAndNotTheOtherWay() {
+    FleetMember restarted = member("one", 2);
+    members.heard(0, ONE, List.of());
+
+    assertThat(members.heard(10, restarted, List.of()), is(ONE.incarnation()));
+    members.heard(20, TWO, List.of(ONE));
+    assertThat(members.possible(), contains(restarted, TWO));
+  }
+
+  @Test
+  void instanceThatLeftIsForgotten() {
+    members.heard(0, ONE, List.of());
+    members.left(ONE.incarnation());
+
+    assertThat(members.possible(), empty());
+  }
+
+  @Test
+  void ownNameIsNotAnother() {
+    members.heard(0, ONE, List.of(member("self", 1)));
+
+    assertThat(members.possible(), contains(ONE));
+  }
+
+  @Test
+  void intervalGrowsWithFleet() {
+    for (int i = 0; i < 75; i++) {
+      members.heard(0, member("m" + i, 1), List.of());
+    }
+
+    assertThat(members.intervalMillis(), is(750L));
+  }
+
+  private static FleetMember member(String name, long start) {
+    return new FleetMember(IncarnationId.of(InstanceId.of(name), start), "127.0.0.1", 9);
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/forward/EventSplitterTest.java
@@ -0,0 +1,79 @@
+package org.knapweedcleat.core.forward;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class EventSplitterTest {
+
+  private static final String STREAM = "id: 1\ndata: a\n\nversion: 2\nid: 2\ndata: b\n\n";
+
+  private final EventSplitter splitter = EventSplitter.of(1_000);
+
+  @Test
+  void keepsPartialEventBack() {
+    assertThat(take("id: 1\ndata: a\n\nid: 2\nda"), contains("id: 1\ndata: a\n\n"));
+    assertThat(splitter.isBetweenEvents(), is(false));
+    assertThat(splitter.lastId(), is(Optional.of("1")));
+  }
+
+  @Test
+  void dropsPartialEventOfBrokenStream() {
+    take("id: 1\n\nid: 2\nda");
+    splitter.dropPartial();
+
+    assertThat(take("id: 2\ndata: b\n\n"), contains("id: 2\ndata: b\n\n"));
+    assertThat(splitter.lastId(), is(Optional.of("2")));
+  }
+
+  @Test
+  void readsIdBehindOtherLines() {
+    take(STREAM);
+
+    assertThat(splitter.lastId(), is(Optional.of("2")));
+  }
+
+  @Test
+  void takesCarriageReturns() {
+    assertThat(take("id: 7\r\n\r\n"), contains("id: 7\r\n\r\n"));
+    assertThat(splitter.lastId(), is(Optional.of("7")));
+  }
+
+  @Test
+  void rejectsEndlessEvent() {
+    assertThrows(IllegalArgumentException.class, () -> take("x".repeat(1_001)));
+  }
+
+  @Property
+  void cutsDoNotMatter(@ForAll @IntRange(min = 1, max = 20) int piece) {
+    EventSplitter cut = EventSplitter.of(1_000);
+    StringBuilder passed = new StringBuilder();
+    byte[] all = STREAM.getBytes(StandardCharsets.US_ASCII);
+    for (int from = 0; from < all.length; from += piece) {
+      int to = Math.min(all.length, from + piece);
+      cut.take(Arrays.copyOfRange(all, from, to))
+          .forEach(event -> passed.append(new String(event, StandardCharsets.US_ASCII)));
+    }
+    assertThat(passed.toString(), is(STREAM));
+    assertThat(cut.isBetweenEvents(), is(true));
+  }
+
+  private List<String> take(String text) {
+    List<String> events = new ArrayList<>();
+    for (byte[] event : splitter.take(text.getBytes(StandardCharsets.US_ASCII))) {
+      events.add(new String(event, StandardCharsets.US_ASCII));
+    }
+    return events;
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/forward/RepeatBudgetTest.java
@@ -0,0 +1,39 @@
+package org.knapweedcleat.core.forward;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.api.Test;
+
+class RepeatBudgetTest {
+
+  @Test
+  void allowsShareOfCallsAndSlack() {
+    RepeatBudget budget = RepeatBudget.of(0.2, 10_000, 1);
+    for (int i = 0; i < 5; i++) {
+      budget.onCall(0);
+    }
+
+    assertThat(budget.trySpend(0), is(true));
+    assertThat(budget.trySpend(0), is(true));
+    assertThat(budget.trySpend(0), is(false));
+  }
+
+  @Test
+  void windowSlides() {
+    RepeatBudget budget = RepeatBudget.of(0, 10_000, 1);
+    assertThat(budget.trySpend(0), is(true));
+
+    assertThat(budget.trySpend(9_999), is(false));
+    assertThat(budget.trySpend(10_000), is(true));
+  }
+
+  @Test
+  void callsBeforeWindowDoNotCount() {
+    RepeatBudget budget = RepeatBudget.of(1, 10_000, 0);
+    budget.onCall(0);
+
+    assertThat(budget.hasOne(9_999), is(true));
+    assertThat(budget.hasOne(10_000), is(false));
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/stage/OrderLeadTest.java
@@ -0,0 +1,86 @@
+package org.knapweedcleat.core.stage;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.knapweedcleat.core.id.InstanceId;
+
+class OrderLeadTest {
+
+  private static final InstanceId A = InstanceId.of("a");
+  private static final InstanceId B = InstanceId.of("b");
+  private static final InstanceId C = InstanceId.of("c");
+
+  @Test
+  void firstOfWholeFleetOrdersAfterQuietTime() {
+    OrderLead lead = OrderLead.of(A, 3_000);
+    lead.observe(0, Set.of(B, C), Set.of(B, C));
+
+    assertThat(lead.mayOrder(2_999), is(false));
+    assertThat(lead.mayOrder(3_000), is(true));
+  }
+
+  @Test
+  void nobodyOrdersWhileSomebodyIsMissing() {
+    OrderLead lead = OrderLead.of(A, 3_000);
+    lead.observe(0, Set.of(B, C), Set.of(B));
+
+    assertThat(lead.mayOrder(60_000), is(false));
+  }
+
+  @Test
+  void changeOfFleetBeginsQuietTimeAnew() {
+    OrderLead lead = OrderLead.of(A, 3_000);
+    lead.observe(0, Set.of(B), Set.of(B));
+    lead.observe(5_000, Set.of(B, C), Set.of(B, C));
+
+    assertThat(lead.mayOrder(5_000), is(false));
+    assertThat(lead.mayOrder(8_000), is(true));
+  }
+
+  @Test
+  void instanceThatHeardNobodyDoesNotOrder() {
+    OrderLead lead = OrderLead.of(A, 3_000);
+    lead.observe(0, Set.of(), Set.of());
+
+    assertThat(lead.mayOrder(60_000), is(false));
+  }
+
+  /** Cuts come and go; the members are known to all. */
+  @Property(tries = 100)
+  void twoInstancesNeverOrderWithinLease(@ForAll long seed) {
+    Random random = new Random(seed);
+    List<InstanceId> fleet = List.of(A, B, C);
+    List<OrderLead> leads = fleet.stream().map(id -> OrderLead.of(id, 3_200)).toList();
+    long[] orderedAt = {Long.MIN_VALUE / 2, Long.MIN_VALUE / 2, Long.MIN_VALUE / 2};
+    Set<InstanceId> side = new HashSet<>(fleet);
+    for (long now = 0; now < 60_000; now += 50) {
+      if (random.nextInt(60) == 0) {
+        side = new HashSet<>(fleet);
+        side.removeIf(id -> random.nextBoolean());
+      }
+      for (int i = 0; i < fleet.size(); i++) {
+        Set<InstanceId> others = new HashSet<>(fleet);
+        others.remove(fleet.get(i));
+        Set<InstanceId> live = new HashSet<>(others);
+        boolean inside = side.contains(fleet.get(i));
+        Set<InstanceId> cut = side;
+        live.removeIf(other -> cut.contains(other) != inside);
+        leads.get(i).observe(now, others, live);
+        if (leads.get(i).mayOrder(now)) {
+          orderedAt[i] = now;
+          for (int j = 0; j < fleet.size(); j++) {
+            assertThat(j == i || now - orderedAt[j] > 3_000, is(true));
+          }
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/stage/StagePlanTest.java
@@ -0,0 +1,83 @@
+package org.knapweedcleat.core.stage;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.knapweedcleat.core.directory.EndpointEntry;
+import org.knapweedcleat.core.directory.EndpointStage;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.RegionId;
+import org.knapweedcleat.core.id.ServiceId;
+
+class StagePlanTest {
+
+  private final StagePlan plan =
+      StagePlan.of(0.27, engine -> RegionId.of(engine.domain().value().substring(0, 1)));
+
+  @Test
+  void changesReaderWhereMostAre() {
+    List<EndpointEntry> engines = new ArrayList<>();
+    engines.add(engine("a1", EndpointStage.PREFILL));
+    engines.add(engine("a2", EndpointStage.PREFILL));
+    engines.add(engine("a3", EndpointStage.DECODE));
+    engines.add(engine("a4", EndpointStage.DECODE));
+    engines.add(engine("b1", EndpointStage.PREFILL));
+    engines.add(engine("b2", EndpointStage.DECODE));
+
+    StageChange change = plan.next(engines).get();
+
+    assertThat(change.engine().domain().value().charAt(0), is('a'));
+    assertThat(change.stage(), is(EndpointStage.DECODE));
+  }
+
+  @Test
+  void endsAtAim() {
+    List<EndpointEntry> engines = new ArrayList<>();
+    for (int i = 0; i < 13; i++) {
+      engines.add(engine("a" + i, i < 7 ? EndpointStage.PREFILL : EndpointStage.DECODE));
+    }
+    int changes = 0;
+    Optional<StageChange> next = plan.next(engines);
+    while (next.isPresent()) {
+      StageChange change = next.get();
+      engines.remove(change.engine());
+      engines.add(engine(change.engine().id().value(), change.stage()));
+      changes++;
+      next = plan.next(engines);
+    }
+
+    assertThat(changes, is(3));
+  }
+
+  @Test
+  void keepsOneReader() {
+    assertThat(
+        plan.next(List.of(engine("a1", EndpointStage.PREFILL), engine("a2", EndpointStage.DECODE))),
+        is(Optional.empty()));
+    assertThat(plan.next(List.of(engine("a1", EndpointStage.DECODE))), is(Optional.empty()));
+  }
+
+  @Test
+  void rejectsPartOutOfRange() {
+    assertThrows(IllegalArgumentException.class, () -> StagePlan.of(1, engine -> null));
+  }
+
+  private static EndpointEntry engine(String id, EndpointStage stage) {
+    return new EndpointEntry(
+        EndpointId.of(id),
+        0,
+        ServiceId.of("notes"),
+        "127.0.0.1",
+        9000,
+        FailureDomainId.of(id),
+        stage,
+        64,
+        false);
+  }
+}
