Test two heavy loads of streams in virtual time, and bound the end of a stop

LongAnswersFillMemoryTest and BurstAndReturnsTest play streams at eight instances that place by their own work and what the others told 200 ms ago. Change: the process ends 150 ms before the time for a stop is over; that time and the window of repeats are read in seconds from the settings.

--- /dev/null
+++ b/knapweedcleat-bench/src/test/java/org/knapweedcleat/bench/pattern/LongAnswersFillMemoryTest.java
@@ -0,0 +1,67 @@
+package org.knapweedcleat.bench.pattern;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.knapweedcleat.core.directory.EndpointEntry;
+import org.knapweedcleat.core.directory.EndpointStage;
+import org.knapweedcleat.core.id.RegionId;
+import org.knapweedcleat.core.room.RoomPolicy;
+import org.knapweedcleat.core.stage.StageChange;
+import org.knapweedcleat.core.stage.StagePlan;
+
+/** Long answers fill the memory of decode engines while prefill engines have little to do. */
+class LongAnswersFillMemoryTest {
+
+  private static final long LENGTH_MILLIS = 60_000;
+  private static final double CALLS_PER_SECOND = 11;
+
+  @Test
+  void plannedStagesServeMoreOnTimeThanHalfAndHalf() {
+    double halves = play(engines(3));
+    double planned = play(planned(engines(3)));
+
+    assertThat(planned, greaterThan(halves + 0.1));
+  }
+
+  @Test
+  void plannedStagesServeMostCallsOnTime() {
+    assertThat(play(planned(engines(3))), greaterThan(0.8));
+  }
+
+  private static double play(List<SimulatedEngine> engines) {
+    return new StreamLoad(11, engines, (late, route) -> RoomPolicy.of(late))
+        .play(LENGTH_MILLIS, now -> CALLS_PER_SECOND)
+        .onTimeShare();
+  }
+
+  private static List<SimulatedEngine> engines(int readers) {
+    List<SimulatedEngine> engines = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      EndpointStage stage = i < readers ? EndpointStage.PREFILL : EndpointStage.DECODE;
+      engines.add(new SimulatedEngine("e" + i, stage, StreamLoad.MEMORY_TOKENS));
+    }
+    return engines;
+  }
+
+  private static List<SimulatedEngine> planned(List<SimulatedEngine> engines) {
+    StagePlan plan = StagePlan.of(0.27, entry -> RegionId.of("r"));
+    Optional<StageChange> change = plan.next(entries(engines));
+    while (change.isPresent()) {
+      EndpointEntry engine = change.get().engine();
+      engines.removeIf(one -> one.entry().equals(engine));
+      engines.add(
+          new SimulatedEngine(engine.id().value(), change.get().stage(), StreamLoad.MEMORY_TOKENS));
+      change = plan.next(entries(engines));
+    }
+    return engines;
+  }
+
+  private static List<EndpointEntry> entries(List<SimulatedEngine> engines) {
+    return engines.stream().map(SimulatedEngine::entry).toList();
+  }
+}
--- /dev/null
+++ b/knapweedcleat-bench/src/test/java/org/knapweedcleat/bench/pattern/SimulatedEngine.java
@@ -0,0 +1,67 @@
+package org.knapweedcleat.bench.pattern;
+
+import org.knapweedcleat.core.directory.EndpointEntry;
+import org.knapweedcleat.core.directory.EndpointStage;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.ServiceId;
+
+/** An engine with its memory and its queue of prompts. */
+final class SimulatedEngine {
+
+  private static final double READ_MILLIS_PER_TOKEN = 0.03;
+
+  private final EndpointEntry entry;
+  private final long memoryTokens;
+  private long usedTokens;
+  private double readsUntilMillis;
+  private boolean lost;
+
+  SimulatedEngine(String id, EndpointStage stage, long memoryTokens) {
+    this.entry =
+        new EndpointEntry(
+            EndpointId.of(id),
+            0,
+            ServiceId.of("notes"),
+            "127.0.0.1",
+            9000,
+            FailureDomainId.of("a"),
+            stage,
+            64,
+            false);
+    this.memoryTokens = memoryTokens;
+  }
+
+  EndpointEntry entry() {
+    return entry;
+  }
+
+  /** Returns when a prompt that comes now is read. */
+  double read(double nowMillis, long tokens) {
+    double factor = entry.stage() == EndpointStage.PREFILL ? 1 : 2;
+    readsUntilMillis =
+        Math.max(readsUntilMillis, nowMillis) + tokens * READ_MILLIS_PER_TOKEN * factor;
+    return readsUntilMillis;
+  }
+
+  /** Takes memory, unless it is full. */
+  boolean take(long tokens) {
+    if (lost || usedTokens + tokens > memoryTokens) {
+      return false;
+    }
+    usedTokens += tokens;
+    return true;
+  }
+
+  void free(long tokens) {
+    usedTokens -= tokens;
+  }
+
+  void lose() {
+    lost = true;
+  }
+
+  boolean isLost() {
+    return lost;
+  }
+}
--- /dev/null
+++ b/knapweedcleat-bench/src/test/java/org/knapweedcleat/bench/pattern/StreamLoad.java
@@ -0,0 +1,229 @@
+package org.knapweedcleat.bench.pattern;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.BiFunction;
+import java.util.function.DoubleUnaryOperator;
+import org.knapweedcleat.core.balance.DomainMap;
+import org.knapweedcleat.core.balance.EndpointChooser;
+import org.knapweedcleat.core.balance.EndpointWork;
+import org.knapweedcleat.core.balance.HealthBook;
+import org.knapweedcleat.core.balance.StreamNeed;
+import org.knapweedcleat.core.balance.StreamPlacement;
+import org.knapweedcleat.core.balance.WorkBook;
+import org.knapweedcleat.core.directory.CallKind;
+import org.knapweedcleat.core.directory.EndpointEntry;
+import org.knapweedcleat.core.directory.EngineProfile;
+import org.knapweedcleat.core.directory.ForwardRoute;
+import org.knapweedcleat.core.directory.ServiceShare;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.RegionId;
+import org.knapweedcleat.core.id.ServiceId;
+import org.knapweedcleat.core.room.Punctuality;
+import org.knapweedcleat.core.room.RoomPolicy;
+
+/**
+ * Streams that come in at several instances, which place them on engines by their own work and by
+ * what the others told last; in virtual time.
+ */
+final class StreamLoad {
+
+  static final long MEMORY_TOKENS = 42_754;
+  private static final int INSTANCES = 8;
+  private static final long TARGET_MILLIS = 900;
+  private static final long DEADLINE_MILLIS = 14_000;
+  private static final long TOLD_MILLIS = 200;
+  private static final double TOKEN_MILLIS = 3.4;
+  private static final double RETRY_ROOM_MILLIS = 25;
+  private static final int LONGEST_ANSWER = 2_080;
+  private static final EngineProfile PROFILE = new EngineProfile(64, MEMORY_TOKENS, 500, 13);
+
+  private final Random random;
+  private final Map<EndpointId, SimulatedEngine> engines = new HashMap<>();
+  private final List<EndpointEntry> entries = new ArrayList<>();
+  private final List<Instance> instances = new ArrayList<>();
+  private final PriorityQueue<Step> steps = new PriorityQueue<>();
+  private final ForwardRoute route =
+      new ForwardRoute(
+          "r",
+          "h",
+          "/",
+          CallKind.STREAM,
+          true,
+          true,
+          DEADLINE_MILLIS,
+          TARGET_MILLIS,
+          300,
+          2,
+          1,
+          List.of(new ServiceShare(ServiceId.of("notes"), 1)));
+  private final BiFunction<Boolean, ForwardRoute, RoomPolicy> policy;
+  private double nowMillis;
+  private long order;
+  private int asked;
+  private int onTime;
+  private int served;
+
+  private record Instance(WorkBook work, EndpointChooser chooser, Punctuality punctuality) {}
+
+  private record Step(double atMillis, long order, Runnable action) implements Comparable<Step> {
+    @Override
+    public int compareTo(Step other) {
+      int byTime = Double.compare(atMillis, other.atMillis);
+      return byTime != 0 ? byTime : Long.compare(order, other.order);
+    }
+  }
+
+  private record Call(double beganMillis, double arrivedMillis, long prompt, long answer) {}
+
+  StreamLoad(
+      long seed,
+      List<SimulatedEngine> engines,
+      BiFunction<Boolean, ForwardRoute, RoomPolicy> policy) {
+    this.random = new Random(seed);
+    this.policy = policy;
+    for (SimulatedEngine engine : engines) {
+      this.engines.put(engine.entry().id(), engine);
+      entries.add(engine.entry());
+    }
+    FailureDomainId domain = FailureDomainId.of("a");
+    DomainMap domains = DomainMap.of(domain, Map.of(domain, RegionId.of("r")));
+    for (int i = 0; i < INSTANCES; i++) {
+      WorkBook work = WorkBook.of(1_500);
+      EndpointChooser chooser =
+          EndpointChooser.of(domains, work, HealthBook.create(), random::nextDouble);
+      instances.add(new Instance(work, chooser, Punctuality.create()));
+    }
+  }
+
+  /** Plays calls that come at a rate that changes with the time. */
+  StreamLoad play(long lengthMillis, DoubleUnaryOperator callsPerSecond) {
+    double arrivalMillis = 0;
+    while (arrivalMillis < lengthMillis) {
+      double rate = callsPerSecond.applyAsDouble(arrivalMillis);
+      arrivalMillis += -Math.log(1 - random.nextDouble()) * 1_000 / rate;
+      double at = arrivalMillis;
+      at(at, () -> arrive(newCall(at)));
+    }
+    for (long told = 0; told < lengthMillis + DEADLINE_MILLIS; told += TOLD_MILLIS) {
+      at(told, this::tell);
+    }
+    while (!steps.isEmpty()) {
+      Step step = steps.poll();
+      nowMillis = step.atMillis();
+      step.action().run();
+    }
+    return this;
+  }
+
+  /** Loses an engine at a time: its entry stays, and it takes nothing. */
+  StreamLoad lose(String id, double atMillis) {
+    at(atMillis, () -> engines.get(EndpointId.of(id)).lose());
+    return this;
+  }
+
+  double onTimeShare() {
+    return (double) onTime / asked;
+  }
+
+  double servedShare() {
+    return (double) served / asked;
+  }
+
+  private void at(double millis, Runnable action) {
+    steps.add(new Step(millis, order++, action));
+  }
+
+  private Call newCall(double atMillis) {
+    asked++;
+    long prompt = 1_000 + (long) (random.nextDouble() * 4_400);
+    long answer =
+        Math.min(LONGEST_ANSWER, (long) (900 * Math.exp(0.6 * random.nextGaussian()) * 0.85));
+    return new Call(atMillis, atMillis, prompt, answer);
+  }
+
+  private void tell() {
+    for (int i = 0; i < INSTANCES; i++) {
+      for (int j = 0; j < INSTANCES; j++) {
+        if (i != j) {
+          instances.get(j).work().told("i" + i, (long) nowMillis, instances.get(i).work().own());
+        }
+      }
+    }
+  }
+
+  private void arrive(Call call) {
+    Instance instance = instances.get(random.nextInt(INSTANCES));
+    long left = DEADLINE_MILLIS - (long) (call.arrivedMillis() - call.beganMillis());
+    boolean late = instance.punctuality().isLate(route, OptionalLong.of(left));
+    place(instance, call, policy.apply(late, route));
+  }
+
+  private void place(Instance instance, Call call, RoomPolicy room) {
+    long memory = call.prompt() + (long) (LONGEST_ANSWER * 0.15);
+    StreamNeed need = new StreamNeed(call.prompt(), memory, true, room.usableMemory(), false);
+    Optional<StreamPlacement> placement =
+        instance.chooser().stream((long) nowMillis, entries, Set.of(), PROFILE, need);
+    if (placement.isPresent()) {
+      read(instance, call, placement.get());
+    } else if (nowMillis - call.arrivedMillis() < room.waitMillis(TARGET_MILLIS)) {
+      at(nowMillis + RETRY_ROOM_MILLIS, () -> place(instance, call, room));
+    } else {
+      refused(call);
+    }
+  }
+
+  private void read(Instance instance, Call call, StreamPlacement placement) {
+    EndpointId decode = placement.decode().id();
+    EndpointId reader = placement.prefill().orElse(placement.decode()).id();
+    EndpointWork reading = new EndpointWork(1, call.prompt(), 0);
+    EndpointWork running = new EndpointWork(1, 0, call.prompt() + call.answer() / 2);
+    instance.work().begin(reader, reading);
+    instance.work().begin(decode, running);
+    double readMillis = engines.get(reader).read(nowMillis, call.prompt());
+    at(
+        readMillis,
+        () -> {
+          instance.work().end(reader, reading);
+          run(instance, call, decode, running);
+        });
+  }
+
+  private void run(Instance instance, Call call, EndpointId decode, EndpointWork running) {
+    SimulatedEngine engine = engines.get(decode);
+    long occupied = call.prompt() + call.answer() / 2;
+    if (!engine.take(occupied)) {
+      instance.work().end(decode, running);
+      refused(call);
+      return;
+    }
+    if (nowMillis - call.beganMillis() <= TARGET_MILLIS) {
+      onTime++;
+    }
+    at(
+        nowMillis + call.answer() * TOKEN_MILLIS,
+        () -> {
+          engine.free(occupied);
+          instance.work().end(decode, running);
+          served++;
+        });
+  }
+
+  /** A refused caller comes back once. */
+  private void refused(Call call) {
+    if (call.arrivedMillis() > call.beganMillis()) {
+      return;
+    }
+    long left = DEADLINE_MILLIS - (long) (nowMillis - call.beganMillis());
+    double back = nowMillis + RoomPolicy.returnMillis(left, random.nextDouble());
+    at(back, () -> arrive(new Call(call.beganMillis(), back, call.prompt(), call.answer())));
+  }
+}
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderKeys.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderKeys.java
@@ -9,6 +9,8 @@
 public final class ForwarderKeys {
 
   private static final String MILLIS = "milliseconds";
+  private static final String SECONDS = "seconds";
+  private static final double SECOND_MILLIS = 1_000;
 
   static final SettingKey<InstanceId> ID =
       SettingKey.required(
@@ -58,10 +60,10 @@
   static final SettingKey<Integer> STOP =
       SettingKey.optional(
           SectionKind.BOUNDS,
-          "stopMillis",
-          ValueRules.whole(100, 3_600_000),
-          MILLIS,
-          "8000",
+          "stopSeconds",
+          seconds(0.1, 3_600),
+          SECONDS,
+          "8",
           "how long a planned stop may take");
   static final SettingKey<Double> REPEAT_RATIO =
       SettingKey.optional(
@@ -74,10 +76,10 @@
   static final SettingKey<Integer> REPEAT_WINDOW =
       SettingKey.optional(
           SectionKind.BOUNDS,
-          "repeatWindowMillis",
-          ValueRules.whole(100, 3_600_000),
-          MILLIS,
-          "10000",
+          "repeatWindowSeconds",
+          seconds(0.1, 3_600),
+          SECONDS,
+          "10",
           "the window in which repeats are counted");
   static final SettingKey<Integer> REPEAT_SLACK =
       SettingKey.optional(
@@ -135,6 +137,12 @@
     return ALL;
   }
 
+  /** Returns the rule for seconds that are kept as milliseconds. */
+  private static ValueRule<Integer> seconds(double lowest, double highest) {
+    return ValueRules.decimal(lowest, highest)
+        .as(number -> (int) Math.round(number * SECOND_MILLIS));
+  }
+
   private static SettingKey<InetAddressPort> address(
       SectionKind section, String name, String meaning) {
     return SettingKey.required(section, name, ValueRules.address(), "", meaning);
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/ForwarderMain.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/ForwarderMain.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.ServiceLoader;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.knapweedcleat.core.config.ForwarderSettings;
 import org.knapweedcleat.core.config.ForwarderSettingsParser;
 import org.knapweedcleat.router.forward.codec.PlatformAdapter;
@@ -25,6 +26,9 @@
   private static final int USAGE = 2;
   private static final int FAILED = 1;
 
+  /** Kept of the time for a planned stop, for the process to end in. */
+  private static final long END_MILLIS = 150;
+
   private ForwarderMain() {}
 
   static void run(Path settingsFile, String adapterName) {
@@ -41,7 +45,7 @@
                     .setClassPathResolvingEnabled(false));
     Vertx vertx = Vertx.vertx(options);
     ForwarderNode.start(vertx, settings, adapter)
-        .onSuccess(node -> follow(vertx, node, settingsFile))
+        .onSuccess(node -> follow(vertx, node, settings, settingsFile))
         .onFailure(
             failure -> {
               LOG.error("cannot start", failure);
@@ -49,21 +53,26 @@
             });
   }
 
-  private static void follow(Vertx vertx, ForwarderNode node, Path settingsFile) {
+  private static void follow(
+      Vertx vertx, ForwarderNode node, ForwarderSettings settings, Path settingsFile) {
     SettingsFollower.follow(vertx, settingsFile, node::reload);
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(node), "drain"));
+    Runtime.getRuntime()
+        .addShutdownHook(new Thread(() -> drain(node, settings.bounds().stopMillis()), "drain"));
   }
 
-  /** Blocks the end of the process until the planned stop is over. */
-  private static void drain(ForwarderNode node) {
+  /** Blocks the end of the process until the planned stop is over or its time is. */
+  private static void drain(ForwarderNode node, long stopMillis) {
     CountDownLatch done = new CountDownLatch(1);
     node.drain().onComplete(drained -> done.countDown());
     try {
-      done.await();
+      if (!done.await(stopMillis - END_MILLIS, TimeUnit.MILLISECONDS)) {
+        LOG.warn("the planned stop ran out of time");
+      }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
     Logs.flush();
+    Runtime.getRuntime().halt(0);
   }
 
   private static PlatformAdapter adapter(String name) {
