--- a/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/CheckCommand.java
+++ b/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/CheckCommand.java
@@ -12,6 +12,8 @@
 import org.knapweedcleat.core.config.FaultKind;
 import org.knapweedcleat.core.config.FleetDocument;
 import org.knapweedcleat.core.config.FleetDocumentParser;
+import org.knapweedcleat.core.config.ForwarderSettings;
+import org.knapweedcleat.core.config.ForwarderSettingsParser;
 import org.knapweedcleat.core.config.InstanceSettings;
 import org.knapweedcleat.core.config.InstanceSettingsParser;
 import org.knapweedcleat.core.config.SettingsFile;
@@ -29,6 +31,11 @@
   @Option(name = "--instance", usage = "the files are instances' own settings")
   private boolean instance;
 
+  @Option(
+      name = "--forwarder",
+      usage = "the files are settings of instances that forward calls on a platform")
+  private boolean forwarder;
+
   @Option(name = "--keys", usage = "shows every key with its range and default instead")
   private boolean keys;
 
@@ -37,9 +44,8 @@
 
   @Override
   ExitCode run(Console console) throws CliException {
-    SettingsFile kind = instance ? SettingsFile.INSTANCE : SettingsFile.DOCUMENT;
     if (keys) {
-      console.line(KeyTables.of(kind));
+      console.line(KeyTables.of(kind()));
       return ExitCode.OK;
     }
     if (files.isEmpty()) {
@@ -57,9 +63,20 @@
     return ExitCode.foundIf(results.exists(result -> result.faults().nonEmpty()));
   }
 
+  private SettingsFile kind() {
+    if (forwarder) {
+      return SettingsFile.FORWARDER;
+    }
+    return instance ? SettingsFile.INSTANCE : SettingsFile.DOCUMENT;
+  }
+
   private Checked check(Path file) throws CliException {
     String text = Documents.text(file);
     String name = file.toString();
+    if (forwarder) {
+      return checked(
+          name, ForwarderSettingsParser.parse(name, text).map(CheckCommand::summary), List.empty());
+    }
     if (instance) {
       return checked(
           name, InstanceSettingsParser.parse(name, text).map(CheckCommand::summary), List.empty());
@@ -114,6 +131,10 @@
         + " failure domains";
   }
 
+  private static String summary(ForwarderSettings settings) {
+    return "forwarding instance " + settings.id() + " in failure domain " + settings.domain();
+  }
+
   private static String summary(InstanceSettings settings) {
     return "instance " + settings.id() + " in failure domain " + settings.domain();
   }
--- a/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/CliFault.java
+++ b/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/CliFault.java
@@ -8,6 +8,8 @@
   NOT_TEXT("is no text in UTF-8"),
   /** No file is named. */
   NO_FILE("to check; name files, or ask for --keys"),
+  /** No log is named. */
+  NO_LOG("to read; name the logs of instances, or - for standard input"),
   /** A document has faults, so nothing can be said about it. */
   FAULTY_DOCUMENT("has faults, so nothing can be said about it:"),
   /** An address has the wrong form. */
--- a/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/CommandKind.java
+++ b/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/CommandKind.java
@@ -63,7 +63,14 @@
       "cuts a document over a megabyte into parts under a manifest, one file a value",
       "knapweedcleat parts fleet.ini --out parts",
       "not used",
-      PartsCommand::new);
+      PartsCommand::new),
+  /** Explains a request from logs. */
+  TRACE(
+      "ID FILE...",
+      "shows what instances decided about a request and what they believed then",
+      "knapweedcleat trace 2fbcabeedbe5f252 front-a-1.log front-a-2.log",
+      "no line is about the request",
+      TraceCommand::new);
 
   private final String arguments;
   private final String summary;
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SettingKey.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SettingKey.java
@@ -87,7 +87,11 @@
    * @return the keys, those of a section together
    */
   public static List<SettingKey<?>> in(SettingsFile file) {
-    return file == SettingsFile.DOCUMENT ? DocumentKeys.all() : InstanceKeys.all();
+    return switch (file) {
+      case DOCUMENT -> DocumentKeys.all();
+      case INSTANCE -> InstanceKeys.all();
+      case FORWARDER -> ForwarderKeys.all();
+    };
   }
 
   /**
