Prefer prefill engines also across regions while decode engines are busy

Change: reading on a decode engine counts up to 0.3 s more, by how full it is; a transfer between regions counts 60 ms in place of 150. Ruled out: too few engines of one kind (both kinds were in reach).

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/Distance.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/Distance.java
@@ -5,9 +5,9 @@
   /** The same failure domain. */
   SAME_DOMAIN(0, 0),
   /** Two failure domains of one region. */
-  SAME_REGION(3, 15),
+  SAME_REGION(3, 10),
   /** Two regions. */
-  OTHER_REGION(65, 150);
+  OTHER_REGION(65, 60);
 
   /** The time of a question and its answer, from the delays that the brief states. */
   private final int roundTripMillis;
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
@@ -35,6 +35,12 @@
   /** How much a full decode engine is slower than an empty one, over the tokens of an answer. */
   private static final double FULL_ENGINE_MILLIS = 200;
 
+  /**
+   * What a prompt that a full decode engine reads itself takes from the requests that run there: as
+   * much as half of a request's own tokens.
+   */
+  private static final double READING_BESIDE_MILLIS = 300;
+
   /** How many of the best engines of each stage are tried in pairs. */
   private static final int PAIR_CANDIDATES = 5;
 
@@ -144,10 +150,11 @@
 
   private StreamPlacement alone(
       long nowMillis, EndpointEntry decode, EngineProfile profile, long promptTokens) {
-    long ahead = work.at(decode.id(), nowMillis).promptTokens();
+    EndpointWork there = work.at(decode.id(), nowMillis);
     double millis =
         decodeMillis(nowMillis, decode, profile)
-            + speed(decode.service()).decodeMillis(ahead + promptTokens);
+            + READING_BESIDE_MILLIS * fill(there, profile)
+            + speed(decode.service()).decodeMillis(there.promptTokens() + promptTokens);
     return new StreamPlacement(Optional.empty(), decode, millis);
   }
 
@@ -189,12 +196,16 @@
 
   private double decodeMillis(long nowMillis, EndpointEntry entry, EngineProfile profile) {
     EndpointWork there = work.at(entry.id(), nowMillis);
-    double full = (double) there.memoryTokens() / Math.max(1, profile.memoryTokens());
-    return FULL_ENGINE_MILLIS * full
+    return FULL_ENGINE_MILLIS * fill(there, profile)
         + domains.toOwn(entry.domain()).roundTripMillis()
         + FAILURE_MILLIS * health.of(entry.id()).failureShare();
   }
 
+  /** Returns the part of an engine's memory that is taken. */
+  private static double fill(EndpointWork work, EngineProfile profile) {
+    return (double) work.memoryTokens() / Math.max(1, profile.memoryTokens());
+  }
+
   private Optional<EndpointEntry> best(
       long nowMillis,
       List<EndpointEntry> candidates,
