Let an endpoint on probation be tried again when its call told nothing

Cause, found on reading: an endpoint on probation gets one call at a time, and a call whose caller left, or whose time ended, never ended that; the endpoint was then left out for good, unless nothing else was in reach. Change: after 3 s another call may try it. The new test was not seen failing: the method that it calls had no time before. Two methods that nothing used are removed.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointHealth.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointHealth.java
@@ -16,6 +16,9 @@
   /** The longest time alone, so that a returned endpoint is found within seconds. */
   private static final long MAX_PAUSE_MILLIS = 4_000;
 
+  /** How long a call on probation may tell nothing, as when its caller leaves, before the next. */
+  private static final long TRY_MILLIS = 3_000;
+
   /** How long a full endpoint is left alone; a running request ends about as often. */
   private static final long FULL_MILLIS = 150;
 
@@ -35,7 +38,7 @@
   private double failureShare;
   private long aloneUntilMillis = Long.MIN_VALUE;
   private boolean onProbation;
-  private boolean probing;
+  private long triedUntilMillis = Long.MIN_VALUE;
   private double meanMillis = -1;
   private boolean unreachable;
   private boolean foundOut;
@@ -56,7 +59,7 @@
   public void unreachable() {
     unreachable = true;
     foundOut = true;
-    probing = false;
+    triedUntilMillis = Long.MIN_VALUE;
   }
 
   /**
@@ -111,7 +114,7 @@
     reached(nowMillis);
     failuresInRow = 0;
     onProbation = false;
-    probing = false;
+    triedUntilMillis = Long.MIN_VALUE;
     failureShare *= 1 - OUTCOME_WEIGHT;
     meanMillis = meanMillis < 0 ? tookMillis : meanMillis + TIME_WEIGHT * (tookMillis - meanMillis);
   }
@@ -123,7 +126,7 @@
    */
   public void failed(long nowMillis) {
     failuresInRow++;
-    probing = false;
+    triedUntilMillis = Long.MIN_VALUE;
     failureShare += OUTCOME_WEIGHT * (1 - failureShare);
     if (onProbation || failuresInRow >= 2 || failureShare > MAX_FAILURE_SHARE) {
       int doublings = Math.min(failuresInRow - 1, 3);
@@ -139,18 +142,17 @@
    * @param nowMillis the time
    */
   public void full(long nowMillis) {
-    probing = false;
+    triedUntilMillis = Long.MIN_VALUE;
     aloneUntilMillis = Math.max(aloneUntilMillis, nowMillis + FULL_MILLIS);
   }
 
-  /** Notes that a call is sent to the endpoint. */
-  public void sending() {
-    probing = onProbation;
-  }
-
-  /** Notes that a call ended without telling anything of the endpoint. */
-  public void inconclusive() {
-    probing = false;
+  /**
+   * Notes that a call is sent to the endpoint; on probation it is the only one for a time.
+   *
+   * @param nowMillis the time
+   */
+  public void sending(long nowMillis) {
+    triedUntilMillis = onProbation ? nowMillis + TRY_MILLIS : Long.MIN_VALUE;
   }
 
   /**
@@ -160,7 +162,7 @@
    * @return false while it is left alone or tried with one call
    */
   public boolean isTrusted(long nowMillis) {
-    return !unreachable && nowMillis >= aloneUntilMillis && !probing;
+    return !unreachable && nowMillis >= aloneUntilMillis && nowMillis >= triedUntilMillis;
   }
 
   /**
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/balance/EndpointHealthTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/balance/EndpointHealthTest.java
@@ -33,7 +33,7 @@
   void onProbationOneCallAtTime() {
     health.failed(0);
     health.failed(0);
-    health.sending();
+    health.sending(4_000);
     assertThat(health.isTrusted(5_000), is(false));
 
     health.succeeded(5_000, 80);
@@ -41,6 +41,16 @@
     assertThat(health.isOnProbation(), is(false));
   }
 
+  @Test
+  void callWhoseCallerLeftDoesNotBlockEndpointForGood() {
+    health.failed(0);
+    health.failed(0);
+    health.sending(1_000);
+
+    assertThat(health.isTrusted(3_999), is(false));
+    assertThat(health.isTrusted(4_000), is(true));
+  }
+
   @Test
   void partialFailuresAreNoticedThoughSuccessesComeBetween() {
     for (int i = 0; i < 20 && health.isTrusted(0); i++) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/PlainForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/PlainForward.java
@@ -53,7 +53,7 @@
 
   private void send(EndpointEntry endpoint) {
     beginWork(endpoint.id(), ONE_CALL);
-    context.health().of(endpoint.id()).sending();
+    context.health().of(endpoint.id()).sending(context.nowMillis());
     ledger.sent(endpoint.id());
     Dispatch dispatch = dispatch(endpoint, false, Optional.empty(), call.resumeAfter());
     Send send = new Send(endpoint);
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -160,7 +160,7 @@
     long prompt = usage.promptTokens();
     beginWork(reader.id(), new EndpointWork(1, prompt, prompt));
     beginWork(placement.decode().id(), new EndpointWork(1, 0, usage.firstMemory()));
-    context.health().of(reader.id()).sending();
+    context.health().of(reader.id()).sending(context.nowMillis());
     sending(
         context
             .pool()
@@ -184,7 +184,7 @@
   private void run(EndpointEntry engine, Optional<KvHandle> cache, long expectedMillis) {
     Optional<String> resumeAfter =
         splitter.lastId().isPresent() ? splitter.lastId() : call.resumeAfter();
-    context.health().of(engine.id()).sending();
+    context.health().of(engine.id()).sending(context.nowMillis());
     ledger.sent(engine.id());
     Run run = new Run(engine, cache.isPresent());
     sending(
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/PublishedStore.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/PublishedStore.java
@@ -27,7 +27,4 @@
    */
   Future<StorePage> watch(
       PublishedKind kind, long afterRevision, long waitMillis, long timeoutMillis);
-
-  /** Closes all connections, so that the next call opens a new one. */
-  void reconnect();
 }
