Clean up forwarding: one listing of missing endpoints, one send, sums kept instead of recomputed

Change: EndpointDirectory.missing serves listings from the store and from other instances, and both respect the delay for lapsed entries; ForwardRoute.longestMillis; ForwardedCall.send; WorkBook keeps the sum of what others told; EndpointDirectory keeps the usable endpoints of a service; removed endpoints are forgotten one by one, oldest first. A repeat after a 5xx now logs call.again as others do.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointHealth.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointHealth.java
@@ -170,7 +170,7 @@
    *
    * @return true for an endpoint that is left alone or tried
    */
-  public boolean isOnProbation() {
+  boolean isOnProbation() {
     return onProbation;
   }
 
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/WorkBook.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/WorkBook.java
@@ -10,6 +10,8 @@
   private final long maxAgeMillis;
   private final Map<EndpointId, EndpointWork> own = new HashMap<>();
   private final Map<String, Told> told = new HashMap<>();
+  private final Map<EndpointId, EndpointWork> others = new HashMap<>();
+  private long oldestMillis = Long.MAX_VALUE;
 
   private record Told(long atMillis, Map<EndpointId, EndpointWork> work) {}
 
@@ -44,12 +46,7 @@
    * @param work the work, as it was begun
    */
   public void end(EndpointId endpoint, EndpointWork work) {
-    own.computeIfPresent(
-        endpoint,
-        (id, before) -> {
-          EndpointWork left = before.minus(work);
-          return left.equals(EndpointWork.NONE) ? null : left;
-        });
+    subtract(own, endpoint, work);
   }
 
   /**
@@ -60,7 +57,10 @@
    * @param work its work by endpoint
    */
   public void told(String instance, long nowMillis, Map<EndpointId, EndpointWork> work) {
+    ended(instance);
     told.put(instance, new Told(nowMillis, Map.copyOf(work)));
+    work.forEach((endpoint, one) -> others.merge(endpoint, one, EndpointWork::plus));
+    oldestMillis = Math.min(oldestMillis, nowMillis);
   }
 
   /**
@@ -69,7 +69,10 @@
    * @param instance names the instance
    */
   public void ended(String instance) {
-    told.remove(instance);
+    Told before = told.remove(instance);
+    if (before != null) {
+      before.work().forEach((endpoint, one) -> subtract(others, endpoint, one));
+    }
   }
 
   /**
@@ -89,13 +92,30 @@
    * @return the own work and that of the other instances
    */
   public EndpointWork at(EndpointId endpoint, long nowMillis) {
-    EndpointWork sum = own.getOrDefault(endpoint, EndpointWork.NONE);
-    for (Told one : told.values()) {
-      EndpointWork work = one.work().get(endpoint);
-      if (work != null && nowMillis - one.atMillis() <= maxAgeMillis) {
-        sum = sum.plus(work);
-      }
+    forgetOld(nowMillis);
+    EndpointWork mine = own.getOrDefault(endpoint, EndpointWork.NONE);
+    return mine.plus(others.getOrDefault(endpoint, EndpointWork.NONE));
+  }
+
+  private void forgetOld(long nowMillis) {
+    if (nowMillis - oldestMillis <= maxAgeMillis) {
+      return;
     }
-    return sum;
+    told.entrySet().stream()
+        .filter(one -> nowMillis - one.getValue().atMillis() > maxAgeMillis)
+        .map(Map.Entry::getKey)
+        .toList()
+        .forEach(this::ended);
+    oldestMillis = told.values().stream().mapToLong(Told::atMillis).min().orElse(Long.MAX_VALUE);
+  }
+
+  private static void subtract(
+      Map<EndpointId, EndpointWork> from, EndpointId endpoint, EndpointWork work) {
+    from.computeIfPresent(
+        endpoint,
+        (id, before) -> {
+          EndpointWork left = before.minus(work);
+          return left.equals(EndpointWork.NONE) ? null : left;
+        });
   }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/directory/EndpointDirectory.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/directory/EndpointDirectory.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.ServiceId;
@@ -23,7 +24,14 @@
   private static final int MAX_REMOVED = 2_000;
 
   private final Map<EndpointId, Known> known = new TreeMap<>();
-  private final Map<EndpointId, Long> removedAt = new HashMap<>();
+  private final Map<EndpointId, Long> removedAt =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<EndpointId, Long> eldest) {
+          return size() > MAX_REMOVED;
+        }
+      };
+  private final Map<ServiceId, List<EndpointEntry>> usable = new HashMap<>();
   private long revision;
 
   private record Known(EndpointEntry entry, long revision) {}
@@ -72,6 +80,7 @@
     }
     removedAt.remove(entry.id());
     known.put(entry.id(), new Known(entry, changedAt));
+    usable.clear();
     revision = Math.max(revision, changedAt);
     return before == null || !before.entry().equals(entry);
   }
@@ -88,29 +97,25 @@
     if (before != null && before.revision() > changedAt) {
       return false;
     }
-    if (removedAt.size() >= MAX_REMOVED) {
-      removedAt.clear();
-    }
     removedAt.merge(id, changedAt, Math::max);
     revision = Math.max(revision, changedAt);
+    usable.clear();
     return known.remove(id) != null;
   }
 
   /**
-   * Removes all endpoints that a full listing does not have.
+   * Lists the endpoints that a full listing should have and does not.
    *
    * @param listed the endpoints of the listing
    * @param listedAt the lowest revision of the listing's pages
-   * @return the endpoints that were removed
+   * @return the endpoints in the order of their ids
    */
-  public List<EndpointId> retain(Collection<EndpointId> listed, long listedAt) {
-    List<EndpointId> missing =
-        known.entrySet().stream()
-            .filter(one -> !listed.contains(one.getKey()) && one.getValue().revision() <= listedAt)
-            .map(Map.Entry::getKey)
-            .toList();
-    missing.forEach(id -> remove(id, listedAt));
-    return missing;
+  public List<EndpointId> missing(Collection<EndpointId> listed, long listedAt) {
+    Set<EndpointId> there = Set.copyOf(listed);
+    return known.entrySet().stream()
+        .filter(one -> !there.contains(one.getKey()) && one.getValue().revision() <= listedAt)
+        .map(Map.Entry::getKey)
+        .toList();
   }
 
   /**
@@ -130,10 +135,13 @@
    * @return the endpoints in the order of their ids
    */
   public List<EndpointEntry> usable(ServiceId service) {
-    return known.values().stream()
-        .map(Known::entry)
-        .filter(entry -> entry.service().equals(service) && !entry.draining())
-        .toList();
+    return usable.computeIfAbsent(
+        service,
+        one ->
+            known.values().stream()
+                .map(Known::entry)
+                .filter(entry -> entry.service().equals(one) && !entry.draining())
+                .toList());
   }
 
   /**
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/directory/ForwardRoute.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/directory/ForwardRoute.java
@@ -1,6 +1,7 @@
 package org.knapweedcleat.core.directory;
 
 import java.util.List;
+import java.util.OptionalLong;
 import org.knapweedcleat.core.id.ServiceId;
 
 /**
@@ -51,6 +52,16 @@
     return kind.isRepeatable(resumable);
   }
 
+  /**
+   * Returns the longest time until the final answer to a call.
+   *
+   * @param callerMillis how long its caller waits, if it says so
+   * @return milliseconds
+   */
+  public long longestMillis(OptionalLong callerMillis) {
+    return Math.min(timeoutMillis, callerMillis.orElse(timeoutMillis));
+  }
+
   /**
    * Chooses a service by weight.
    *
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/directory/EndpointDirectoryTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/directory/EndpointDirectoryTest.java
@@ -39,7 +39,10 @@
     directory.put(entry("old", false), 3);
     directory.put(entry("new", false), 12);
 
-    assertThat(directory.retain(List.of(), 10), contains(EndpointId.of("old")));
+    List<EndpointId> missing = directory.missing(List.of(), 10);
+    missing.forEach(id -> directory.remove(id, 10));
+
+    assertThat(missing, contains(EndpointId.of("old")));
     assertThat(directory.usable(SERVICE), contains(entry("new", false)));
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardDesk.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardDesk.java
@@ -74,8 +74,7 @@
       unknown(exchange, call, OwnAnswer.NO_ROUTE, "no route for host and path");
       return;
     }
-    long longestMillis =
-        Math.min(route.get().timeoutMillis(), call.deadlineMillis().orElse(Long.MAX_VALUE));
+    long longestMillis = route.get().longestMillis(call.deadlineMillis());
     if (stop.isPresent() && !stop.get().takes(context.nowMillis(), longestMillis)) {
       String why = "the instance is stopping and the call may outlast it";
       refuse(exchange, call.requestId(), OwnAnswer.NOT_RUN, why, Optional.of(STOPPING_MILLIS));
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -22,11 +22,12 @@
 import org.knapweedcleat.router.forward.codec.HeaderField;
 import org.knapweedcleat.router.forward.codec.InboundCall;
 import org.knapweedcleat.router.forward.codec.KvHandle;
-import org.knapweedcleat.router.forward.codec.RequestHead;
+import org.knapweedcleat.router.forward.codec.ReplyNature;
 import org.knapweedcleat.router.forward.codec.TokenUsage;
 import org.knapweedcleat.router.forward.http.BrokenCause;
 import org.knapweedcleat.router.forward.http.CallerExchange;
 import org.knapweedcleat.router.forward.http.EndpointRequest;
+import org.knapweedcleat.router.forward.http.ReplyListener;
 
 /** One admitted call, from its first endpoint to its final answer. */
 abstract class ForwardedCall {
@@ -70,8 +71,7 @@
     this.budget = context.budgets().budget(service);
     this.ledger = CallLedger.of(route, budget);
     this.beganMillis = context.nowMillis();
-    this.endMillis =
-        beganMillis + Math.min(route.timeoutMillis(), call.deadlineMillis().orElse(Long.MAX_VALUE));
+    this.endMillis = beganMillis + route.longestMillis(call.deadlineMillis());
   }
 
   /** Begins the call. */
@@ -121,11 +121,19 @@
         resumeAfter);
   }
 
-  protected final RequestHead outbound(Dispatch dispatch) {
-    return context.codec().outbound(exchange.head(), dispatch);
-  }
-
-  protected final void sending(EndpointRequest next) {
+  /** Sends the call to an endpoint; answers to other requests are not heard. */
+  protected final void send(EndpointEntry endpoint, Dispatch dispatch, ReplyListener listener) {
+    context.health().of(endpoint.id()).sending(context.nowMillis());
+    EndpointRequest next =
+        context
+            .pool()
+            .send(
+                endpoint.host(),
+                endpoint.port(),
+                context.codec().outbound(exchange.head(), dispatch),
+                exchange.body(),
+                head -> context.codec().nature(head, call.requestId()) != ReplyNature.FOREIGN,
+                listener);
     if (!over) {
       request = Optional.of(next);
     } else {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/PlainForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/PlainForward.java
@@ -8,6 +8,7 @@
 import org.knapweedcleat.core.directory.AccountQuota;
 import org.knapweedcleat.core.directory.EndpointEntry;
 import org.knapweedcleat.core.directory.ForwardRoute;
+import org.knapweedcleat.core.forward.NextStep;
 import org.knapweedcleat.router.forward.codec.Dispatch;
 import org.knapweedcleat.router.forward.codec.InboundCall;
 import org.knapweedcleat.router.forward.codec.ReplyHead;
@@ -53,20 +54,10 @@
 
   private void send(EndpointEntry endpoint) {
     beginWork(endpoint.id(), ONE_CALL);
-    context.health().of(endpoint.id()).sending(context.nowMillis());
     ledger.sent(endpoint.id());
     Dispatch dispatch = dispatch(endpoint, false, Optional.empty(), call.resumeAfter());
     Send send = new Send(endpoint);
-    sending(
-        context
-            .pool()
-            .send(
-                endpoint.host(),
-                endpoint.port(),
-                outbound(dispatch),
-                exchange.body(),
-                head -> context.codec().nature(head, call.requestId()) != ReplyNature.FOREIGN,
-                send));
+    send(endpoint, dispatch, send);
     if (route.isRepeatable()) {
       patience((long) (PATIENCE_TARGETS * route.targetMillis()), send::tooSlow);
     }
@@ -126,7 +117,8 @@
     private void genuine(long nowMillis) {
       if (head.status() >= FIRST_SERVER_ERROR) {
         health.failed(nowMillis);
-        if (route.isRepeatable() && !exchange.isBegun() && canRepeat(nowMillis)) {
+        if (!exchange.isBegun() && ledger.broken(nowMillis) == NextStep.AGAIN) {
+          follow(NextStep.AGAIN, "endpoint " + endpoint.id() + " answered " + head.status());
           return;
         }
       } else {
@@ -140,18 +132,6 @@
       answered(head.status(), endpoint.id(), nowMillis - beganMillis);
     }
 
-    private boolean canRepeat(long nowMillis) {
-      switch (ledger.broken(nowMillis)) {
-        case AGAIN -> {
-          place();
-          return true;
-        }
-        default -> {
-          return false;
-        }
-      }
-    }
-
     @Override
     public void onBroken(BrokenCause cause) {
       endPatience();
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -160,17 +160,7 @@
     long prompt = usage.promptTokens();
     beginWork(reader.id(), new EndpointWork(1, prompt, prompt));
     beginWork(placement.decode().id(), new EndpointWork(1, 0, usage.firstMemory()));
-    context.health().of(reader.id()).sending(context.nowMillis());
-    sending(
-        context
-            .pool()
-            .send(
-                reader.host(),
-                reader.port(),
-                outbound(dispatch(reader, true, Optional.empty(), call.resumeAfter())),
-                exchange.body(),
-                head -> context.codec().nature(head, call.requestId()) != ReplyNature.FOREIGN,
-                prefill));
+    send(reader, dispatch(reader, true, Optional.empty(), call.resumeAfter()), prefill);
     long patienceMillis = (long) (PREFILL_PATIENCE * placement.firstEventMillis());
     patience(Math.max(MIN_PREFILL_MILLIS, patienceMillis), prefill::tooSlow);
   }
@@ -184,19 +174,9 @@
   private void run(EndpointEntry engine, Optional<KvHandle> cache, long expectedMillis) {
     Optional<String> resumeAfter =
         splitter.lastId().isPresent() ? splitter.lastId() : call.resumeAfter();
-    context.health().of(engine.id()).sending(context.nowMillis());
     ledger.sent(engine.id());
     Run run = new Run(engine, cache.isPresent());
-    sending(
-        context
-            .pool()
-            .send(
-                engine.host(),
-                engine.port(),
-                outbound(dispatch(engine, false, cache, resumeAfter)),
-                exchange.body(),
-                head -> context.codec().nature(head, call.requestId()) != ReplyNature.FOREIGN,
-                run));
+    send(engine, dispatch(engine, false, cache, resumeAfter), run);
     if (route.isRepeatable()) {
       patience(expectedMillis + FIRST_EVENT_MILLIS, run::tooSlow);
     }
@@ -404,7 +384,7 @@
       if (head.status() >= FIRST_SERVER_ERROR) {
         health.failed(nowMillis);
         if (ledger.broken(nowMillis) == NextStep.AGAIN) {
-          place();
+          follow(NextStep.AGAIN, "engine " + engine.id() + " answered " + head.status());
           return;
         }
       }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetLink.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetLink.java
@@ -26,6 +26,7 @@
 import org.knapweedcleat.router.forward.call.ServiceBudgets;
 import org.knapweedcleat.router.forward.log.DecisionLog;
 import org.knapweedcleat.router.forward.store.PublishedDirectory;
+import org.knapweedcleat.router.forward.store.StoreWatch;
 import org.knapweedcleat.router.peer.PeerAddress;
 import org.knapweedcleat.router.peer.PeerHandler;
 import org.knapweedcleat.router.peer.PeerTransport;
@@ -230,7 +231,7 @@
 
   /** A watch that waits says nothing for this long although the store is there. */
   private long watchMillis() {
-    return directory.isKnown() ? 2_500 : 0;
+    return directory.isKnown() ? StoreWatch.WAIT_MILLIS : 0;
   }
 
   private void learn(PeerMessage message) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -83,7 +83,7 @@
     this.settings = settings;
     this.adapter = adapter;
     IncarnationId incarnation = IncarnationId.of(settings.id(), System.currentTimeMillis());
-    this.directory = PublishedDirectory.of(ForwarderNode::nowMillis, log, config -> {});
+    this.directory = PublishedDirectory.of(ForwarderNode::nowMillis, log);
     WorkBook work = WorkBook.of(WORK_AGE_MILLIS);
     HealthBook health = HealthBook.create();
     FleetQuota quota =
@@ -195,6 +195,8 @@
             settings.metrics(),
             "/metrics",
             () -> new SmallServer.Answer(READY, page.prometheus()));
+    closer.add(readiness::close);
+    closer.add(metricsServer::close);
     for (PublishedKind kind : PublishedKind.values()) {
       StoreWatch watch = StoreWatch.of(vertx, store, kind, directory);
       closer.add(watch::close);
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/PublishedDirectory.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/PublishedDirectory.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import org.knapweedcleat.core.directory.EndpointDirectory;
@@ -34,18 +33,15 @@
   private final Map<EndpointId, Long> lapsing = new HashMap<>();
   private final LongSupplier clock;
   private final DecisionLog log;
-  private final Consumer<RoutingConfig> onConfig;
   private Optional<RoutingConfig> config = Optional.empty();
   private boolean listedEndpoints;
   private long lostSinceMillis = -1;
   private long contactAtMillis = Long.MIN_VALUE / 2;
   private long lapseUntilMillis = Long.MIN_VALUE;
 
-  private PublishedDirectory(
-      LongSupplier clock, DecisionLog log, Consumer<RoutingConfig> onConfig) {
+  private PublishedDirectory(LongSupplier clock, DecisionLog log) {
     this.clock = clock;
     this.log = log;
-    this.onConfig = onConfig;
   }
 
   /**
@@ -53,12 +49,10 @@
    *
    * @param clock gives the time in milliseconds
    * @param log takes what changes
-   * @param onConfig hears each configuration that comes into force
    * @return the directory
    */
-  public static PublishedDirectory of(
-      LongSupplier clock, DecisionLog log, Consumer<RoutingConfig> onConfig) {
-    return new PublishedDirectory(clock, log, onConfig);
+  public static PublishedDirectory of(LongSupplier clock, DecisionLog log) {
+    return new PublishedDirectory(clock, log);
   }
 
   /**
@@ -127,7 +121,7 @@
     entries.forEach(this::put);
     Set<EndpointId> ids =
         entries.keySet().stream().map(EndpointEntry::id).collect(Collectors.toSet());
-    endpoints.retain(ids, at).forEach(id -> log.belief("endpoint.gone", "endpoint", id));
+    endpoints.missing(ids, at).forEach(id -> remove(id, at));
     endpoints.advance(at);
     listedEndpoints = true;
   }
@@ -146,7 +140,7 @@
             listed.add(endpoint.entry().id());
           }
         });
-    missing(listed, at).forEach(id -> remove(id, at));
+    endpoints.missing(listed, at).forEach(id -> remove(id, at));
     endpoints.advance(at);
     listedEndpoints = true;
   }
@@ -182,13 +176,6 @@
     }
   }
 
-  private List<EndpointId> missing(List<EndpointId> listed, long at) {
-    return endpoints.all().entrySet().stream()
-        .filter(known -> known.getValue() <= at && !listed.contains(known.getKey().id()))
-        .map(known -> known.getKey().id())
-        .toList();
-  }
-
   private void take(PublishedItem item) {
     if (item instanceof PublishedItem.Config one) {
       applyConfig(one.content(), "store");
@@ -207,8 +194,7 @@
     if (content.version() <= before) {
       return;
     }
-    RoutingConfig next = RoutingConfig.of(content);
-    config = Optional.of(next);
+    config = Optional.of(RoutingConfig.of(content));
     log.belief(
         "config.applied",
         "version",
@@ -219,7 +205,6 @@
         content.routes().size(),
         "accounts",
         content.accounts().size());
-    onConfig.accept(next);
   }
 
   private void put(EndpointEntry entry, long revision) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/StoreWatch.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/StoreWatch.java
@@ -10,7 +10,7 @@
 public final class StoreWatch {
 
   /** Short enough that a connection that went silent is noticed before others are late. */
-  private static final long WAIT_MILLIS = 2_500;
+  public static final long WAIT_MILLIS = 2_500;
 
   /** How long an answer may take beyond its wait; a slow store answers within half a second. */
   private static final long ANSWER_MILLIS = 1_000;
