--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -206,7 +206,11 @@
     closer.add(() -> vertx.cancelTimer(timer));
     return fleet
         .listen(settings.peers())
-        .compose(port -> readiness.listen())
+        .compose(
+            port -> {
+              tick();
+              return readiness.listen();
+            })
         .compose(port -> metricsServer.listen())
         .compose(port -> callers.listen(settings.callers()))
         .map(
