--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/ForwarderMain.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/ForwarderMain.java
@@ -1,6 +1,7 @@
 package org.knapweedcleat.router;
 
 import io.vavr.control.Validation;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
@@ -44,8 +45,11 @@
                     .setFileCachingEnabled(false)
                     .setClassPathResolvingEnabled(false));
     Vertx vertx = Vertx.vertx(options);
-    ForwarderNode.start(vertx, settings, adapter)
-        .onSuccess(node -> follow(vertx, node, settings, settingsFile))
+    Future<ForwarderNode> start = ForwarderNode.start(vertx, settings, adapter);
+    long stopMillis = settings.bounds().stopMillis();
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(start, stopMillis), "drain"));
+    start
+        .onSuccess(node -> SettingsFollower.follow(vertx, settingsFile, node::reload))
         .onFailure(
             failure -> {
               LOG.error("cannot start", failure);
@@ -53,17 +57,13 @@
             });
   }
 
-  private static void follow(
-      Vertx vertx, ForwarderNode node, ForwarderSettings settings, Path settingsFile) {
-    SettingsFollower.follow(vertx, settingsFile, node::reload);
-    Runtime.getRuntime()
-        .addShutdownHook(new Thread(() -> drain(node, settings.bounds().stopMillis()), "drain"));
-  }
-
   /** Blocks the end of the process until the planned stop is over or its time is. */
-  private static void drain(ForwarderNode node, long stopMillis) {
+  private static void drain(Future<ForwarderNode> start, long stopMillis) {
+    if (start.failed()) {
+      return;
+    }
     CountDownLatch done = new CountDownLatch(1);
-    node.drain().onComplete(drained -> done.countDown());
+    start.compose(ForwarderNode::drain).onComplete(drained -> done.countDown());
     try {
       if (!done.await(stopMillis - END_MILLIS, TimeUnit.MILLISECONDS)) {
         LOG.warn("the planned stop ran out of time");
--- /dev/null
+++ b/scripts/run-on-standins.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Builds the platform's module and runs a program of its tests, which hold the stand-ins:
+# run-on-standins.sh CLASS ARGUMENT...
+set -euo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")/.."
+. scripts/setup.sh
+need_java >&2
+class=$1
+shift
+mkdir -p target
+mvn -B -ntp -q -DskipTests -Dspotless.check.skip -Dcheckstyle.skip -pl platform -am install >&2
+mvn -B -ntp -q -pl platform dependency:build-classpath -Dmdep.includeScope=test \
+  -Dmdep.outputFile=target/test.classpath >&2
+exec java -Xmx256m -Dlogback.configurationFile=logback-forward.xml \
+  -cp "platform/target/test-classes:platform/target/classes:$(cat platform/target/test.classpath)" \
+  "org.knapweedcleat.platform.soak.$class" "$@"
