Bound the news between instances; let a doubt count once and in its own region

Change: a message names four instances in turn; an instance's word counts when it loses an endpoint, not each time it repeats it, and only in its own region (DoubtBook).

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/fleet/FleetMembers.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/fleet/FleetMembers.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.InstanceId;
 
@@ -22,6 +23,9 @@
   /** Longer than a machine that is cut off or stopped usually stays away. */
   public static final long MEMORY_MILLIS = 30_000;
 
+  /** How many others a message names, in turn, so that all are named well within their memory. */
+  private static final int NAMED_MEMBERS = 4;
+
   /** The time between messages grows by this much an instance, which bounds an instance's cost. */
   private static final int INTERVAL_MILLIS_PER_MEMBER = 10;
 
@@ -29,6 +33,8 @@
   private final int intervalMillis;
   private final Map<InstanceId, Known> others = new TreeMap<>();
 
+  private int namedFrom;
+
   private static final class Known {
     private FleetMember member;
     private long heardAtMillis;
@@ -144,6 +150,24 @@
         .toList();
   }
 
+  /**
+   * Lists the next few of the live instances, since a message that names a large fleet is too long.
+   *
+   * @param nowMillis the time
+   * @return up to {@link #NAMED_MEMBERS} instances
+   */
+  public List<FleetMember> nextNamed(long nowMillis) {
+    List<FleetMember> live = live(nowMillis);
+    if (live.size() <= NAMED_MEMBERS) {
+      return live;
+    }
+    int from = namedFrom % live.size();
+    namedFrom = from + NAMED_MEMBERS;
+    return IntStream.range(from, from + NAMED_MEMBERS)
+        .mapToObj(index -> live.get(index % live.size()))
+        .toList();
+  }
+
   /**
    * Tells whether an address belongs to a known instance.
    *
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/fleet/FleetMembersTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/fleet/FleetMembersTest.java
@@ -4,8 +4,11 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.InstanceId;
@@ -70,6 +73,22 @@
     assertThat(members.intervalMillis(), is(750L));
   }
 
+  @Test
+  void messagesOfLargeFleetNameAllInTurn() {
+    for (int i = 0; i < 75; i++) {
+      members.heard(0, member("m" + i, 1), List.of());
+    }
+
+    Set<FleetMember> named = new HashSet<>();
+    for (int message = 0; message < 19; message++) {
+      List<FleetMember> next = members.nextNamed(0);
+      assertThat(next.size(), lessThanOrEqualTo(4));
+      named.addAll(next);
+    }
+
+    assertThat(named.size(), is(75));
+  }
+
   private static FleetMember member(String name, long start) {
     return new FleetMember(IncarnationId.of(InstanceId.of(name), start), "127.0.0.1", 9);
   }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetLink.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetLink.java
@@ -7,7 +7,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+import org.knapweedcleat.core.balance.Distance;
+import org.knapweedcleat.core.balance.DomainMap;
+import org.knapweedcleat.core.balance.DoubtBook;
 import org.knapweedcleat.core.balance.EndpointWork;
 import org.knapweedcleat.core.balance.HealthBook;
 import org.knapweedcleat.core.balance.WorkBook;
@@ -23,6 +28,7 @@
 import org.knapweedcleat.core.id.InstanceId;
 import org.knapweedcleat.core.message.PeerMessage;
 import org.knapweedcleat.core.quota.FleetQuota;
+import org.knapweedcleat.router.forward.call.ForwardContext;
 import org.knapweedcleat.router.forward.call.ServiceBudgets;
 import org.knapweedcleat.router.forward.log.DecisionLog;
 import org.knapweedcleat.router.forward.store.PublishedDirectory;
@@ -44,6 +50,7 @@
 
   private final FleetMember self;
   private final FleetMembers members;
+  private final DomainMap domains;
   private final PublishedDirectory directory;
   private final WorkBook work;
   private final HealthBook health;
@@ -51,6 +58,7 @@
   private final ServiceBudgets budgets;
   private final LongSupplier clock;
   private final DecisionLog log;
+  private final DoubtBook doubts = DoubtBook.create();
   private List<InetAddressPort> seeds;
   private PeerTransport transport;
   private long sentAtMillis = NEVER_MILLIS;
@@ -58,24 +66,17 @@
   private int liveBefore = -1;
 
   private FleetLink(
-      FleetMember self,
-      FleetMembers members,
-      PublishedDirectory directory,
-      WorkBook work,
-      HealthBook health,
-      FleetQuota quota,
-      ServiceBudgets budgets,
-      LongSupplier clock,
-      DecisionLog log) {
+      FleetMember self, FleetMembers members, DomainMap domains, ForwardContext context) {
     this.self = self;
     this.members = members;
-    this.directory = directory;
-    this.work = work;
-    this.health = health;
-    this.quota = quota;
-    this.budgets = budgets;
-    this.clock = clock;
-    this.log = log;
+    this.domains = domains;
+    this.directory = context.directory();
+    this.work = context.work();
+    this.health = context.health();
+    this.quota = context.quota();
+    this.budgets = context.budgets();
+    this.clock = context.clock();
+    this.log = context.log();
     this.seeds = List.of();
   }
 
@@ -84,26 +85,13 @@
    *
    * @param self the own run
    * @param members keeps track of the others
-   * @param directory what is published
-   * @param work the work at endpoints
-   * @param health the health of endpoints
-   * @param quota the client accounts' quotas
-   * @param budgets divided among the instances
-   * @param clock gives the time in milliseconds
-   * @param log takes changes of belief
+   * @param domains the failure domains, seen from the own one
+   * @param context what is told to others and learned from them
    * @return the link
    */
   public static FleetLink of(
-      FleetMember self,
-      FleetMembers members,
-      PublishedDirectory directory,
-      WorkBook work,
-      HealthBook health,
-      FleetQuota quota,
-      ServiceBudgets budgets,
-      LongSupplier clock,
-      DecisionLog log) {
-    return new FleetLink(self, members, directory, work, health, quota, budgets, clock, log);
+      FleetMember self, FleetMembers members, DomainMap domains, ForwardContext context) {
+    return new FleetLink(self, members, domains, context);
   }
 
   /**
@@ -150,7 +138,7 @@
       log.belief("fleet.live", "live", live.size() + 1, "known", known);
       liveBefore = live.size();
     }
-    FleetNews news = news(false, live);
+    FleetNews news = news(false, members.nextNamed(nowMillis));
     members.possible().forEach(member -> send(member, news));
     seeds.stream()
         .filter(seed -> !members.isKnown(seed.toString()))
@@ -186,7 +174,7 @@
       return;
     }
     if (!members.isKnown(news.sender().address())) {
-      send(news.sender(), news(false, members.live(nowMillis)));
+      send(news.sender(), news(false, members.nextNamed(nowMillis)));
     }
     IncarnationId before = members.heard(nowMillis, news.sender(), news.heard());
     if (!before.equals(from)) {
@@ -199,13 +187,25 @@
     Map<EndpointId, EndpointWork> told = new HashMap<>();
     news.work().forEach((endpoint, load) -> told.put(EndpointId.of(endpoint), load));
     work.told(from.toString(), nowMillis, told);
-    for (String endpoint : news.unreachable()) {
-      health.of(EndpointId.of(endpoint)).doubted(nowMillis);
-    }
+    hearDoubts(nowMillis, from, news);
     askIfBehind(nowMillis, from, news);
   }
 
+  /**
+   * Takes another instance's word that endpoints are out of reach, once for each time that it loses
+   * one; after that the own tries decide. What another region cannot reach tells nothing here.
+   */
+  private void hearDoubts(long nowMillis, IncarnationId from, FleetNews news) {
+    Set<EndpointId> told =
+        news.unreachable().stream().map(EndpointId::of).collect(Collectors.toSet());
+    Set<EndpointId> lost = doubts.told(from, told);
+    if (domains.toOwn(news.domain()) != Distance.OTHER_REGION) {
+      lost.forEach(endpoint -> health.of(endpoint).doubted(nowMillis));
+    }
+  }
+
   private void ended(IncarnationId run) {
+    doubts.ended(run);
     quota.ended(run.toString());
     work.ended(run.toString());
   }
@@ -269,7 +269,15 @@
     Map<String, EndpointWork> own = new HashMap<>();
     work.own().forEach((endpoint, load) -> own.put(endpoint.value(), load));
     return new FleetNews(
-        self, ends, live, configVersion(), endpointsRevision(), spent, unreachable, own);
+        self,
+        domains.own(),
+        ends,
+        live,
+        configVersion(),
+        endpointsRevision(),
+        spent,
+        unreachable,
+        own);
   }
 
   private long configVersion() {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -122,9 +122,7 @@
     FleetMember self =
         new FleetMember(incarnation, settings.peers().host(), settings.peers().port());
     FleetMembers members = FleetMembers.of(self, settings.discovery().gossipMillis());
-    this.fleet =
-        FleetLink.of(
-            self, members, directory, work, health, quota, budgets, ForwarderNode::nowMillis, log);
+    this.fleet = FleetLink.of(self, members, domains, context);
     this.reach = ReachCheck.of(context);
     this.stages =
         StageKeeper.of(
