--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/ForwarderMain.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/ForwarderMain.java
@@ -15,6 +15,7 @@
 import org.knapweedcleat.core.config.ForwarderSettingsParser;
 import org.knapweedcleat.router.forward.codec.PlatformAdapter;
 import org.knapweedcleat.router.forward.node.ForwarderNode;
+import org.knapweedcleat.router.forward.node.HangupSignal;
 import org.knapweedcleat.router.forward.node.SettingsFollower;
 import org.knapweedcleat.router.operator.Logs;
 import org.slf4j.Logger;
@@ -23,7 +24,6 @@
 /** Runs {@code knapweedcleatd} as an instance that forwards calls on a platform. */
 final class ForwarderMain {
 
-  private static final Logger LOG = LoggerFactory.getLogger(ForwarderMain.class);
   private static final int USAGE = 2;
   private static final int FAILED = 1;
 
@@ -33,6 +33,7 @@
   private ForwarderMain() {}
 
   static void run(Path settingsFile, String adapterName) {
+    final HangupSignal hangup = HangupSignal.take();
     PlatformAdapter adapter = adapter(adapterName);
     ForwarderSettings settings = read(settingsFile);
     VertxOptions options =
@@ -49,10 +50,10 @@
     long stopMillis = settings.bounds().stopMillis();
     Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(start, stopMillis), "drain"));
     start
-        .onSuccess(node -> SettingsFollower.follow(vertx, settingsFile, node::reload))
+        .onSuccess(node -> SettingsFollower.follow(vertx, hangup, settingsFile, node::reload))
         .onFailure(
             failure -> {
-              LOG.error("cannot start", failure);
+              log().error("cannot start", failure);
               end(FAILED);
             });
   }
@@ -66,7 +67,7 @@
     start.compose(ForwarderNode::drain).onComplete(drained -> done.countDown());
     try {
       if (!done.await(stopMillis - END_MILLIS, TimeUnit.MILLISECONDS)) {
-        LOG.warn("the planned stop ran out of time");
+        log().warn("the planned stop ran out of time");
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -109,4 +110,9 @@
     Logs.flush();
     new Thread(() -> System.exit(status), "end").start();
   }
+
+  /** Not a field: to set up the log takes longer than SIGHUP may go untaken. */
+  private static Logger log() {
+    return LoggerFactory.getLogger(ForwarderMain.class);
+  }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/RouterMain.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/RouterMain.java
@@ -26,7 +26,6 @@
   private static final int AUDIT_ENTRIES = 10_000;
   private static final int USAGE = 2;
   private static final int FAILED = 1;
-  private static final Logger LOG = LoggerFactory.getLogger(RouterMain.class);
 
   @Option(name = "--settings", metaVar = "FILE", usage = "the instance's settings", required = true)
   private Path settingsFile;
@@ -77,7 +76,7 @@
     RouterNode.start(vertx, context)
         .onSuccess(node -> Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(node))))
         .onSuccess(node -> node.stopped().onComplete(stopped -> endProcess()))
-        .onSuccess(node -> LOG.info("{} listens", context.incarnation()))
+        .onSuccess(node -> log().info("{} listens", context.incarnation()))
         .onFailure(RouterMain::exit);
   }
 
@@ -100,7 +99,7 @@
   }
 
   private static void exit(Throwable cause) {
-    LOG.error("cannot start", cause);
+    log().error("cannot start", cause);
     Logs.flush();
     System.exit(FAILED);
   }
@@ -121,4 +120,9 @@
     }
     Logs.flush();
   }
+
+  /** Not a field: to set up the log takes longer than SIGHUP may go untaken. */
+  private static Logger log() {
+    return LoggerFactory.getLogger(RouterMain.class);
+  }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/SettingsFollower.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/SettingsFollower.java
@@ -2,8 +2,6 @@
 
 import io.vertx.core.Vertx;
 import java.io.IOException;
-import java.lang.reflect.InvocationHandler;
-import java.lang.reflect.Proxy;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.function.Consumer;
@@ -34,36 +32,16 @@
    * Begins to follow a file.
    *
    * @param vertx runs it
+   * @param hangup tells when the file should be looked at
    * @param file the settings
    * @param onChange hears settings that check and differ from those before
    */
-  public static void follow(Vertx vertx, Path file, Consumer<ForwarderSettings> onChange) {
+  public static void follow(
+      Vertx vertx, HangupSignal hangup, Path file, Consumer<ForwarderSettings> onChange) {
     SettingsFollower follower = new SettingsFollower(file, onChange);
     follower.readText();
     vertx.setPeriodic(LOOK_MILLIS, timer -> follower.look());
-    onHangup(() -> vertx.runOnContext(ignored -> follower.look()));
-  }
-
-  /**
-   * Takes SIGHUP, which would end the process. The JDK's only class for that is not part of its
-   * documented interface, so it is looked up by name; without it SIGHUP keeps its meaning.
-   */
-  private static void onHangup(Runnable action) {
-    try {
-      Class<?> signal = Class.forName("sun.misc.Signal");
-      Class<?> handler = Class.forName("sun.misc.SignalHandler");
-      InvocationHandler calls =
-          (proxy, method, arguments) -> {
-            action.run();
-            return null;
-          };
-      Object proxy =
-          Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler}, calls);
-      Object hangup = signal.getConstructor(String.class).newInstance("HUP");
-      signal.getMethod("handle", signal, handler).invoke(null, hangup, proxy);
-    } catch (ReflectiveOperationException e) {
-      LOG.warn("SIGHUP cannot be taken; changes of the settings file are still seen", e);
-    }
+    hangup.onSignal(() -> vertx.runOnContext(ignored -> follower.look()));
   }
 
   private boolean readText() {
