Let two representatives of each failure domain exchange news and read the store in large fleets

Up to 16 instances nothing changes. Above, news goes to the own failure domain, and two representatives pass reports on to others once a second; only they read the store, the others ask them for what changed. A late message of an older run no longer ends the newer one. Tests without network: LargeFleetTest plays 75 instances in simulated time, FleetMembersTest.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/directory/EndpointDirectory.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/directory/EndpointDirectory.java
@@ -1,5 +1,6 @@
 package org.knapweedcleat.core.directory;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -23,6 +24,9 @@
   /** How many removed endpoints are remembered, so that no late change brings one back. */
   private static final int MAX_REMOVED = 2_000;
 
+  /** Outside the range of a hash. */
+  private static final long UNKNOWN_HASH = Long.MIN_VALUE;
+
   private final Map<EndpointId, Known> known = new TreeMap<>();
   private final Map<EndpointId, Long> removedAt =
       new LinkedHashMap<>() {
@@ -32,6 +36,7 @@
         }
       };
   private final Map<ServiceId, List<EndpointEntry>> usable = new HashMap<>();
+  private long contentHash = UNKNOWN_HASH;
   private long revision;
 
   private record Known(EndpointEntry entry, long revision) {}
@@ -80,7 +85,7 @@
     }
     removedAt.remove(entry.id());
     known.put(entry.id(), new Known(entry, changedAt));
-    usable.clear();
+    forgetDerived();
     revision = Math.max(revision, changedAt);
     return before == null || !before.entry().equals(entry);
   }
@@ -99,10 +104,15 @@
     }
     removedAt.merge(id, changedAt, Math::max);
     revision = Math.max(revision, changedAt);
-    usable.clear();
+    forgetDerived();
     return known.remove(id) != null;
   }
 
+  private void forgetDerived() {
+    usable.clear();
+    contentHash = UNKNOWN_HASH;
+  }
+
   /**
    * Lists the endpoints that a full listing should have and does not.
    *
@@ -150,8 +160,43 @@
    * @return the entries in the order of their ids
    */
   public Map<EndpointEntry, Long> all() {
-    Map<EndpointEntry, Long> all = new LinkedHashMap<>();
-    known.values().forEach(one -> all.put(one.entry(), one.revision()));
-    return all;
+    return changedSince(Long.MIN_VALUE);
+  }
+
+  /**
+   * Lists the endpoints that have changed and are still there.
+   *
+   * @param since the revision after which changes count
+   * @return the entries with the revision of their last change, in the order of their ids
+   */
+  public Map<EndpointEntry, Long> changedSince(long since) {
+    Map<EndpointEntry, Long> changed = new LinkedHashMap<>();
+    known.values().stream()
+        .filter(one -> one.revision() > since)
+        .forEach(one -> changed.put(one.entry(), one.revision()));
+    return changed;
+  }
+
+  /**
+   * Returns a hash by which two directories are compared.
+   *
+   * @return the same number for the same endpoints at the same revisions, on any instance
+   */
+  public int contentHash() {
+    if (contentHash == UNKNOWN_HASH) {
+      List<Object> content = new ArrayList<>();
+      known.forEach((id, one) -> content.addAll(List.of(id.value(), one.revision())));
+      contentHash = content.hashCode();
+    }
+    return (int) contentHash;
+  }
+
+  /**
+   * Lists the ids of all endpoints.
+   *
+   * @return the ids in their order
+   */
+  public List<EndpointId> ids() {
+    return List.copyOf(known.keySet());
   }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/fleet/FleetMembers.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/fleet/FleetMembers.java
@@ -6,12 +6,18 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.InstanceId;
 
 /**
  * The other instances, known from seeds, from what they send and from whom they name.
  *
+ * <p>In a small fleet each instance sends to all. In a large one each sends to those of its own
+ * failure domain, and two representatives of each failure domain tell the others what it does: the
+ * first two that live, by name.
+ *
  * <p>An instance that was not heard for {@link #LIVE_INTERVALS} intervals is not live; it is still
  * tried and counted as possible for {@link #MEMORY_MILLIS}, since it may be cut off.
  */
@@ -23,6 +29,20 @@
   /** Longer than a machine that is cut off or stopped usually stays away. */
   public static final long MEMORY_MILLIS = 30_000;
 
+  /** Up to this size each instance sends to all, which needs no representatives. */
+  private static final int SMALL_FLEET = 16;
+
+  /** Two, so that a failure domain is heard of while one of them stops or is cut off. */
+  private static final int REPRESENTATIVES = 2;
+
+  /** The time between two messages of a representative to another failure domain. */
+  private static final long ACROSS_MILLIS = 1_000;
+
+  /**
+   * The least time between messages in a large fleet, whose instances have little time for them.
+   */
+  private static final long LARGE_FLEET_MILLIS = 400;
+
   /** How many others a message names, in turn, so that all are named well within their memory. */
   private static final int NAMED_MEMBERS = 4;
 
@@ -69,14 +89,84 @@
    * @return milliseconds
    */
   public long intervalMillis() {
-    return Math.max(intervalMillis, (long) others.size() * INTERVAL_MILLIS_PER_MEMBER);
+    long leastMillis = isSmall() ? intervalMillis : LARGE_FLEET_MILLIS;
+    long direct = isSmall() ? others.size() : inDomain(self.domain()).size();
+    return Math.max(leastMillis, direct * INTERVAL_MILLIS_PER_MEMBER);
   }
 
   /**
-   * Notes a message of another instance.
+   * Returns the time between messages to instances that get them only from representatives.
+   *
+   * @return milliseconds
+   */
+  public long acrossMillis() {
+    return ACROSS_MILLIS;
+  }
+
+  /**
+   * Tells whether each instance sends to all others.
+   *
+   * @return true in a small fleet
+   */
+  public boolean isSmall() {
+    return others.size() < SMALL_FLEET;
+  }
+
+  /**
+   * Lists the instances that get each message of this one.
+   *
+   * @return all that may live and, in a large fleet, stand in the own failure domain
+   */
+  public List<FleetMember> direct() {
+    return isSmall() ? possible() : inDomain(self.domain());
+  }
+
+  /**
+   * Lists the instances that hear of this one by representatives.
+   *
+   * @return those of other failure domains; none in a small fleet
+   */
+  public List<FleetMember> across() {
+    return isSmall()
+        ? List.of()
+        : possible().stream().filter(member -> !member.domain().equals(self.domain())).toList();
+  }
+
+  /**
+   * Tells whether this instance speaks for its failure domain.
+   *
+   * @param nowMillis the time
+   * @return true for all of a small fleet, else for the first two that live
+   */
+  public boolean isRepresentative(long nowMillis) {
+    return isSmall() || isRepresentative(nowMillis, self);
+  }
+
+  /**
+   * Tells whether an instance speaks for its failure domain.
    *
    * @param nowMillis the time
-   * @param member the sender
+   * @param member the instance
+   * @return true for the first two that live
+   */
+  public boolean isRepresentative(long nowMillis, FleetMember member) {
+    return Stream.concat(live(nowMillis).stream(), Stream.of(self))
+        .filter(other -> other.domain().equals(member.domain()))
+        .map(FleetMembers::id)
+        .sorted()
+        .limit(REPRESENTATIVES)
+        .anyMatch(id(member)::equals);
+  }
+
+  private List<FleetMember> inDomain(FailureDomainId domain) {
+    return possible().stream().filter(member -> member.domain().equals(domain)).toList();
+  }
+
+  /**
+   * Notes a message of another instance.
+   *
+   * @param nowMillis the time at which it was sent, as far as known
+   * @param member the sender, also if another instance passed its news on
    * @param named the instances that it heard lately
    * @return the sender's run that has ended with this news, if any, else the sender's own
    */
@@ -84,11 +174,11 @@
     IncarnationId before = member.incarnation();
     if (isOther(member)) {
       Known known = others.computeIfAbsent(id(member), id -> new Known(member));
-      before = known.member.incarnation();
-      if (member.incarnation().startNumber() >= before.startNumber()) {
+      if (member.incarnation().startNumber() >= known.member.incarnation().startNumber()) {
+        before = known.member.incarnation();
         known.member = member;
-        known.heardAtMillis = nowMillis;
-        known.namedAtMillis = nowMillis;
+        known.heardAtMillis = Math.max(known.heardAtMillis, nowMillis);
+        known.namedAtMillis = Math.max(known.namedAtMillis, nowMillis);
       }
     }
     named.stream().filter(this::isOther).forEach(one -> named(nowMillis, one));
@@ -127,6 +217,17 @@
         (id, known) -> known.member.incarnation().equals(incarnation) ? null : known);
   }
 
+  /**
+   * Tells whether a run is the latest one of its instance.
+   *
+   * @param incarnation the run
+   * @return false for a run that was followed by another, or of which nothing is known
+   */
+  public boolean isCurrent(IncarnationId incarnation) {
+    Known known = others.get(incarnation.instance());
+    return known != null && known.member.incarnation().equals(incarnation);
+  }
+
   /**
    * Lists the instances to send to: all that may live.
    *
@@ -143,13 +244,29 @@
    * @return the instances in the order of their names, without the own one
    */
   public List<FleetMember> live(long nowMillis) {
-    long sinceMillis = nowMillis - LIVE_INTERVALS * intervalMillis();
+    long directMillis = LIVE_INTERVALS * intervalMillis();
+    long acrossMillis = isSmall() ? directMillis : directMillis + REPRESENTATIVES * ACROSS_MILLIS;
     return others.values().stream()
-        .filter(known -> known.heardAtMillis >= sinceMillis)
+        .filter(
+            known -> {
+              boolean near = known.member.domain().equals(self.domain());
+              return nowMillis - known.heardAtMillis <= (near ? directMillis : acrossMillis);
+            })
         .map(known -> known.member)
         .toList();
   }
 
+  /**
+   * Lists the live instances of a failure domain, for one that has just come to it.
+   *
+   * @param nowMillis the time
+   * @param domain the failure domain
+   * @return the instances, the own one not included
+   */
+  public List<FleetMember> live(long nowMillis, FailureDomainId domain) {
+    return live(nowMillis).stream().filter(member -> member.domain().equals(domain)).toList();
+  }
+
   /**
    * Lists the next few of the live instances, since a message that names a large fleet is too long.
    *
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/fleet/FleetMembersTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/fleet/FleetMembersTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.InstanceId;
 
@@ -89,7 +90,64 @@
     assertThat(named.size(), is(75));
   }
 
+  @Test
+  void smallFleetHasNoRepresentatives() {
+    members.heard(0, member("one", 1, "b"), List.of());
+
+    assertThat(members.isRepresentative(0), is(true));
+    assertThat(members.direct(), contains(member("one", 1, "b")));
+    assertThat(members.across(), empty());
+  }
+
+  @Test
+  void firstTwoThatLiveSpeakForTheirDomain() {
+    largeFleet();
+    FleetMembers third = members;
+
+    assertThat(third.isRepresentative(0), is(false));
+    assertThat(third.direct().size(), is(20));
+    assertThat(third.across().size(), is(20));
+    for (int i = 0; i < 19; i++) {
+      third.left(member("m" + (10 + i), 1, "a").incarnation());
+    }
+    assertThat(third.isRepresentative(0), is(true));
+  }
+
+  @Test
+  void silentRepresentativeIsFollowedByTheNext() {
+    largeFleet();
+    long laterMillis = 10_000;
+    FleetMember next = member("m12", 1, "a");
+    members.heard(laterMillis, next, List.of());
+    members.heard(laterMillis, member("m13", 1, "a"), List.of());
+
+    assertThat(members.isRepresentative(laterMillis, next), is(true));
+    assertThat(members.isRepresentative(laterMillis, member("m10", 1, "a")), is(false));
+  }
+
+  @Test
+  void lateNewsOfAnOlderRunEndsNothing() {
+    FleetMember restarted = member("one", 2);
+    members.heard(0, restarted, List.of());
+
+    assertThat(members.heard(10, ONE, List.of()), is(ONE.incarnation()));
+    assertThat(members.isCurrent(ONE.incarnation()), is(false));
+    assertThat(members.isCurrent(restarted.incarnation()), is(true));
+  }
+
+  private void largeFleet() {
+    for (int i = 10; i < 30; i++) {
+      members.heard(0, member("m" + i, 1, "a"), List.of());
+      members.heard(0, member("n" + i, 1, "b"), List.of());
+    }
+  }
+
   private static FleetMember member(String name, long start) {
-    return new FleetMember(IncarnationId.of(InstanceId.of(name), start), "127.0.0.1", 9);
+    return member(name, start, "a");
+  }
+
+  private static FleetMember member(String name, long start, String domain) {
+    IncarnationId run = IncarnationId.of(InstanceId.of(name), start);
+    return new FleetMember(run, FailureDomainId.of(domain), "127.0.0.1", 9);
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/DirectoryAnswer.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/DirectoryAnswer.java
@@ -9,11 +9,12 @@
  * What is published, as far as the answering instance knows more than the asker.
  *
  * @param config the configuration, at most one
- * @param endpoints all endpoints, none if the asker knows as much
- * @param endpointsRevision the revision up to which they are whole, -1 if there are none
+ * @param endpoints the endpoints that have changed since the revision that was asked for
+ * @param ids the ids of all endpoints that are known
+ * @param endpointsRevision the revision up to which the list is whole, -1 if there is none
  */
 public record DirectoryAnswer(
-    List<RoutingContent> config, List<Known> endpoints, long endpointsRevision)
+    List<RoutingContent> config, List<Known> endpoints, List<String> ids, long endpointsRevision)
     implements PeerMessage {
 
   /**
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetLink.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetLink.java
@@ -1,10 +1,8 @@
 package org.knapweedcleat.router.forward.fleet;
 
 import io.smallrye.mutiny.Uni;
-import io.vertx.core.Future;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -17,9 +15,6 @@
 import org.knapweedcleat.core.balance.HealthBook;
 import org.knapweedcleat.core.balance.WorkBook;
 import org.knapweedcleat.core.config.InetAddressPort;
-import org.knapweedcleat.core.directory.EndpointEntry;
-import org.knapweedcleat.core.directory.RoutingConfig;
-import org.knapweedcleat.core.directory.RoutingContent;
 import org.knapweedcleat.core.fleet.FleetMember;
 import org.knapweedcleat.core.fleet.FleetMembers;
 import org.knapweedcleat.core.id.AccountId;
@@ -32,19 +27,23 @@
 import org.knapweedcleat.router.forward.call.ServiceBudgets;
 import org.knapweedcleat.router.forward.log.DecisionLog;
 import org.knapweedcleat.router.forward.store.PublishedDirectory;
-import org.knapweedcleat.router.forward.store.StoreWatch;
 import org.knapweedcleat.router.peer.PeerAddress;
+import org.knapweedcleat.router.peer.PeerCarrier;
 import org.knapweedcleat.router.peer.PeerHandler;
-import org.knapweedcleat.router.peer.PeerTransport;
 
-/** Tells the other instances what this one knows and does, and takes in what they tell. */
+/**
+ * Tells the other instances what this one knows and does, and takes in what they tell.
+ *
+ * <p>Who sends to whom, see {@link FleetMembers}. In a large fleet only representatives read the
+ * store; the others learn from them what is published.
+ */
 public final class FleetLink implements PeerHandler {
 
-  /** How long a question for the directory may take; a configuration can be a megabyte long. */
-  private static final long ASK_MILLIS = 1_000;
+  /** An instance that does not read the store begins to when nobody tells of it for so long. */
+  private static final long READERS_SILENT_MILLIS = 6_000;
 
-  /** An instance without contact to the store asks others when its list is this much behind. */
-  private static final long STORE_SILENT_MILLIS = 1_500;
+  /** The least time between messages when one goes early because something was published. */
+  private static final long EARLY_MILLIS = 100;
 
   private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
 
@@ -58,11 +57,16 @@
   private final ServiceBudgets budgets;
   private final LongSupplier clock;
   private final DecisionLog log;
+  private final DirectoryExchange exchange;
+  private final ReportBook reports = new ReportBook();
   private final DoubtBook doubts = DoubtBook.create();
-  private List<InetAddressPort> seeds;
-  private PeerTransport transport;
+  private List<InetAddressPort> seeds = List.of();
+  private PeerCarrier carrier;
   private long sentAtMillis = NEVER_MILLIS;
-  private long askedAtMillis = NEVER_MILLIS;
+  private long sentAcrossAtMillis = NEVER_MILLIS;
+  private long toldConfigVersion = -1;
+  private int toldEndpointsHash;
+  private long number;
   private int liveBefore = -1;
 
   private FleetLink(
@@ -77,7 +81,7 @@
     this.budgets = context.budgets();
     this.clock = context.clock();
     this.log = context.log();
-    this.seeds = List.of();
+    this.exchange = new DirectoryExchange(directory, log);
   }
 
   /**
@@ -97,10 +101,10 @@
   /**
    * Sets what carries the messages.
    *
-   * @param carrier the transport
+   * @param transport the carrier
    */
-  public void transport(PeerTransport carrier) {
-    transport = carrier;
+  public void carrier(PeerCarrier transport) {
+    carrier = transport;
   }
 
   /**
@@ -113,41 +117,40 @@
   }
 
   /**
-   * Begins to listen for other instances.
+   * Tells whether this instance reads the store.
    *
-   * @param address where
-   * @return the bound port
+   * @return false while representatives of a large fleet read for it
    */
-  public Future<Integer> listen(InetAddressPort address) {
-    return transport.listen(address.host(), address.port());
+  public boolean readsStore() {
+    return !directory.isKnown()
+        || members.isRepresentative(clock.getAsLong())
+        || directory.storeAgeMillis() > READERS_SILENT_MILLIS;
   }
 
   /** Sends news when it is time; to be called several times in each interval. */
   public void tick() {
     long nowMillis = clock.getAsLong();
-    if (nowMillis - sentAtMillis < members.intervalMillis()) {
+    long passedMillis = nowMillis - sentAtMillis;
+    boolean early = passedMillis >= EARLY_MILLIS && !members.isSmall() && hasPublishedNews();
+    if (passedMillis < members.intervalMillis() && !early) {
       return;
     }
     sentAtMillis = nowMillis;
+    toldConfigVersion = exchange.configVersion();
+    toldEndpointsHash = exchange.endpointsHash();
     members.forget(nowMillis).forEach(this::ended);
-    List<FleetMember> live = members.live(nowMillis);
-    int known = members.possible().size() + 1;
-    quota.fleet(live.size() + 1, known);
-    budgets.fleetSize(known);
-    if (live.size() != liveBefore) {
-      log.belief("fleet.live", "live", live.size() + 1, "known", known);
-      liveBefore = live.size();
-    }
-    FleetNews news = news(false, members.nextNamed(nowMillis));
-    members.possible().forEach(member -> send(member, news));
+    countFleet(nowMillis);
+    FleetNews news = news(false, List.of(ownReport()), members.nextNamed(nowMillis));
+    members.direct().forEach(member -> send(member, news));
     seeds.stream()
         .filter(seed -> !members.isKnown(seed.toString()))
-        .forEach(seed -> transport.send(seedAddress(seed), news));
+        .forEach(seed -> carrier.send(seedAddress(seed), news));
+    sendAcross(nowMillis);
   }
 
   /** Tells the others that this instance ends. */
   public void leave() {
-    FleetNews news = news(true, List.of());
+    FleetNews news = news(true, List.of(), List.of());
     members.possible().forEach(member -> send(member, news));
   }
 
@@ -161,11 +164,42 @@
   @Override
   public Uni<PeerMessage> onQuestion(IncarnationId from, PeerMessage question) {
     if (question instanceof DirectoryQuestion asked) {
-      return Uni.createFrom().item(answer(asked));
+      return Uni.createFrom().item(exchange.answer(asked));
     }
     return Uni.createFrom().failure(new IllegalArgumentException("not a question for " + self));
   }
 
+  private void countFleet(long nowMillis) {
+    int live = members.live(nowMillis).size() + 1;
+    int known = members.possible().size() + 1;
+    quota.fleet(live, known);
+    budgets.fleetSize(known);
+    if (live != liveBefore) {
+      log.belief("fleet.live", "live", live, "known", known);
+      liveBefore = live;
+    }
+  }
+
+  /** Tells whether this instance learned from the store what others wait for. */
+  private boolean hasPublishedNews() {
+    return readsStore()
+        && (exchange.configVersion() != toldConfigVersion
+            || exchange.endpointsHash() != toldEndpointsHash);
+  }
+
+  private void sendAcross(long nowMillis) {
+    if (members.isSmall()
+        || !members.isRepresentative(nowMillis)
+        || nowMillis - sentAcrossAtMillis < members.acrossMillis()) {
+      return;
+    }
+    sentAcrossAtMillis = nowMillis;
+    List<MemberReport> told = new ArrayList<>(List.of(ownReport()));
+    told.addAll(reports.of(nowMillis, members.live(nowMillis, self.domain())));
+    FleetNews news = news(false, told, List.of());
+    members.across().forEach(member -> send(member, news));
+  }
+
   private void onNews(IncarnationId from, FleetNews news) {
     long nowMillis = clock.getAsLong();
     if (news.ends()) {
@@ -174,21 +208,47 @@
       return;
     }
     if (!members.isKnown(news.sender().address())) {
-      send(news.sender(), news(false, members.nextNamed(nowMillis)));
+      introduce(nowMillis, news.sender());
+    }
+    news.reports().forEach(report -> take(nowMillis, report));
+    members.heard(nowMillis, news.sender(), news.heard());
+    if (news.configVersion() <= exchange.configVersion()
+        && news.endpointsRevision() <= exchange.endpointsRevision()) {
+      directory.heardContact(news.storeAgeMillis());
+    }
+    hearDoubts(nowMillis, from, news);
+    if (isAnswerable(nowMillis, news.sender())) {
+      exchange.askIfBehind(nowMillis, news, readsStore(), address(news.sender()), carrier);
+    }
+  }
+
+  /** Names to a new instance those of its failure domain, with which it will exchange news. */
+  private void introduce(long nowMillis, FleetMember newcomer) {
+    List<FleetMember> named = new ArrayList<>(members.live(nowMillis, newcomer.domain()));
+    named.addAll(members.nextNamed(nowMillis));
+    send(newcomer, news(false, List.of(ownReport()), named));
+  }
+
+  private void take(long nowMillis, MemberReport report) {
+    IncarnationId run = report.member().incarnation();
+    if (run.instance().equals(self.incarnation().instance()) || !reports.take(nowMillis, report)) {
+      return;
     }
-    IncarnationId before = members.heard(nowMillis, news.sender(), news.heard());
-    if (!before.equals(from)) {
+    long toldAtMillis = nowMillis - report.ageMillis();
+    IncarnationId before = members.heard(toldAtMillis, report.member(), List.of());
+    if (!before.equals(run)) {
       ended(before);
     }
+    if (!members.isCurrent(run)) {
+      return;
+    }
     Map<AccountId, Long> spent = new HashMap<>();
-    news.spent().forEach((account, units) -> spent.put(AccountId.of(account), units));
-    boolean isYounger = from.startNumber() > self.incarnation().startNumber();
-    quota.heard(nowMillis, from.toString(), isYounger, spent);
+    report.spent().forEach((account, units) -> spent.put(AccountId.of(account), units));
+    boolean isYounger = run.startNumber() > self.incarnation().startNumber();
+    quota.heard(nowMillis, run.toString(), isYounger, spent);
     Map<EndpointId, EndpointWork> told = new HashMap<>();
-    news.work().forEach((endpoint, load) -> told.put(EndpointId.of(endpoint), load));
-    work.told(from.toString(), nowMillis, told);
-    hearDoubts(nowMillis, from, news);
-    askIfBehind(nowMillis, from, news);
+    report.work().forEach((endpoint, load) -> told.put(EndpointId.of(endpoint), load));
+    work.told(run.toString(), toldAtMillis, told);
   }
 
   /**
@@ -199,97 +259,50 @@
     Set<EndpointId> told =
         news.unreachable().stream().map(EndpointId::of).collect(Collectors.toSet());
     Set<EndpointId> lost = doubts.told(from, told);
-    if (domains.toOwn(news.domain()) != Distance.OTHER_REGION) {
+    if (domains.toOwn(news.sender().domain()) != Distance.OTHER_REGION) {
       lost.forEach(endpoint -> health.of(endpoint).doubted(nowMillis));
     }
   }
 
+  /** Leaves questions to the own failure domain while a representative of it can be asked. */
+  private boolean isAnswerable(long nowMillis, FleetMember sender) {
+    boolean near = sender.domain().equals(self.domain());
+    return members.isSmall()
+        || !directory.isKnown()
+        || near
+        || members.live(nowMillis, self.domain()).isEmpty();
+  }
+
   private void ended(IncarnationId run) {
+    reports.ended(run);
     doubts.ended(run);
     quota.ended(run.toString());
     work.ended(run.toString());
   }
 
-  private void askIfBehind(long nowMillis, IncarnationId from, FleetNews news) {
-    boolean config = news.configVersion() > configVersion();
-    boolean endpoints =
-        news.endpointsRevision() > endpointsRevision()
-            && directory.storeAgeMillis() > STORE_SILENT_MILLIS + watchMillis();
-    if ((!config && !endpoints) || nowMillis - askedAtMillis < ASK_MILLIS / 2) {
-      return;
-    }
-    askedAtMillis = nowMillis;
-    DirectoryQuestion question =
-        new DirectoryQuestion(configVersion(), endpoints ? endpointsRevision() : Long.MAX_VALUE);
-    transport
-        .ask(address(news.sender()), from, question, ASK_MILLIS)
-        .subscribe()
-        .with(
-            this::learn,
-            failure -> log.belief("peer.unanswered", "peer", from, "why", failure.getMessage()));
-  }
-
-  /** A watch that waits says nothing for this long although the store is there. */
-  private long watchMillis() {
-    return directory.isKnown() ? StoreWatch.WAIT_MILLIS : 0;
-  }
-
-  private void learn(PeerMessage message) {
-    if (message instanceof DirectoryAnswer answer) {
-      answer.config().forEach(directory::learnConfig);
-      if (answer.endpointsRevision() > endpointsRevision()) {
-        Map<EndpointEntry, Long> entries = new LinkedHashMap<>();
-        answer.endpoints().forEach(known -> entries.put(known.entry(), known.revision()));
-        directory.learnEndpoints(entries, answer.endpointsRevision());
-      }
-    }
-  }
-
-  private DirectoryAnswer answer(DirectoryQuestion asked) {
-    List<RoutingContent> config = new ArrayList<>();
-    directory
-        .config()
-        .filter(own -> own.version() > asked.configVersion())
-        .ifPresent(own -> config.add(own.content()));
-    List<DirectoryAnswer.Known> endpoints = new ArrayList<>();
-    if (endpointsRevision() <= asked.endpointsRevision()) {
-      return new DirectoryAnswer(config, endpoints, -1);
-    }
-    directory
-        .endpoints()
-        .all()
-        .forEach((entry, revision) -> endpoints.add(new DirectoryAnswer.Known(entry, revision)));
-    return new DirectoryAnswer(config, endpoints, endpointsRevision());
-  }
-
-  private FleetNews news(boolean ends, List<FleetMember> live) {
+  private MemberReport ownReport() {
     Map<String, Long> spent = new HashMap<>();
     quota.spent().forEach((account, units) -> spent.put(account.value(), units));
-    List<String> unreachable = health.foundUnreachable().stream().map(EndpointId::value).toList();
     Map<String, EndpointWork> own = new HashMap<>();
     work.own().forEach((endpoint, load) -> own.put(endpoint.value(), load));
+    return new MemberReport(self, ++number, 0, spent, own);
+  }
+
+  private FleetNews news(boolean ends, List<MemberReport> told, List<FleetMember> named) {
     return new FleetNews(
         self,
-        domains.own(),
         ends,
-        live,
-        configVersion(),
-        endpointsRevision(),
-        spent,
-        unreachable,
-        own);
-  }
-
-  private long configVersion() {
-    return directory.config().map(RoutingConfig::version).orElse(-1L);
-  }
-
-  private long endpointsRevision() {
-    return directory.isKnown() ? directory.endpoints().revision() : -1;
+        told,
+        named,
+        exchange.configVersion(),
+        exchange.endpointsRevision(),
+        exchange.endpointsHash(),
+        directory.storeAgeMillis(),
+        health.foundUnreachable().stream().map(EndpointId::value).toList());
   }
 
   private void send(FleetMember member, FleetNews news) {
-    transport.send(address(member), member.incarnation(), news);
+    carrier.send(address(member), member.incarnation(), news);
   }
 
   private static PeerAddress address(FleetMember member) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -4,6 +4,8 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.knapweedcleat.core.balance.DomainMap;
@@ -46,7 +48,7 @@
   private static final long TICK_MILLIS = 20;
 
   /** How long other instances' reports of their work count; several intervals. */
-  private static final long WORK_AGE_MILLIS = 1_500;
+  private static final long WORK_AGE_MILLIS = 2_500;
 
   /** After this the platform's balancer sends no new connections; it asks once a second. */
   private static final long LEAVING_MILLIS = 2_600;
@@ -71,6 +73,8 @@
   private final Closer closer = Closer.create();
   private final PublishedDirectory directory;
   private final FleetLink fleet;
+  private final PeerTransport peers;
+  private final List<StoreWatch> watches = new ArrayList<>();
   private final StageKeeper stages;
   private final ReachCheck reach;
   private final ForwardDesk desk;
@@ -120,7 +124,8 @@
             desk,
             this::rejected);
     FleetMember self =
-        new FleetMember(incarnation, settings.peers().host(), settings.peers().port());
+        new FleetMember(
+            incarnation, settings.domain(), settings.peers().host(), settings.peers().port());
     FleetMembers members = FleetMembers.of(self, settings.discovery().gossipMillis());
     this.fleet = FleetLink.of(self, members, domains, context);
     this.reach = ReachCheck.of(context);
@@ -134,8 +139,9 @@
                 settings.bounds().prefillPart(), entry -> settings.regions().get(entry.domain())),
             System::currentTimeMillis);
     fleet.seeds(settings.discovery().seeds());
-    fleet.transport(
-        PeerTransport.create(vertx, new Hello(incarnation, settings.domain()), metrics, fleet));
+    this.peers =
+        PeerTransport.create(vertx, new Hello(incarnation, settings.domain()), metrics, fleet);
+    fleet.carrier(peers);
   }
 
   /**
@@ -197,13 +203,14 @@
     closer.add(metricsServer::close);
     for (PublishedKind kind : PublishedKind.values()) {
       StoreWatch watch = StoreWatch.of(vertx, store, kind, directory);
+      watches.add(watch);
       closer.add(watch::close);
       watch.start();
     }
     long timer = vertx.setPeriodic(TICK_MILLIS, tick -> tick());
     closer.add(() -> vertx.cancelTimer(timer));
-    return fleet
-        .listen(settings.peers())
+    return peers
+        .listen(settings.peers().host(), settings.peers().port())
         .compose(
             port -> {
               tick();
@@ -222,6 +229,8 @@
   private void tick() {
     directory.tick();
     fleet.tick();
+    boolean rests = !fleet.readsStore();
+    watches.forEach(watch -> watch.rest(rests));
     stages.tick();
     reach.tick();
   }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/PublishedDirectory.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/PublishedDirectory.java
@@ -5,9 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.LongSupplier;
-import java.util.stream.Collectors;
 import org.knapweedcleat.core.directory.EndpointDirectory;
 import org.knapweedcleat.core.directory.EndpointEntry;
 import org.knapweedcleat.core.directory.RoutingConfig;
@@ -36,6 +34,7 @@
   private Optional<RoutingConfig> config = Optional.empty();
   private boolean listedEndpoints;
   private long lostSinceMillis = -1;
+  private long ownContactAtMillis = Long.MIN_VALUE / 2;
   private long contactAtMillis = Long.MIN_VALUE / 2;
   private long lapseUntilMillis = Long.MIN_VALUE;
 
@@ -83,7 +82,16 @@
   }
 
   /**
-   * Returns how long ago the store last answered.
+   * Returns how long ago the store last answered this instance.
+   *
+   * @return milliseconds
+   */
+  public long ownStoreAgeMillis() {
+    return clock.getAsLong() - ownContactAtMillis;
+  }
+
+  /**
+   * Returns how long ago the store last answered, also another instance that knows no more.
    *
    * @return milliseconds
    */
@@ -91,6 +99,15 @@
     return clock.getAsLong() - contactAtMillis;
   }
 
+  /**
+   * Takes another instance's word on when the store last answered.
+   *
+   * @param ageMillis how long ago that was
+   */
+  public void heardContact(long ageMillis) {
+    contactAtMillis = Math.max(contactAtMillis, clock.getAsLong() - ageMillis);
+  }
+
   /** Removes endpoints whose entries have not come back in time. */
   public void tick() {
     long nowMillis = clock.getAsLong();
@@ -114,13 +131,12 @@
   /**
    * Takes the endpoints that another instance knows.
    *
-   * @param entries the endpoints with the revision of their last change
-   * @param at the revision up to which the list is whole
+   * @param entries endpoints that have changed, with the revision of their last change
+   * @param ids all endpoints that the other instance knows
+   * @param at the revision up to which its list is whole
    */
-  public void learnEndpoints(Map<EndpointEntry, Long> entries, long at) {
+  public void learnEndpoints(Map<EndpointEntry, Long> entries, List<EndpointId> ids, long at) {
     entries.forEach(this::put);
-    Set<EndpointId> ids =
-        entries.keySet().stream().map(EndpointEntry::id).collect(Collectors.toSet());
     endpoints.missing(ids, at).forEach(id -> remove(id, at));
     endpoints.advance(at);
     listedEndpoints = true;
@@ -166,6 +182,7 @@
   private void regained(PublishedKind kind) {
     long nowMillis = clock.getAsLong();
     contactAtMillis = nowMillis;
+    ownContactAtMillis = nowMillis;
     if (lostSinceMillis >= 0) {
       long awayMillis = nowMillis - lostSinceMillis;
       log.belief("store.regained", "kind", kind, "awayMillis", awayMillis);
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/StoreWatch.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/StoreWatch.java
@@ -28,6 +28,8 @@
   private long revision = -1;
   private long pauseMillis = FIRST_PAUSE_MILLIS;
   private boolean closed;
+  private boolean idle;
+  private boolean waits;
 
   private StoreWatch(
       Vertx vertx, PublishedStore store, PublishedKind kind, DirectoryListener listener) {
@@ -56,6 +58,19 @@
     step();
   }
 
+  /**
+   * Lets the watch rest while other instances tell what changes, or go on.
+   *
+   * @param rests whether it asks nothing
+   */
+  public void rest(boolean rests) {
+    idle = rests;
+    if (waits && !idle) {
+      waits = false;
+      step();
+    }
+  }
+
   /** Ends. */
   public void close() {
     closed = true;
@@ -65,6 +80,10 @@
     if (closed) {
       return;
     }
+    if (idle) {
+      waits = true;
+      return;
+    }
     Future<Void> done = revision < 0 ? listAll() : watchOnce();
     done.onSuccess(
             ignored -> {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerTransport.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerTransport.java
@@ -22,7 +22,7 @@
  * <p>Messages may be lost and may arrive in another order than they were sent over different
  * connections; they are never changed and never reach another incarnation than the one named.
  */
-public final class PeerTransport {
+public final class PeerTransport implements PeerCarrier {
 
   private static final int CONNECT_TIMEOUT_MILLIS = 1000;
 
@@ -73,37 +73,17 @@
     return server.listen(port, host).map(NetServer::actualPort);
   }
 
-  /**
-   * Sends a message to whichever incarnation runs at an address.
-   *
-   * @param address where to
-   * @param message the message
-   */
+  @Override
   public void send(PeerAddress address, PeerMessage message) {
     link(address).send(null, message);
   }
 
-  /**
-   * Sends a message to one incarnation.
-   *
-   * @param address where to
-   * @param target the only incarnation that shall get it
-   * @param message the message
-   */
+  @Override
   public void send(PeerAddress address, IncarnationId target, PeerMessage message) {
     link(address).send(target, message);
   }
 
-  /**
-   * Asks one incarnation.
-   *
-   * @param address where to
-   * @param target the only incarnation that shall get the question
-   * @param question the question
-   * @param timeoutMillis how long to wait for the answer
-   * @return the answer; fails with {@link
-   *     org.knapweedcleat.router.gate.InstanceUnreachableException}
-   */
+  @Override
   public Uni<PeerMessage> ask(
       PeerAddress address, IncarnationId target, PeerMessage question, long timeoutMillis) {
     return link(address).ask(target, question, timeoutMillis);
--- /dev/null
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/FakeFleet.java
@@ -0,0 +1,210 @@
+package org.knapweedcleat.router.forward.fleet;
+
+import com.codahale.metrics.MetricRegistry;
+import io.smallrye.mutiny.Uni;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import org.knapweedcleat.core.balance.DomainMap;
+import org.knapweedcleat.core.balance.HealthBook;
+import org.knapweedcleat.core.balance.WorkBook;
+import org.knapweedcleat.core.config.ForwarderSettings;
+import org.knapweedcleat.core.config.InetAddressPort;
+import org.knapweedcleat.core.fleet.FleetMember;
+import org.knapweedcleat.core.fleet.FleetMembers;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.InstanceId;
+import org.knapweedcleat.core.id.RegionId;
+import org.knapweedcleat.core.message.PeerMessage;
+import org.knapweedcleat.core.quota.FleetQuota;
+import org.knapweedcleat.core.quota.QuotaTolerance;
+import org.knapweedcleat.router.forward.call.ForwardContext;
+import org.knapweedcleat.router.forward.call.ServiceBudgets;
+import org.knapweedcleat.router.forward.log.DecisionLog;
+import org.knapweedcleat.router.forward.store.PublishedDirectory;
+import org.knapweedcleat.router.forward.store.PublishedKind;
+import org.knapweedcleat.router.peer.PeerAddress;
+import org.knapweedcleat.router.peer.PeerCarrier;
+import org.knapweedcleat.router.peer.PeerCodec;
+
+/** Instances of a fleet that exchange news over a simulated network in simulated time. */
+final class FakeFleet {
+
+  private static final long TICK_MILLIS = 20;
+  private static final int NEAR_MILLIS = 1;
+  private static final int REGION_MILLIS = 30;
+
+  /** The headers of a packet and of its acknowledgement. */
+  private static final int PACKET_BYTES = 80;
+
+  private final PeerCodec codec = PeerCodec.create();
+  private final Map<InstanceId, Node> nodes = new LinkedHashMap<>();
+  private final Set<InstanceId> dead = new HashSet<>();
+  private final PriorityQueue<Delivery> deliveries =
+      new PriorityQueue<>((one, other) -> Long.compare(one.atMillis(), other.atMillis()));
+  private final Map<FailureDomainId, RegionId> regions = new LinkedHashMap<>();
+  private long nowMillis = 1_000_000;
+  private long messages;
+  private long bytesBetweenRegions;
+
+  private record Delivery(long atMillis, Runnable action) {}
+
+  /** One instance with what its link works on. */
+  static final class Node {
+    final FleetMember self;
+    final FleetMembers members;
+    final PublishedDirectory directory;
+    final WorkBook work = WorkBook.of(2_500);
+    final FleetQuota quota = FleetQuota.of(QuotaTolerance.NONE);
+    final FleetLink link;
+
+    Node(FakeFleet fleet, FleetMember self, List<InetAddressPort> seeds) {
+      this.self = self;
+      this.members = FleetMembers.of(self, 200);
+      MetricRegistry metrics = new MetricRegistry();
+      DecisionLog log = DecisionLog.of(() -> fleet.nowMillis, metrics);
+      this.directory = PublishedDirectory.of(() -> fleet.nowMillis, log);
+      ForwarderSettings.Bounds bounds =
+          new ForwarderSettings.Bounds(8_000, 0.2, 10_000, 100, 0, 0, 0.27);
+      ForwardContext context =
+          new ForwardContext(
+              null,
+              () -> fleet.nowMillis,
+              () -> 0.5,
+              null,
+              directory,
+              null,
+              work,
+              HealthBook.create(),
+              quota,
+              ServiceBudgets.of(bounds),
+              null,
+              null,
+              log,
+              metrics);
+      this.link = FleetLink.of(self, members, DomainMap.of(self.domain(), fleet.regions), context);
+      link.seeds(seeds);
+      link.carrier(fleet.new Carrier(self));
+    }
+  }
+
+  private final class Carrier implements PeerCarrier {
+    private final FleetMember from;
+
+    Carrier(FleetMember from) {
+      this.from = from;
+    }
+
+    @Override
+    public void send(PeerAddress address, PeerMessage message) {
+      node(address).ifPresent(to -> deliver(to, message));
+    }
+
+    @Override
+    public void send(PeerAddress address, IncarnationId target, PeerMessage message) {
+      send(address, message);
+    }
+
+    @Override
+    public Uni<PeerMessage> ask(
+        PeerAddress address, IncarnationId target, PeerMessage question, long timeoutMillis) {
+      return node(address)
+          .filter(to -> !dead.contains(to.self.incarnation().instance()))
+          .map(to -> to.link.onQuestion(from.incarnation(), question))
+          .orElseGet(() -> Uni.createFrom().failure(new IllegalStateException("no answer")));
+    }
+
+    private java.util.Optional<Node> node(PeerAddress address) {
+      return nodes.values().stream()
+          .filter(one -> one.self.host().equals(address.host()))
+          .findFirst();
+    }
+
+    private void deliver(Node to, PeerMessage message) {
+      messages++;
+      boolean far = !regions.get(from.domain()).equals(regions.get(to.self.domain()));
+      byte[] body = codec.encodeBody(message);
+      if (far) {
+        bytesBetweenRegions += body.length + PACKET_BYTES;
+      }
+      PeerMessage arrived = codec.decodeBody(body).get();
+      Runnable action =
+          () -> {
+            if (!dead.contains(to.self.incarnation().instance())) {
+              to.link.onMessage(from.incarnation(), arrived);
+            }
+          };
+      deliveries.add(new Delivery(nowMillis + (far ? REGION_MILLIS : NEAR_MILLIS), action));
+    }
+  }
+
+  /** Makes a fleet; its first three instances are the seeds. */
+  static FakeFleet of(int instances, String... domains) {
+    FakeFleet fleet = new FakeFleet();
+    for (int i = 0; i < domains.length; i++) {
+      RegionId region = RegionId.of(i < (domains.length + 1) / 2 ? "near" : "far");
+      fleet.regions.put(FailureDomainId.of(domains[i]), region);
+    }
+    List<InetAddressPort> seeds = new ArrayList<>();
+    for (int i = 0; i < instances; i++) {
+      FailureDomainId domain = FailureDomainId.of(domains[i % domains.length]);
+      InstanceId id = InstanceId.of("front-" + domain + "-" + i);
+      FleetMember self =
+          new FleetMember(IncarnationId.of(id, 1_000 + i), domain, "10.1.0." + i, 8_229);
+      if (i < 3) {
+        seeds.add(new InetAddressPort(self.host(), self.port()));
+      }
+      fleet.nodes.put(id, new Node(fleet, self, seeds));
+    }
+    return fleet;
+  }
+
+  List<Node> living() {
+    return nodes.values().stream()
+        .filter(node -> !dead.contains(node.self.incarnation().instance()))
+        .toList();
+  }
+
+  void kill(Node node) {
+    dead.add(node.self.incarnation().instance());
+  }
+
+  void run(long millis) {
+    long endMillis = nowMillis + millis;
+    while (nowMillis < endMillis) {
+      living().forEach(this::tick);
+      long nextMillis = nowMillis + TICK_MILLIS;
+      while (!deliveries.isEmpty() && deliveries.peek().atMillis() <= nextMillis) {
+        Delivery next = deliveries.poll();
+        nowMillis = Math.max(nowMillis, next.atMillis());
+        next.action().run();
+      }
+      nowMillis = nextMillis;
+    }
+  }
+
+  /** Lets an instance act; the store answers those that read it. */
+  private void tick(Node node) {
+    if (node.link.readsStore()) {
+      node.directory.changed(PublishedKind.CONFIG, List.of(), 0);
+    }
+    node.link.tick();
+  }
+
+  long nowMillis() {
+    return nowMillis;
+  }
+
+  long messages() {
+    return messages;
+  }
+
+  long bytesBetweenRegions() {
+    return bytesBetweenRegions;
+  }
+}
--- /dev/null
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/LargeFleetTest.java
@@ -0,0 +1,141 @@
+package org.knapweedcleat.router.forward.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.knapweedcleat.core.balance.EndpointWork;
+import org.knapweedcleat.core.directory.CallerBounds;
+import org.knapweedcleat.core.directory.EndpointEntry;
+import org.knapweedcleat.core.directory.EndpointStage;
+import org.knapweedcleat.core.directory.RoutingContent;
+import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.ServiceId;
+import org.knapweedcleat.router.forward.fleet.FakeFleet.Node;
+import org.knapweedcleat.router.forward.store.PublishedItem;
+import org.knapweedcleat.router.forward.store.PublishedKind;
+
+/** The pattern: many small instances in two regions with a narrow link between them. */
+class LargeFleetTest {
+
+  private static final int INSTANCES = 75;
+  private static final long JOIN_MILLIS = 6_000;
+
+  /** The narrowest link between regions of a large deployment, each way. */
+  private static final double REGION_BITS_PER_SECOND = 42_000_000;
+
+  /** The part of that link which news may take; calls and answers need the rest. */
+  private static final double NEWS_PART = 0.25;
+
+  /** Half of what gossip to all would send, whose time the small instances lack. */
+  private static final long MESSAGES_PER_SECOND = 3_750;
+
+  private static final EndpointId ENGINE = EndpointId.of("i-1");
+
+  private final FakeFleet fleet = FakeFleet.of(INSTANCES, "a", "b", "c", "d", "e", "f");
+
+  @BeforeEach
+  void publish() {
+    fleet.living().forEach(node -> list(node, List.of(item("i-1", 5)), 5));
+    fleet.run(JOIN_MILLIS);
+  }
+
+  @Test
+  void allKnowAllFromThreeSeeds() {
+    for (Node node : fleet.living()) {
+      assertThat(node.members.live(fleet.nowMillis()).size(), is(INSTANCES - 1));
+    }
+  }
+
+  @Test
+  void newsIsFewAndLeavesRoomBetweenRegions() {
+    long messages = fleet.messages();
+    long bytes = fleet.bytesBetweenRegions();
+    fleet.run(10_000);
+
+    double bothWaysBits = (fleet.bytesBetweenRegions() - bytes) * 8 / 10.0;
+    assertThat((fleet.messages() - messages) / 10, lessThan(MESSAGES_PER_SECOND));
+    assertThat(bothWaysBits / 2, lessThan(REGION_BITS_PER_SECOND * NEWS_PART));
+  }
+
+  @Test
+  void workOfEachInstanceIsKnownEverywhere() {
+    fleet.living().forEach(node -> node.work.begin(ENGINE, new EndpointWork(1, 0, 100)));
+    fleet.run(2_500);
+
+    for (Node node : fleet.living()) {
+      assertThat(node.work.at(ENGINE, fleet.nowMillis()).calls(), is(INSTANCES));
+    }
+  }
+
+  @Test
+  void twoInstancesOfEachDomainReadTheStore() {
+    long readers = fleet.living().stream().filter(node -> node.link.readsStore()).count();
+
+    assertThat(readers, lessThanOrEqualTo(12L));
+    assertThat(readers, greaterThan(0L));
+  }
+
+  @Test
+  void whatReadersLearnReachesAllInTime() {
+    readers().forEach(node -> change(node, item("i-2", 9), 9));
+    fleet.run(1_000);
+
+    for (Node node : fleet.living()) {
+      assertThat(node.directory.endpoints().find(EndpointId.of("i-2")).isPresent(), is(true));
+    }
+    readers()
+        .forEach(node -> change(node, new PublishedItem.Removed(EndpointId.of("i-2"), 12), 12));
+    fleet.run(1_000);
+    for (Node node : fleet.living()) {
+      assertThat(node.directory.endpoints().find(EndpointId.of("i-2")).isPresent(), is(false));
+    }
+  }
+
+  @Test
+  void othersReadTheStoreAfterAllReadersAreKilled() {
+    readers().forEach(fleet::kill);
+    fleet.run(5_000);
+
+    assertThat(readers().size(), is(12));
+    for (Node node : fleet.living()) {
+      assertThat(node.members.live(fleet.nowMillis()).size(), is(INSTANCES - 12 - 1));
+    }
+  }
+
+  private List<Node> readers() {
+    return fleet.living().stream().filter(node -> node.link.readsStore()).toList();
+  }
+
+  private static void list(Node node, List<PublishedItem> items, long at) {
+    RoutingContent config =
+        new RoutingContent(1, List.of(), List.of(), false, List.of(), CallerBounds.INITIAL);
+    node.directory.listed(PublishedKind.CONFIG, List.of(new PublishedItem.Config(config, at)), at);
+    node.directory.listed(PublishedKind.ENDPOINTS, items, at);
+  }
+
+  private static void change(Node node, PublishedItem item, long at) {
+    node.directory.changed(PublishedKind.ENDPOINTS, List.of(item), at);
+  }
+
+  private static PublishedItem item(String id, long revision) {
+    EndpointEntry entry =
+        new EndpointEntry(
+            EndpointId.of(id),
+            1,
+            ServiceId.of("notes"),
+            "10.2.0.1",
+            80,
+            FailureDomainId.of("a"),
+            EndpointStage.DECODE,
+            64,
+            false);
+    return new PublishedItem.Endpoint(entry, revision);
+  }
+}
