Let representatives that are cut off from the store ask other failure domains

Cause: found on reading the change before: instances with live neighbours asked only those, also when nobody in the failure domain could read the store. Test: LargeFleetTest.domainThatIsCutFromTheStoreLearnsFromOthers, seen failing first.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetLink.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetLink.java
@@ -217,7 +217,7 @@
       directory.heardContact(news.storeAgeMillis());
     }
     hearDoubts(nowMillis, from, news);
-    if (isAnswerable(nowMillis, news.sender())) {
+    if (mayAsk(nowMillis, news.sender())) {
       exchange.askIfBehind(nowMillis, news, readsStore(), address(news.sender()), carrier);
     }
   }
@@ -264,12 +264,10 @@
     }
   }
 
-  /** Leaves questions to the own failure domain while a representative of it can be asked. */
-  private boolean isAnswerable(long nowMillis, FleetMember sender) {
-    boolean near = sender.domain().equals(self.domain());
-    return members.isSmall()
-        || !directory.isKnown()
-        || near
+  /** Those that do not read the store ask their own failure domain while it has live instances. */
+  private boolean mayAsk(long nowMillis, FleetMember sender) {
+    return readsStore()
+        || sender.domain().equals(self.domain())
         || members.live(nowMillis, self.domain()).isEmpty();
   }
 
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/FakeFleet.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/FakeFleet.java
@@ -45,6 +45,7 @@
   private final PeerCodec codec = PeerCodec.create();
   private final Map<InstanceId, Node> nodes = new LinkedHashMap<>();
   private final Set<InstanceId> dead = new HashSet<>();
+  private final Set<FailureDomainId> cutFromStore = new HashSet<>();
   private final PriorityQueue<Delivery> deliveries =
       new PriorityQueue<>((one, other) -> Long.compare(one.atMillis(), other.atMillis()));
   private final Map<FailureDomainId, RegionId> regions = new LinkedHashMap<>();
@@ -174,6 +175,10 @@
     dead.add(node.self.incarnation().instance());
   }
 
+  void cutFromStore(FailureDomainId domain) {
+    cutFromStore.add(domain);
+  }
+
   void run(long millis) {
     long endMillis = nowMillis + millis;
     while (nowMillis < endMillis) {
@@ -190,7 +195,7 @@
 
   /** Lets an instance act; the store answers those that read it. */
   private void tick(Node node) {
-    if (node.link.readsStore()) {
+    if (node.link.readsStore() && !cutFromStore.contains(node.self.domain())) {
       node.directory.changed(PublishedKind.CONFIG, List.of(), 0);
     }
     node.link.tick();
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/LargeFleetTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/LargeFleetTest.java
@@ -98,6 +98,21 @@
     }
   }
 
+  @Test
+  void domainThatIsCutFromTheStoreLearnsFromOthers() {
+    FailureDomainId cut = FailureDomainId.of("f");
+    fleet.cutFromStore(cut);
+    fleet.run(5_000);
+    readers().stream()
+        .filter(node -> !node.self.domain().equals(cut))
+        .forEach(node -> change(node, item("i-2", 9), 9));
+    fleet.run(4_000);
+
+    for (Node node : fleet.living()) {
+      assertThat(node.directory.endpoints().find(EndpointId.of("i-2")).isPresent(), is(true));
+    }
+  }
+
   @Test
   void othersReadTheStoreAfterAllReadersAreKilled() {
     readers().forEach(fleet::kill);
