--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -45,7 +45,7 @@
 /** One run of a forwarding instance: all its parts on one event loop. */
 public final class ForwarderNode {
 
-  private static final long TICK_MILLIS = 20;
+  private static final long TICK_MILLIS = 50;
 
   /** How long other instances' reports of their work count; several intervals. */
   private static final long WORK_AGE_MILLIS = 2_500;
