--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
@@ -191,14 +191,14 @@
     long ahead = work.at(entry.id(), nowMillis).promptTokens();
     return speed(entry.service()).prefillMillis(ahead + promptTokens)
         + domains.toOwn(entry.domain()).roundTripMillis()
-        + FAILURE_MILLIS * health.of(entry.id()).failureShare();
+        + FAILURE_MILLIS * health.of(entry.id()).failureShare(nowMillis);
   }
 
   private double decodeMillis(long nowMillis, EndpointEntry entry, EngineProfile profile) {
     EndpointWork there = work.at(entry.id(), nowMillis);
     return FULL_ENGINE_MILLIS * fill(there, profile)
         + domains.toOwn(entry.domain()).roundTripMillis()
-        + FAILURE_MILLIS * health.of(entry.id()).failureShare();
+        + FAILURE_MILLIS * health.of(entry.id()).failureShare(nowMillis);
   }
 
   /** Returns the part of an engine's memory that is taken. */
@@ -215,7 +215,7 @@
         entry ->
             millis.applyAsDouble(entry)
                 + domains.toOwn(entry.domain()).roundTripMillis()
-                + FAILURE_MILLIS * health.of(entry.id()).failureShare();
+                + FAILURE_MILLIS * health.of(entry.id()).failureShare(nowMillis);
     return ranked(nowMillis, candidates, tried, whole).stream().findFirst();
   }
 
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointHealth.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointHealth.java
@@ -25,6 +25,12 @@
   /** How much the newest outcome counts in the share of failures. */
   private static final double OUTCOME_WEIGHT = 0.15;
 
+  /**
+   * The time in which the share of failures halves by itself, so that an endpoint that gets no
+   * calls for its failures gets some again; impairments mostly last a few times as long.
+   */
+  private static final double FORGET_MILLIS = 2_000;
+
   /** A share of failures above this is worse than a detour to another region. */
   private static final double MAX_FAILURE_SHARE = 0.25;
 
@@ -36,6 +42,7 @@
 
   private int failuresInRow;
   private double failureShare;
+  private long failureShareAtMillis;
   private long aloneUntilMillis = Long.MIN_VALUE;
   private boolean onProbation;
   private long triedUntilMillis = Long.MIN_VALUE;
@@ -115,7 +122,8 @@
     failuresInRow = 0;
     onProbation = false;
     triedUntilMillis = Long.MIN_VALUE;
-    failureShare *= 1 - OUTCOME_WEIGHT;
+    failureShare = failureShare(nowMillis) * (1 - OUTCOME_WEIGHT);
+    failureShareAtMillis = nowMillis;
     meanMillis = meanMillis < 0 ? tookMillis : meanMillis + TIME_WEIGHT * (tookMillis - meanMillis);
   }
 
@@ -127,7 +135,8 @@
   public void failed(long nowMillis) {
     failuresInRow++;
     triedUntilMillis = Long.MIN_VALUE;
-    failureShare += OUTCOME_WEIGHT * (1 - failureShare);
+    failureShare = failureShare(nowMillis) * (1 - OUTCOME_WEIGHT) + OUTCOME_WEIGHT;
+    failureShareAtMillis = nowMillis;
     if (onProbation || failuresInRow >= 2 || failureShare > MAX_FAILURE_SHARE) {
       int doublings = Math.min(failuresInRow - 1, 3);
       long pauseMillis = Math.min(MAX_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << doublings);
@@ -177,10 +186,12 @@
   /**
    * Returns the share of failures among recent calls.
    *
+   * @param nowMillis the time
    * @return 0 to 1
    */
-  public double failureShare() {
-    return failureShare;
+  public double failureShare(long nowMillis) {
+    long passedMillis = Math.max(0, nowMillis - failureShareAtMillis);
+    return failureShare * Math.pow(0.5, passedMillis / FORGET_MILLIS);
   }
 
   /**
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/balance/EndpointHealthTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/balance/EndpointHealthTest.java
@@ -61,7 +61,7 @@
     }
 
     assertThat(health.isTrusted(0), is(false));
-    assertThat(health.failureShare(), greaterThan(0.25));
+    assertThat(health.failureShare(0), greaterThan(0.25));
   }
 
   @Test
