Remove what forwarding computed twice, wrote twice or no longer uses

Behaviour unchanged. The chooser's terms for distance and failures stood three times and are detourMillis; a stream's placement filtered the reachable engines twice. The pause for a slow caller stood in both kinds of call. News asked twice whether this instance reads the store, which goes through all members of a large fleet. The section that is not in a text was built in two parsers (IniSection.empty). Dead: USABLE_MEMORY, RoutingConfig.accounts, EndpointRequest.isSent, StopWindow.endMillis.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
@@ -27,11 +27,6 @@
   /** Expected times within this part of each other count as alike, so that instances spread. */
   private static final double JITTER = 0.1;
 
-  /**
-   * The part of an engine's memory that placements fill; the rest is for answers that grow long.
-   */
-  private static final double USABLE_MEMORY = 0.93;
-
   /** How much a full decode engine is slower than an empty one, over the tokens of an answer. */
   private static final double FULL_ENGINE_MILLIS = 200;
 
@@ -92,7 +87,13 @@
    */
   public Optional<EndpointEntry> plain(
       long nowMillis, List<EndpointEntry> candidates, Set<EndpointId> tried) {
-    return best(nowMillis, inReach(candidates), tried, entry -> plainMillis(nowMillis, entry));
+    return ranked(
+            nowMillis,
+            inReach(candidates),
+            tried,
+            entry -> plainMillis(nowMillis, entry) + detourMillis(nowMillis, entry))
+        .stream()
+        .findFirst();
   }
 
   /**
@@ -112,8 +113,9 @@
       EngineProfile profile,
       StreamNeed need) {
     long promptTokens = need.promptTokens();
+    List<EndpointEntry> reachable = inReach(candidates);
     List<EndpointEntry> decoders =
-        inReach(candidates).stream()
+        reachable.stream()
             .filter(entry -> entry.stage().runsRequests())
             .filter(entry -> need.begun() || hasRoom(nowMillis, entry, profile, need))
             .toList();
@@ -123,9 +125,7 @@
         need.split()
             ? ranked(
                 nowMillis,
-                inReach(candidates).stream()
-                    .filter(entry -> entry.stage() == EndpointStage.PREFILL)
-                    .toList(),
+                reachable.stream().filter(entry -> entry.stage() == EndpointStage.PREFILL).toList(),
                 tried,
                 entry -> prefillMillis(nowMillis, entry, promptTokens))
             : List.of();
@@ -190,14 +190,17 @@
   private double prefillMillis(long nowMillis, EndpointEntry entry, long promptTokens) {
     long ahead = work.at(entry.id(), nowMillis).promptTokens();
     return speed(entry.service()).prefillMillis(ahead + promptTokens)
-        + domains.toOwn(entry.domain()).roundTripMillis()
-        + FAILURE_MILLIS * health.of(entry.id()).failureShare(nowMillis);
+        + detourMillis(nowMillis, entry);
   }
 
   private double decodeMillis(long nowMillis, EndpointEntry entry, EngineProfile profile) {
     EndpointWork there = work.at(entry.id(), nowMillis);
-    return FULL_ENGINE_MILLIS * fill(there, profile)
-        + domains.toOwn(entry.domain()).roundTripMillis()
+    return FULL_ENGINE_MILLIS * fill(there, profile) + detourMillis(nowMillis, entry);
+  }
+
+  /** Returns what an endpoint's distance and its failures add to the time of any call. */
+  private double detourMillis(long nowMillis, EndpointEntry entry) {
+    return domains.toOwn(entry.domain()).roundTripMillis()
         + FAILURE_MILLIS * health.of(entry.id()).failureShare(nowMillis);
   }
 
@@ -206,19 +209,6 @@
     return (double) work.memoryTokens() / Math.max(1, profile.memoryTokens());
   }
 
-  private Optional<EndpointEntry> best(
-      long nowMillis,
-      List<EndpointEntry> candidates,
-      Set<EndpointId> tried,
-      ToDoubleFunction<EndpointEntry> millis) {
-    ToDoubleFunction<EndpointEntry> whole =
-        entry ->
-            millis.applyAsDouble(entry)
-                + domains.toOwn(entry.domain()).roundTripMillis()
-                + FAILURE_MILLIS * health.of(entry.id()).failureShare(nowMillis);
-    return ranked(nowMillis, candidates, tried, whole).stream().findFirst();
-  }
-
   /** Sorts by expected time; endpoints that are not trusted stand in only for none. */
   private List<EndpointEntry> ranked(
       long nowMillis,
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingsParser.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingsParser.java
@@ -1,6 +1,5 @@
 package org.knapweedcleat.core.config;
 
-import io.vavr.collection.LinkedHashMap;
 import io.vavr.collection.List;
 import io.vavr.collection.Seq;
 import io.vavr.control.Either;
@@ -50,8 +49,7 @@
             kind ->
                 kind.names() > 0 || !content.of(kind).isEmpty()
                     ? content.of(kind)
-                    : List.of(
-                        new IniSection(kind, List.empty(), kind.word(), 0, LinkedHashMap.empty())));
+                    : List.of(IniSection.empty(kind)));
   }
 
   private static Option<ConfigFault> unknownDomain(List<CheckedSection> sections) {
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/IniSection.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/IniSection.java
@@ -1,5 +1,6 @@
 package org.knapweedcleat.core.config;
 
+import io.vavr.collection.LinkedHashMap;
 import io.vavr.collection.List;
 import io.vavr.collection.Map;
 
@@ -15,6 +16,11 @@
 record IniSection(
     SectionKind kind, List<String> names, String header, int line, Map<String, IniEntry> entries) {
 
+  /** Returns a section that is not in the text. */
+  static IniSection empty(SectionKind kind) {
+    return new IniSection(kind, List.empty(), kind.word(), 0, LinkedHashMap.empty());
+  }
+
   String name() {
     return names.head();
   }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/InstanceSettingsParser.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/InstanceSettingsParser.java
@@ -1,6 +1,5 @@
 package org.knapweedcleat.core.config;
 
-import io.vavr.collection.LinkedHashMap;
 import io.vavr.collection.List;
 import io.vavr.collection.Map;
 import io.vavr.collection.Seq;
@@ -46,10 +45,7 @@
 
   /** Returns the section, without keys if the text does not have it. */
   private static IniSection section(IniContent content, SectionKind kind) {
-    return content
-        .of(kind)
-        .headOption()
-        .getOrElse(() -> new IniSection(kind, List.empty(), kind.word(), 0, LinkedHashMap.empty()));
+    return content.of(kind).headOption().getOrElse(() -> IniSection.empty(kind));
   }
 
   private static List<ConfigFault> ports(CheckedSection section) {
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/directory/RoutingConfig.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/directory/RoutingConfig.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 import org.knapweedcleat.core.account.KeyDigest;
-import org.knapweedcleat.core.id.AccountId;
 import org.knapweedcleat.core.id.ServiceId;
 
 /** One version of the published routes, services and accounts; immutable. */
@@ -17,7 +16,6 @@
   private final Map<String, List<ForwardRoute>> routesByHost;
   private final Map<ServiceId, ServiceProfile> services;
   private final Map<KeyDigest, AccountQuota> accountsByKey = new HashMap<>();
-  private final Map<AccountId, AccountQuota> accounts = new HashMap<>();
 
   private RoutingConfig(RoutingContent content) {
     this.content = content;
@@ -31,7 +29,6 @@
         content.services().stream()
             .collect(Collectors.toMap(ServiceProfile::service, one -> one, (one, other) -> other));
     for (AccountQuota account : content.accounts()) {
-      accounts.put(account.account(), account);
       account.keys().forEach(key -> accountsByKey.put(key, account));
     }
   }
@@ -97,15 +94,6 @@
     return Optional.ofNullable(accountsByKey.get(key));
   }
 
-  /**
-   * Returns the accounts.
-   *
-   * @return all accounts by their ids
-   */
-  public Map<AccountId, AccountQuota> accounts() {
-    return Map.copyOf(accounts);
-  }
-
   /**
    * Tells whether calls need a key unless their route is open.
    *
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/drain/StopWindow.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/drain/StopWindow.java
@@ -32,13 +32,4 @@
   public boolean takes(long nowMillis, long longestMillis) {
     return nowMillis <= takesAllUntilMillis || nowMillis + longestMillis <= endMillis;
   }
-
-  /**
-   * Returns when the instance ends.
-   *
-   * @return milliseconds
-   */
-  public long endMillis() {
-    return endMillis;
-  }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -141,8 +141,12 @@
     }
   }
 
-  protected final Optional<EndpointRequest> request() {
-    return request;
+  /** Lets the endpoint wait while the caller takes its answer slower than it comes. */
+  protected final void pauseWhileBackedUp() {
+    if (exchange.isBackedUp()) {
+      request.ifPresent(EndpointRequest::pause);
+      exchange.onDrained(() -> request.ifPresent(EndpointRequest::resume));
+    }
   }
 
   /** Ends the send that is under way, if any, so that nothing more is heard of it. */
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/PlainForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/PlainForward.java
@@ -157,12 +157,5 @@
       noteBroken(health, BrokenCause.SILENT);
       follow(ledger.broken(nowMillis), "endpoint " + endpoint.id() + " is silent");
     }
-
-    private void pauseWhileBackedUp() {
-      if (exchange.isBackedUp()) {
-        request().ifPresent(one -> one.pause());
-        exchange.onDrained(() -> request().ifPresent(one -> one.resume()));
-      }
-    }
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -328,10 +328,7 @@
       }
       exchange.begin(head.status(), context.codec().answer(head));
       exchange.write(Buffer.buffer(event));
-      if (exchange.isBackedUp()) {
-        request().ifPresent(one -> one.pause());
-        exchange.onDrained(() -> request().ifPresent(one -> one.resume()));
-      }
+      pauseWhileBackedUp();
     }
 
     /** Counts what the run occupies: it has read its prompt, and its answer grows. */
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetLink.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetLink.java
@@ -217,8 +217,9 @@
       directory.heardContact(news.storeAgeMillis());
     }
     hearDoubts(nowMillis, from, news);
-    if (mayAsk(nowMillis, news.sender())) {
-      exchange.askIfBehind(nowMillis, news, readsStore(), address(news.sender()), carrier);
+    boolean reads = readsStore();
+    if (reads || mayAskOfOthers(nowMillis, news.sender())) {
+      exchange.askIfBehind(nowMillis, news, reads, address(news.sender()), carrier);
     }
   }
 
@@ -265,9 +266,8 @@
   }
 
   /** Those that do not read the store ask their own failure domain while it has live instances. */
-  private boolean mayAsk(long nowMillis, FleetMember sender) {
-    return readsStore()
-        || sender.domain().equals(self.domain())
+  private boolean mayAskOfOthers(long nowMillis, FleetMember sender) {
+    return sender.domain().equals(self.domain())
         || members.live(nowMillis, self.domain()).isEmpty();
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointRequest.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointRequest.java
@@ -22,15 +22,6 @@
     return over;
   }
 
-  /**
-   * Tells whether bytes of the request may have left.
-   *
-   * @return false as long as no connection has come about
-   */
-  public boolean isSent() {
-    return connection != null;
-  }
-
   /** Gives the request up; its listener hears nothing more. */
   public void abort() {
     if (!over && connection != null) {
