Read no prompt beside running streams that it would pause, and log where a stream's time goes

The new fields of call.answered (placedMillis, readMillis, longestPauseMillis) show pauses of 320 to 483 ms on engines that read a prompt themselves: a piece of 1,024 tokens stops all streams there for 61 ms, and an event holds seven steps. Change: a decode engine reads a prompt itself only if all that waits to be read there fits into the pause that the route allows; with no prefill engine at all it still does. Both new tests of EndpointChooserTest fail with the check taken out.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
@@ -36,6 +36,9 @@
    */
   private static final double READING_BESIDE_MILLIS = 300;
 
+  /** The time between two events of a running stream when its engine reads nothing. */
+  private static final double EVENT_MILLIS = 80;
+
   /** How many of the best engines of each stage are tried in pairs. */
   private static final int PAIR_CANDIDATES = 5;
 
@@ -134,7 +137,9 @@
         .flatMap(
             decode ->
                 Stream.concat(
-                    Stream.of(alone(nowMillis, decode, profile, promptTokens)),
+                    readers.isEmpty() || pausesNobody(nowMillis, decode, need)
+                        ? Stream.of(alone(nowMillis, decode, profile, promptTokens))
+                        : Stream.empty(),
                     readers.stream()
                         .limit(PAIR_CANDIDATES)
                         .map(reader -> pair(nowMillis, reader, decode, profile, promptTokens))))
@@ -148,6 +153,20 @@
     return reachable.isEmpty() ? candidates : reachable;
   }
 
+  /**
+   * Tells whether a decode engine can read a prompt itself without a pause in the streams that run
+   * there that their callers take as late, even if it reads all that waits in one piece.
+   */
+  private boolean pausesNobody(long nowMillis, EndpointEntry decode, StreamNeed need) {
+    EndpointWork there = work.at(decode.id(), nowMillis);
+    if (there.calls() == 0 || need.maxGapMillis() == 0) {
+      return true;
+    }
+    double readMillis =
+        speed(decode.service()).decodeMillis(there.promptTokens() + need.promptTokens());
+    return EVENT_MILLIS + readMillis <= need.maxGapMillis();
+  }
+
   private StreamPlacement alone(
       long nowMillis, EndpointEntry decode, EngineProfile profile, long promptTokens) {
     EndpointWork there = work.at(decode.id(), nowMillis);
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/balance/EndpointChooserTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/balance/EndpointChooserTest.java
@@ -19,7 +19,7 @@
 class EndpointChooserTest {
 
   private static final EngineProfile PROFILE = new EngineProfile(64, 34_000, 500, 13);
-  private static final StreamNeed NEED = new StreamNeed(3_000, 3_300, true, 0.93, false);
+  private static final StreamNeed NEED = new StreamNeed(3_000, 3_300, true, 0.93, false, 300);
 
   private final WorkBook work = WorkBook.of(1_000);
   private final HealthBook health = HealthBook.create();
@@ -72,6 +72,25 @@
     assertThat(place(NEED).get().prefill(), is(Optional.empty()));
   }
 
+  @Test
+  void longPromptIsNotReadBesideRunningStreams() {
+    work.begin(nearReader.id(), new EndpointWork(8, 30_000, 30_000));
+    work.begin(nearDecoder.id(), new EndpointWork(1, 0, 3_000));
+    work.begin(farDecoder.id(), new EndpointWork(1, 0, 3_000));
+    StreamNeed longPrompt = new StreamNeed(5_000, 5_300, true, 0.93, false, 300);
+
+    assertThat(place(longPrompt).get().prefill(), is(Optional.of(nearReader)));
+  }
+
+  @Test
+  void promptsThatTogetherPauseRunningStreamsAreNotReadBesideThem() {
+    work.begin(nearReader.id(), new EndpointWork(8, 30_000, 30_000));
+    work.begin(nearDecoder.id(), new EndpointWork(2, 2_000, 5_000));
+    work.begin(farDecoder.id(), new EndpointWork(2, 2_000, 5_000));
+
+    assertThat(place(NEED).get().prefill(), is(Optional.of(nearReader)));
+  }
+
   @Test
   void fullEnginesGetNothing() {
     EndpointWork full = new EndpointWork(9, 0, 31_000);
@@ -89,7 +108,8 @@
     work.begin(farDecoder.id(), full);
 
     assertThat(
-        place(new StreamNeed(3_000, 3_300, false, 0.93, true)).get().decode(), is(nearDecoder));
+        place(new StreamNeed(3_000, 3_300, false, 0.93, true, 300)).get().decode(),
+        is(nearDecoder));
   }
 
   @Test
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -86,6 +86,11 @@
   /** Chooses an endpoint and sends the call there. */
   protected abstract void place();
 
+  /** Returns when the steps of the call happened, as keys and values by turns. */
+  protected List<Object> steps() {
+    return List.of();
+  }
+
   /** Frees what the call holds at endpoints. */
   protected void releaseHeld() {}
 
@@ -251,28 +256,29 @@
           .metrics()
           .timer("calls.whole." + route.kind().name().toLowerCase(Locale.ROOT))
           .update(millis, TimeUnit.MILLISECONDS);
-      context
-          .log()
-          .routine(
-              "call.answered",
-              "requestId",
-              call.requestId(),
-              "route",
-              route.name(),
-              "status",
-              status,
-              "endpoint",
-              endpoint,
-              "sends",
-              ledger.sends(),
-              "promptTokens",
-              call.usage().map(TokenUsage::promptTokens).orElse(0L),
-              "maxOutputTokens",
-              call.usage().map(TokenUsage::maxOutputTokens).orElse(0L),
-              "firstMillis",
-              firstMillis,
-              "millis",
-              millis);
+      List<Object> pairs =
+          new ArrayList<>(
+              List.of(
+                  "requestId",
+                  call.requestId(),
+                  "route",
+                  route.name(),
+                  "status",
+                  status,
+                  "endpoint",
+                  endpoint,
+                  "sends",
+                  ledger.sends(),
+                  "promptTokens",
+                  call.usage().map(TokenUsage::promptTokens).orElse(0L),
+                  "maxOutputTokens",
+                  call.usage().map(TokenUsage::maxOutputTokens).orElse(0L),
+                  "firstMillis",
+                  firstMillis,
+                  "millis",
+                  millis));
+      pairs.addAll(steps());
+      context.log().routine("call.answered", pairs.toArray());
     }
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -13,6 +13,7 @@
 import org.knapweedcleat.core.directory.ForwardRoute;
 import org.knapweedcleat.core.forward.EventSplitter;
 import org.knapweedcleat.core.forward.NextStep;
+import org.knapweedcleat.core.forward.StreamTimeline;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.room.RoomPolicy;
 import org.knapweedcleat.router.forward.codec.InboundCall;
@@ -64,6 +65,7 @@
   private final TokenUsage usage;
   private final EngineProfile profile;
   private final RoomPolicy room;
+  private final StreamTimeline timeline;
   private final EventSplitter splitter = EventSplitter.of(MAX_EVENT_BYTES);
   private Optional<KvHandle> held = Optional.empty();
   private long heldSinceMillis;
@@ -71,7 +73,6 @@
   private long prefillMillis;
   private boolean splitFailed;
   private int prefills;
-  private long firstMillis = -1;
 
   StreamForward(
       ForwardContext context,
@@ -81,6 +82,7 @@
       Optional<AccountQuota> account,
       long units) {
     super(context, exchange, call, route, account, units);
+    this.timeline = StreamTimeline.began(beganMillis);
     this.usage = call.usage().orElse(UNKNOWN_USAGE);
     this.room = RoomPolicy.of(context.punctuality().isLate(route, call.deadlineMillis()));
     this.profile =
@@ -107,11 +109,15 @@
                 usage.firstMemory(),
                 split,
                 room.usableMemory(),
-                exchange.isBegun()));
+                exchange.isBegun(),
+                route.maxGapMillis()));
     boolean keeps = context.nowMillis() - heldSinceMillis < profile.handleMillis() * HANDLE_PART;
     if (!keeps) {
       releaseHeld();
     }
+    if (placement.isPresent()) {
+      timeline.placed(context.nowMillis());
+    }
     if (placement.isPresent() && held.isPresent()) {
       EndpointEntry engine = placement.get().decode();
       beginWork(engine.id(), new EndpointWork(1, 0, usage.firstMemory()));
@@ -129,6 +135,17 @@
     }
   }
 
+  @Override
+  protected List<Object> steps() {
+    return List.of(
+        "placedMillis",
+        timeline.placedMillis(),
+        "readMillis",
+        timeline.readMillis(),
+        "longestPauseMillis",
+        timeline.longestPauseMillis());
+  }
+
   @Override
   protected void releaseHeld() {
     held.ifPresent(this::free);
@@ -243,6 +260,7 @@
     private void prefilled(String handle) {
       long tookMillis = context.nowMillis() - sentMillis;
       prefillMillis = tookMillis;
+      timeline.read(context.nowMillis());
       if (wasIdle) {
         context.chooser().speed(service).observed(Math.max(1, usage.promptTokens()), tookMillis);
       }
@@ -323,9 +341,7 @@
 
     private void pass(byte[] event) {
       countMemory();
-      if (firstMillis < 0) {
-        firstMillis = context.nowMillis() - beganMillis;
-      }
+      timeline.event(context.nowMillis());
       exchange.begin(head.status(), context.codec().answer(head));
       exchange.write(Buffer.buffer(event));
       pauseWhileBackedUp();
@@ -373,7 +389,7 @@
       }
       health.succeeded(nowMillis, nowMillis - sentMillis);
       exchange.end();
-      answered(head.status(), engine.id(), firstMillis);
+      answered(head.status(), engine.id(), timeline.firstMillis());
     }
 
     /** Passes an engine's own failure on, unless another engine can run the request. */
