Send nothing more to an engine that crashed under a stream or whose address another engine has

When engines came back under new ids at 17.9 s, each call to an old id got 421 and the old id was tried again after 150 ms, 40 times in 1.3 s. Change: a connection lost under a call makes the endpoint suspected until a connection comes about, which is tried at the next tick; a failed try is told to the others. 421 has a nature of its own and lets the entry rest for the longest pause, in which a dead engine's entry lapses. A call whose decode engine became unreachable while its prompt was read chooses again before it is sent. Ruled out: doubts told by instances of another region, which tell nothing here by design.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointHealth.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointHealth.java
@@ -69,6 +69,24 @@
     triedUntilMillis = Long.MIN_VALUE;
   }
 
+  /** Notes that the endpoint may have ended: a connection was lost while it carried a call. */
+  public void suspected() {
+    unreachable = true;
+    triedUntilMillis = Long.MIN_VALUE;
+  }
+
+  /**
+   * Notes that another endpoint answers at the address, or that this one does not do such work: its
+   * entry is out of date, and lapses or changes within about the longest time alone.
+   *
+   * @param nowMillis the time
+   */
+  public void misdirected(long nowMillis) {
+    triedUntilMillis = Long.MIN_VALUE;
+    aloneUntilMillis = Math.max(aloneUntilMillis, nowMillis + MAX_PAUSE_MILLIS);
+    onProbation = true;
+  }
+
   /**
    * Notes that a connection to the endpoint came about.
    *
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/balance/EndpointHealthTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/balance/EndpointHealthTest.java
@@ -92,4 +92,24 @@
     assertThat(health.isTrusted(150), is(true));
     assertThat(health.isOnProbation(), is(false));
   }
+
+  @Test
+  void suspectedEndpointGetsNothingUntilItIsReached() {
+    health.reached(1_000);
+    health.suspected();
+    assertThat(health.isTrusted(1_000), is(false));
+    assertThat(health.isFoundUnreachable(), is(false));
+
+    health.reached(1_050);
+    assertThat(health.isTrusted(1_050), is(true));
+  }
+
+  @Test
+  void misdirectedEndpointRestsUntilItsEntryLapses() {
+    health.misdirected(0);
+    health.reached(100);
+
+    assertThat(health.isTrusted(3_999), is(false));
+    assertThat(health.isTrusted(4_000), is(true));
+  }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -187,8 +187,20 @@
   protected final void noteBroken(EndpointHealth health, BrokenCause cause) {
     if (cause.isUnreachable()) {
       health.unreachable();
+      return;
+    }
+    health.failed(context.nowMillis());
+    if (cause == BrokenCause.CONNECTION_LOST) {
+      health.suspected();
+    }
+  }
+
+  /** Notes that an endpoint refused a call that it has not run. */
+  protected final void noteRefused(EndpointHealth health, ReplyNature nature) {
+    if (nature == ReplyNature.MISDIRECTED) {
+      health.misdirected(context.nowMillis());
     } else {
-      health.failed(context.nowMillis());
+      health.full(context.nowMillis());
     }
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/PlainForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/PlainForward.java
@@ -102,8 +102,12 @@
       endWork(endpoint.id());
       long nowMillis = context.nowMillis();
       switch (nature) {
-        case NOT_RUN -> {
-          health.failed(nowMillis);
+        case NOT_RUN, MISDIRECTED -> {
+          if (nature == ReplyNature.MISDIRECTED) {
+            health.misdirected(nowMillis);
+          } else {
+            health.failed(nowMillis);
+          }
           follow(ledger.refused(nowMillis), "endpoint " + endpoint.id() + " refused");
         }
         case GENUINE -> genuine(nowMillis);
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ReachCheck.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ReachCheck.java
@@ -1,6 +1,8 @@
 package org.knapweedcleat.router.forward.call;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import org.knapweedcleat.core.directory.EndpointEntry;
 import org.knapweedcleat.core.id.EndpointId;
@@ -13,7 +15,7 @@
 
   private final ForwardContext context;
   private final Set<EndpointId> trying = new HashSet<>();
-  private long triedAtMillis = Long.MIN_VALUE / 2;
+  private final Map<EndpointId, Long> triedAtMillis = new HashMap<>();
 
   private ReachCheck(ForwardContext context) {
     this.context = context;
@@ -32,11 +34,14 @@
   /** Tries the endpoints whose turn it is; to be called often. */
   public void tick() {
     long nowMillis = context.nowMillis();
-    if (nowMillis - triedAtMillis < TRY_MILLIS) {
-      return;
-    }
-    triedAtMillis = nowMillis;
-    for (EndpointId id : context.health().unreachable()) {
+    Set<EndpointId> unreachable = context.health().unreachable();
+    triedAtMillis.keySet().retainAll(unreachable);
+    for (EndpointId id : unreachable) {
+      Long before = triedAtMillis.get(id);
+      if (before != null && nowMillis - before < TRY_MILLIS) {
+        continue;
+      }
+      triedAtMillis.put(id, nowMillis);
       context
           .directory()
           .endpoints()
@@ -53,6 +58,7 @@
         .pool()
         .reconnect(endpoint.host(), endpoint.port())
         .onComplete(tried -> trying.remove(endpoint.id()))
+        .onFailure(failure -> context.health().of(endpoint.id()).unreachable())
         .onSuccess(
             connected -> {
               context.health().of(endpoint.id()).reached(context.nowMillis());
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -268,6 +268,11 @@
       held = Optional.of(cache);
       reader = Optional.of(source.id());
       heldSinceMillis = context.nowMillis();
+      if (context.health().of(decode.id()).isUnreachable()) {
+        endWork(decode.id());
+        place();
+        return;
+      }
       run(decode, held, 0);
     }
 
@@ -365,9 +370,9 @@
       endPatience();
       endWork(engine.id());
       long nowMillis = context.nowMillis();
-      if (nature == ReplyNature.NOT_RUN) {
-        health.full(nowMillis);
-        if (fetches && !seemedFull) {
+      if (nature.isNotRun()) {
+        noteRefused(health, nature);
+        if (fetches && !seemedFull && nature == ReplyNature.NOT_RUN) {
           splitFailed = true;
           reader.ifPresent(id -> context.health().of(id).failed(nowMillis));
         }
