Let another prefill engine read a prompt again, also for broken streams, before a decode engine does

Change: a reader whose prompt came to nothing is left out for that call only; a KV cache that two engines refused is taken as gone even if they seemed full; broken streams go to prefill engines and wait up to a second for room before they are placed without it.

--- a/knapweedcleat-bench/src/test/java/org/knapweedcleat/bench/pattern/StreamLoad.java
+++ b/knapweedcleat-bench/src/test/java/org/knapweedcleat/bench/pattern/StreamLoad.java
@@ -169,7 +169,8 @@
 
   private void place(Instance instance, Call call, RoomPolicy room) {
     long memory = call.prompt() + (long) (LONGEST_ANSWER * 0.15);
-    StreamNeed need = new StreamNeed(call.prompt(), memory, true, room.usableMemory(), false, 0);
+    StreamNeed need =
+        new StreamNeed(call.prompt(), memory, true, Set.of(), room.usableMemory(), false, 0);
     Optional<StreamPlacement> placement =
         instance.chooser().stream((long) nowMillis, entries, Set.of(), PROFILE, need);
     if (placement.isPresent()) {
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
@@ -120,7 +120,7 @@
     List<EndpointEntry> decoders =
         reachable.stream()
             .filter(entry -> entry.stage().runsRequests())
-            .filter(entry -> need.begun() || hasRoom(nowMillis, entry, profile, need))
+            .filter(entry -> need.forced() || hasRoom(nowMillis, entry, profile, need))
             .toList();
     List<EndpointEntry> nearDecoders =
         ranked(nowMillis, decoders, tried, entry -> decodeMillis(nowMillis, entry, profile));
@@ -128,7 +128,10 @@
         need.split()
             ? ranked(
                 nowMillis,
-                reachable.stream().filter(entry -> entry.stage() == EndpointStage.PREFILL).toList(),
+                reachable.stream()
+                    .filter(entry -> entry.stage() == EndpointStage.PREFILL)
+                    .filter(entry -> !need.failedReaders().contains(entry.id()))
+                    .toList(),
                 tried,
                 entry -> prefillMillis(nowMillis, entry, promptTokens))
             : List.of();
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/balance/EndpointChooserTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/balance/EndpointChooserTest.java
@@ -19,7 +19,8 @@
 class EndpointChooserTest {
 
   private static final EngineProfile PROFILE = new EngineProfile(64, 34_000, 500, 13);
-  private static final StreamNeed NEED = new StreamNeed(3_000, 3_300, true, 0.93, false, 300);
+  private static final StreamNeed NEED =
+      new StreamNeed(3_000, 3_300, true, Set.of(), 0.93, false, 300);
 
   private final WorkBook work = WorkBook.of(1_000);
   private final HealthBook health = HealthBook.create();
@@ -77,7 +78,7 @@
     work.begin(nearReader.id(), new EndpointWork(8, 30_000, 30_000));
     work.begin(nearDecoder.id(), new EndpointWork(1, 0, 3_000));
     work.begin(farDecoder.id(), new EndpointWork(1, 0, 3_000));
-    StreamNeed longPrompt = new StreamNeed(5_000, 5_300, true, 0.93, false, 300);
+    StreamNeed longPrompt = new StreamNeed(5_000, 5_300, true, Set.of(), 0.93, false, 300);
 
     assertThat(place(longPrompt).get().prefill(), is(Optional.of(nearReader)));
   }
@@ -91,6 +92,29 @@
     assertThat(place(NEED).get().prefill(), is(Optional.of(nearReader)));
   }
 
+  @Test
+  void readerWhosePromptsCameToNothingIsNotAskedAgain() {
+    EndpointEntry other = engine("p-far", "far", EndpointStage.PREFILL);
+    StreamNeed again =
+        new StreamNeed(3_000, 3_300, true, Set.of(nearReader.id()), 0.93, false, 300);
+    work.begin(nearDecoder.id(), new EndpointWork(2, 2_000, 5_000));
+    work.begin(farDecoder.id(), new EndpointWork(2, 2_000, 5_000));
+
+    Optional<StreamPlacement> placement =
+        chooser.stream(
+            0, List.of(nearReader, other, nearDecoder, farDecoder), Set.of(), PROFILE, again);
+
+    assertThat(placement.get().prefill(), is(Optional.of(other)));
+  }
+
+  @Test
+  void decodeEngineReadsWhenEveryReaderFailed() {
+    StreamNeed again =
+        new StreamNeed(3_000, 3_300, true, Set.of(nearReader.id()), 0.93, false, 300);
+
+    assertThat(place(again).get().prefill(), is(Optional.empty()));
+  }
+
   @Test
   void fullEnginesGetNothing() {
     EndpointWork full = new EndpointWork(9, 0, 31_000);
@@ -108,7 +132,7 @@
     work.begin(farDecoder.id(), full);
 
     assertThat(
-        place(new StreamNeed(3_000, 3_300, false, 0.93, true, 300)).get().decode(),
+        place(new StreamNeed(3_000, 3_300, false, Set.of(), 0.93, true, 300)).get().decode(),
         is(nearDecoder));
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -1,8 +1,10 @@
 package org.knapweedcleat.router.forward.call;
 
 import io.vertx.core.buffer.Buffer;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.knapweedcleat.core.balance.EndpointHealth;
 import org.knapweedcleat.core.balance.EndpointWork;
 import org.knapweedcleat.core.balance.StreamNeed;
@@ -49,6 +51,14 @@
   /** How long a resumable stream waits for its next event: callers give up after two seconds. */
   private static final long NEXT_EVENT_MILLIS = 1_000;
 
+  /** How long a broken stream waits for room: callers give up after two seconds of silence. */
+  private static final long RESUME_WAIT_MILLIS = 1_000;
+
+  /** A KV cache that so many engines refused is taken as gone, however full they seemed. */
+  private static final int MAX_REFUSED_FETCHES = 2;
+
+  private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
+
   /** An engine whose memory seems fuller than this may refuse for want of room. */
   private static final double LIKELY_FULL = 0.75;
 
@@ -71,8 +81,11 @@
   private long heldSinceMillis;
   private Optional<EndpointId> reader = Optional.empty();
   private long prefillMillis;
+  private final Set<EndpointId> failedReaders = new HashSet<>();
+  private int refusedFetches;
   private boolean splitFailed;
   private int prefills;
+  private long brokenAtMillis = NEVER_MILLIS;
 
   StreamForward(
       ForwardContext context,
@@ -97,7 +110,8 @@
   @Override
   protected void place() {
     List<EndpointEntry> candidates = context.directory().endpoints().usable(service);
-    boolean split = !splitFailed && !exchange.isBegun();
+    boolean forced =
+        exchange.isBegun() && context.nowMillis() - brokenAtMillis >= RESUME_WAIT_MILLIS;
     Optional<StreamPlacement> placement =
         context.chooser().stream(
             context.nowMillis(),
@@ -107,9 +121,10 @@
             new StreamNeed(
                 usage.promptTokens(),
                 usage.firstMemory(),
-                split,
+                !splitFailed,
+                failedReaders,
                 room.usableMemory(),
-                exchange.isBegun(),
+                forced,
                 route.maxGapMillis()));
     boolean keeps = context.nowMillis() - heldSinceMillis < profile.handleMillis() * HANDLE_PART;
     if (!keeps) {
@@ -278,12 +293,12 @@
 
     private void failed(String why) {
       endWork(decode.id());
+      failedReaders.add(source.id());
       context.metrics().counter("prefill.failed").inc();
       context
           .log()
           .failure(
               "prefill.failed", "requestId", call.requestId(), "endpoint", source.id(), "why", why);
-      splitFailed = true;
       place();
     }
   }
@@ -372,9 +387,8 @@
       long nowMillis = context.nowMillis();
       if (nature.isNotRun()) {
         noteRefused(health, nature);
-        if (fetches && !seemedFull && nature == ReplyNature.NOT_RUN) {
-          splitFailed = true;
-          reader.ifPresent(id -> context.health().of(id).failed(nowMillis));
+        if (fetches && nature == ReplyNature.NOT_RUN) {
+          fetchRefused(nowMillis);
         }
         follow(ledger.refused(nowMillis), "engine " + engine.id() + " refused");
       } else if (nature == ReplyNature.GENUINE && head.isSuccess()) {
@@ -387,6 +401,21 @@
       }
     }
 
+    /** Drops a KV cache that seems to be gone; its reader's others may be, too. */
+    private void fetchRefused(long nowMillis) {
+      refusedFetches++;
+      if (seemedFull && refusedFetches < MAX_REFUSED_FETCHES) {
+        return;
+      }
+      held = Optional.empty();
+      refusedFetches = 0;
+      reader.ifPresent(
+          id -> {
+            failedReaders.add(id);
+            context.health().of(id).failed(nowMillis);
+          });
+    }
+
     private void ended(long nowMillis) {
       if (!splitter.isBetweenEvents() || !exchange.isBegun()) {
         broken(BrokenCause.CONNECTION_LOST);
@@ -432,8 +461,8 @@
       endWork(engine.id());
       noteBroken(health, cause);
       splitter.dropPartial();
+      brokenAtMillis = context.nowMillis();
       if (cause.mayHaveArrived()) {
-        splitFailed = true;
         releaseHeld();
       }
       String why = "engine " + engine.id() + ": " + cause;
