Record the classes of a whole start, of news and of calls in the class archive

Cause: the archive was recorded from a node started by hand, so that 533 classes of each start (command line, INI, settings, reload, news) were loaded, verified and linked from jars. Change: the build starts two instances as the program does, and loads the classes of forwarding.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ArchiveRun.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ArchiveRun.java
@@ -6,50 +6,93 @@
 import io.vertx.core.net.NetSocket;
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.ServiceLoader;
 import java.util.concurrent.TimeUnit;
-import org.knapweedcleat.core.config.ForwarderSettings;
+import java.util.jar.JarFile;
 import org.knapweedcleat.core.config.InetAddressPort;
-import org.knapweedcleat.core.id.FailureDomainId;
-import org.knapweedcleat.core.id.InstanceId;
-import org.knapweedcleat.core.id.RegionId;
+import org.knapweedcleat.router.RouterMain;
 import org.knapweedcleat.router.forward.codec.PlatformAdapter;
 
 /**
- * Runs an instance for a moment, alone on the loopback address, so that the build can record which
- * classes it loads.
+ * Runs two instances for a moment on the loopback address, each as its program starts it, so that
+ * the build can record which classes a start and the news between instances load.
  */
 public final class ArchiveRun {
 
   private static final String HOST = "127.0.0.1";
-  private static final long RUN_MILLIS = 700;
-  private static final int STOP_MILLIS = 3_000;
+  private static final long RUN_MILLIS = 2_500;
+  private static final int PORTS = 4;
+
+  /** What the own jars are called. */
+  private static final String OWN_JAR = "knapweedcleat";
+
+  /** Where the classes of forwarding are. */
+  private static final List<String> FORWARDING =
+      List.of(
+          "org/knapweedcleat/router/forward/",
+          "org/knapweedcleat/platform/",
+          "org/knapweedcleat/core/balance/",
+          "org/knapweedcleat/core/directory/",
+          "org/knapweedcleat/core/forward/",
+          "org/knapweedcleat/core/room/");
 
   private ArchiveRun() {}
 
   /**
-   * Runs it.
+   * Runs them.
    *
    * @param arguments none
-   * @throws Exception if the instance does not start
+   * @throws Exception if no instance starts
    */
   public static void main(String[] arguments) throws Exception {
-    PlatformAdapter adapter = ServiceLoader.load(PlatformAdapter.class).iterator().next();
-    ForwarderSettings settings = settings();
+    String adapter = ServiceLoader.load(PlatformAdapter.class).iterator().next().name();
+    List<InetAddressPort> first = freePorts();
+    List<InetAddressPort> second = freePorts();
+    InetAddressPort store = freePorts().get(0);
+    for (List<InetAddressPort> own : List.of(first, second)) {
+      Path settings =
+          Files.writeString(Files.createTempFile("archive", ".ini"), ini(own, first.get(2), store));
+      RouterMain.main(new String[] {"--settings", settings.toString(), "--adapter", adapter});
+    }
     Vertx vertx = Vertx.vertx();
-    ForwarderNode node =
-        ForwarderNode.start(vertx, settings, adapter)
-            .toCompletionStage()
-            .toCompletableFuture()
-            .get(1, TimeUnit.MINUTES);
-    ask(vertx, settings.callers()).onFailure(Throwable::printStackTrace);
+    ask(vertx, first.get(0)).onFailure(Throwable::printStackTrace);
+    loadForwarding();
     Thread.sleep(RUN_MILLIS);
-    node.drain().toCompletionStage().toCompletableFuture().get(1, TimeUnit.MINUTES);
+    vertx.close().toCompletionStage().toCompletableFuture().get(1, TimeUnit.MINUTES);
     System.exit(0);
   }
 
+  private static String ini(
+      List<InetAddressPort> own, InetAddressPort seed, InetAddressPort store) {
+    InetAddressPort peers = own.get(2);
+    return String.join(
+        "\n",
+        "[instance]",
+        "id = archive-" + peers.port(),
+        "domain = a",
+        "callerAddress = " + own.get(0),
+        "readinessAddress = " + own.get(1),
+        "peerAddress = " + peers,
+        "metricsAddress = " + own.get(3),
+        "[discovery]",
+        "seeds = " + seed,
+        "storeAddress = " + store,
+        "[bounds]",
+        "stopSeconds = 3",
+        "repeatWindowSeconds = 10",
+        "repeatRatio = 0.2",
+        "repeatSlack = 20",
+        "quotaOverage = 0",
+        "quotaSlackUnits = 0",
+        "[domain a]",
+        "region = r",
+        "");
+  }
+
   private static Future<NetSocket> ask(Vertx vertx, InetAddressPort callers) {
     return vertx
         .createNetClient()
@@ -57,24 +100,40 @@
         .onSuccess(socket -> socket.write(Buffer.buffer("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
   }
 
-  private static ForwarderSettings settings() throws IOException {
-    FailureDomainId domain = FailureDomainId.of("a");
-    InetAddressPort peers = freePort();
-    return new ForwarderSettings(
-        InstanceId.of("archive"),
-        domain,
-        freePort(),
-        freePort(),
-        peers,
-        freePort(),
-        Map.of(domain, RegionId.of("r")),
-        new ForwarderSettings.Discovery(List.of(peers), freePort(), 200),
-        new ForwarderSettings.Bounds(STOP_MILLIS, 0.2, 10_000, 20, 0, 0, 0.27));
+  /** Loads what only calls need, which this run has none of that go through. */
+  private static void loadForwarding() throws IOException, ClassNotFoundException {
+    for (String element : System.getProperty("java.class.path").split(":")) {
+      if (!Path.of(element).getFileName().toString().startsWith(OWN_JAR)) {
+        continue;
+      }
+      for (String entry : classes(element)) {
+        Class.forName(entry, false, ArchiveRun.class.getClassLoader());
+      }
+    }
   }
 
-  private static InetAddressPort freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return new InetAddressPort(HOST, socket.getLocalPort());
+  private static List<String> classes(String jar) throws IOException {
+    try (JarFile file = new JarFile(jar)) {
+      return file.stream()
+          .map(entry -> entry.getName())
+          .filter(name -> name.endsWith(".class") && !name.endsWith("package-info.class"))
+          .filter(name -> FORWARDING.stream().anyMatch(name::startsWith))
+          .map(name -> name.substring(0, name.length() - ".class".length()).replace('/', '.'))
+          .toList();
+    }
+  }
+
+  private static List<InetAddressPort> freePorts() throws IOException {
+    List<InetAddressPort> ports = new ArrayList<>();
+    List<ServerSocket> sockets = new ArrayList<>();
+    for (int i = 0; i < PORTS; i++) {
+      ServerSocket socket = new ServerSocket(0);
+      sockets.add(socket);
+      ports.add(new InetAddressPort(HOST, socket.getLocalPort()));
+    }
+    for (ServerSocket socket : sockets) {
+      socket.close();
     }
+    return ports;
   }
 }
