Look through the fleet at most five times a second

Cause: whether to read the store was decided anew at each tick of 50 ms and each message, by sorting all live instances, and StageKeeper built two sets of all instances at each tick: work that grows with the fleet, on a timer. Change: both are looked at every 200 ms, in one pass without sorting; a sender's address is compared instead of being written out for each known instance.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/fleet/FleetMembers.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/fleet/FleetMembers.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.InstanceId;
@@ -90,7 +89,7 @@
    */
   public long intervalMillis() {
     long leastMillis = isSmall() ? intervalMillis : LARGE_FLEET_MILLIS;
-    long direct = isSmall() ? others.size() : inDomain(self.domain()).size();
+    long direct = isSmall() ? others.size() : countInDomain(self.domain());
     return Math.max(leastMillis, direct * INTERVAL_MILLIS_PER_MEMBER);
   }
 
@@ -150,12 +149,48 @@
    * @return true for the first two that live
    */
   public boolean isRepresentative(long nowMillis, FleetMember member) {
-    return Stream.concat(live(nowMillis).stream(), Stream.of(self))
-        .filter(other -> other.domain().equals(member.domain()))
-        .map(FleetMembers::id)
-        .sorted()
-        .limit(REPRESENTATIVES)
-        .anyMatch(id(member)::equals);
+    int before = isBefore(self, member) ? 1 : 0;
+    Span liveSpan = liveSpan();
+    for (Known known : others.values()) {
+      if (before >= REPRESENTATIVES || id(known.member).compareTo(id(member)) >= 0) {
+        break;
+      }
+      if (isBefore(known.member, member) && liveSpan.covers(nowMillis, known)) {
+        before++;
+      }
+    }
+    return before < REPRESENTATIVES && (!isOther(member) || isLive(nowMillis, member));
+  }
+
+  private static boolean isBefore(FleetMember one, FleetMember other) {
+    return one.domain().equals(other.domain()) && id(one).compareTo(id(other)) < 0;
+  }
+
+  private boolean isLive(long nowMillis, FleetMember member) {
+    Known known = others.get(id(member));
+    return known != null && liveSpan().covers(nowMillis, known);
+  }
+
+  private int countInDomain(FailureDomainId domain) {
+    int count = 0;
+    for (Known known : others.values()) {
+      count += known.member.domain().equals(domain) ? 1 : 0;
+    }
+    return count;
+  }
+
+  /** How long ago instances were heard at most that are live. */
+  private record Span(FailureDomainId own, long directMillis, long acrossMillis) {
+    boolean covers(long nowMillis, Known known) {
+      boolean near = known.member.domain().equals(own);
+      return nowMillis - known.heardAtMillis <= (near ? directMillis : acrossMillis);
+    }
+  }
+
+  private Span liveSpan() {
+    long directMillis = LIVE_INTERVALS * intervalMillis();
+    long acrossMillis = isSmall() ? directMillis : directMillis + REPRESENTATIVES * ACROSS_MILLIS;
+    return new Span(self.domain(), directMillis, acrossMillis);
   }
 
   private List<FleetMember> inDomain(FailureDomainId domain) {
@@ -244,14 +279,9 @@
    * @return the instances in the order of their names, without the own one
    */
   public List<FleetMember> live(long nowMillis) {
-    long directMillis = LIVE_INTERVALS * intervalMillis();
-    long acrossMillis = isSmall() ? directMillis : directMillis + REPRESENTATIVES * ACROSS_MILLIS;
+    Span liveSpan = liveSpan();
     return others.values().stream()
-        .filter(
-            known -> {
-              boolean near = known.member.domain().equals(self.domain());
-              return nowMillis - known.heardAtMillis <= (near ? directMillis : acrossMillis);
-            })
+        .filter(known -> liveSpan.covers(nowMillis, known))
         .map(known -> known.member)
         .toList();
   }
@@ -296,6 +326,21 @@
         || others.values().stream().anyMatch(known -> known.member.address().equals(address));
   }
 
+  /**
+   * Tells whether an instance is known at the address that it now names.
+   *
+   * @param member the instance
+   * @return true for the own instance and for known ones that have not moved
+   */
+  public boolean isKnown(FleetMember member) {
+    Known known = others.get(id(member));
+    boolean same =
+        known != null
+            && known.member.port() == member.port()
+            && known.member.host().equals(member.host());
+    return same || !isOther(member);
+  }
+
   private void named(long nowMillis, FleetMember member) {
     Known known = others.computeIfAbsent(id(member), id -> new Known(member));
     if (member.incarnation().startNumber() > known.member.incarnation().startNumber()) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetLink.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetLink.java
@@ -45,6 +45,9 @@
   /** The least time between messages when one goes early because something was published. */
   private static final long EARLY_MILLIS = 100;
 
+  /** The time between two looks at whether to read the store; short beside a fleet's changes. */
+  private static final long JUDGE_MILLIS = 200;
+
   private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
 
   private final FleetMember self;
@@ -68,6 +71,8 @@
   private int toldEndpointsHash;
   private long number;
   private int liveBefore = -1;
+  private long judgedAtMillis = NEVER_MILLIS;
+  private boolean reads;
 
   private FleetLink(
       FleetMember self, FleetMembers members, DomainMap domains, ForwardContext context) {
@@ -122,8 +127,17 @@
    * @return false while representatives of a large fleet read for it
    */
   public boolean readsStore() {
+    long nowMillis = clock.getAsLong();
+    if (!directory.isKnown() || nowMillis - judgedAtMillis >= JUDGE_MILLIS) {
+      judgedAtMillis = nowMillis;
+      reads = mustRead(nowMillis);
+    }
+    return reads;
+  }
+
+  private boolean mustRead(long nowMillis) {
     return !directory.isKnown()
-        || members.isRepresentative(clock.getAsLong())
+        || members.isRepresentative(nowMillis)
         || directory.storeAgeMillis() > READERS_SILENT_MILLIS;
   }
 
@@ -207,7 +221,7 @@
       ended(from);
       return;
     }
-    if (!members.isKnown(news.sender().address())) {
+    if (!members.isKnown(news.sender())) {
       introduce(nowMillis, news.sender());
     }
     news.reports().forEach(report -> take(nowMillis, report));
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/StageKeeper.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/StageKeeper.java
@@ -27,7 +27,10 @@
   /** An engine that was told to change is left alone for this long; a change takes seconds. */
   private static final long ORDER_MILLIS = 20_000;
 
-  /** The pause between looks. */
+  /** The pause between looks at the fleet; a fraction of the time for which it must be quiet. */
+  private static final long OBSERVE_MILLIS = 200;
+
+  /** The pause between looks at the engines. */
   private static final long LOOK_MILLIS = 500;
 
   /** Before the first call engines have to be the same for this long: some register late. */
@@ -55,6 +58,7 @@
   private List<EndpointEntry> seen = List.of();
   private long seenSinceMillis;
   private long lookedAtMillis = Long.MIN_VALUE / 2;
+  private long observedAtMillis = Long.MIN_VALUE / 2;
   private boolean asking;
 
   private StageKeeper(
@@ -85,6 +89,10 @@
   /** Looks whether an order is due; to be called often. */
   void tick() {
     long nowMillis = context.clock().getAsLong();
+    if (nowMillis - observedAtMillis < OBSERVE_MILLIS) {
+      return;
+    }
+    observedAtMillis = nowMillis;
     lead.observe(nowMillis, ids(members.possible()), ids(members.live(nowMillis)));
     if (nowMillis - lookedAtMillis < LOOK_MILLIS) {
       return;
