Send no prompts to an engine that changes its part, and read again only after 600 ms

After a restart readers were given up after 350 ms, less than a round trip, a slow engine and its first pause take; the prompt was then read twice. Change: a refused prefill lets the engine rest as one that turns calls away; a prefill has 600 ms.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointHealth.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointHealth.java
@@ -76,12 +76,12 @@
   }
 
   /**
-   * Notes that another endpoint answers at the address, or that this one does not do such work: its
-   * entry is out of date, and lapses or changes within about the longest time alone.
+   * Notes that another endpoint answers at the address, or that this one does no such work, as
+   * while it changes its part: its entry is out of date for about the longest time alone.
    *
    * @param nowMillis the time
    */
-  public void misdirected(long nowMillis) {
+  public void turnedAway(long nowMillis) {
     triedUntilMillis = Long.MIN_VALUE;
     aloneUntilMillis = Math.max(aloneUntilMillis, nowMillis + MAX_PAUSE_MILLIS);
     onProbation = true;
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/balance/EndpointHealthTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/balance/EndpointHealthTest.java
@@ -105,8 +105,8 @@
   }
 
   @Test
-  void misdirectedEndpointRestsUntilItsEntryLapses() {
-    health.misdirected(0);
+  void endpointThatTurnsCallsAwayRestsUntilItsEntryChanges() {
+    health.turnedAway(0);
     health.reached(100);
 
     assertThat(health.isTrusted(3_999), is(false));
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -198,7 +198,7 @@
   /** Notes that an endpoint refused a call that it has not run. */
   protected final void noteRefused(EndpointHealth health, ReplyNature nature) {
     if (nature == ReplyNature.MISDIRECTED) {
-      health.misdirected(context.nowMillis());
+      health.turnedAway(context.nowMillis());
     } else {
       health.full(context.nowMillis());
     }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/PlainForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/PlainForward.java
@@ -104,7 +104,7 @@
       switch (nature) {
         case NOT_RUN, MISDIRECTED -> {
           if (nature == ReplyNature.MISDIRECTED) {
-            health.misdirected(nowMillis);
+            health.turnedAway(nowMillis);
           } else {
             health.failed(nowMillis);
           }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -42,8 +42,12 @@
   /** A prefill that takes this many times as long as expected is given up. */
   private static final double PREFILL_PATIENCE = 3;
 
-  /** The least time that a prefill gets; longer than a round trip between regions. */
-  private static final long MIN_PREFILL_MILLIS = 350;
+  /**
+   * The least time that a prefill gets: a round trip between regions, a long prompt on a slow
+   * engine and the pause before an engine's first answer. Reading again elsewhere costs more than
+   * the wait.
+   */
+  private static final long MIN_PREFILL_MILLIS = 600;
 
   /** How long a repeatable stream waits for its first event beyond the time expected. */
   private static final long FIRST_EVENT_MILLIS = 900;
@@ -246,7 +250,11 @@
       endPatience();
       endWork(source.id());
       if (!head.isSuccess()) {
-        health.failed(context.nowMillis());
+        if (context.codec().nature(head, call.requestId()).isNotRun()) {
+          health.turnedAway(context.nowMillis());
+        } else {
+          health.failed(context.nowMillis());
+        }
         failed("status " + head.status());
         return;
       }
