Cut off bodies without end that are no answer

Cause: a body that proves nothing, a refusal, a failure or a handle was collected without a bound: an endpoint that sends on until its caller closes filled the memory, and a call that may not be repeated waited for its deadline. Change: whoever hears a reply says how long its body may become; beyond that the connection is closed and the answer counts as bytes that are no answer. Streams and proven answers, which are passed on as they come, are not bounded.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/PlainForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/PlainForward.java
@@ -82,6 +82,11 @@
       nature = context.codec().nature(reply, call.requestId());
     }
 
+    @Override
+    public long maxBodyBytes() {
+      return nature == ReplyNature.GENUINE ? Long.MAX_VALUE : MAX_HELD_BYTES;
+    }
+
     @Override
     public void onBody(Buffer bytes) {
       if (exchange.isBegun()) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -344,9 +344,18 @@
       }
     }
 
+    @Override
+    public long maxBodyBytes() {
+      return isStream() ? Long.MAX_VALUE : MAX_HELD_BYTES;
+    }
+
+    private boolean isStream() {
+      return nature == ReplyNature.GENUINE && head.isSuccess();
+    }
+
     @Override
     public void onBody(Buffer bytes) {
-      if (nature != ReplyNature.GENUINE || !head.isSuccess()) {
+      if (!isStream()) {
         unstreamed.appendBuffer(bytes);
         return;
       }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointRequest.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointRequest.java
@@ -9,6 +9,7 @@
   private final ReplyListener listener;
   private EndpointConnection connection;
   private boolean over;
+  private long bodyBytes;
 
   EndpointRequest(ReplyListener listener) {
     this.listener = listener;
@@ -51,6 +52,15 @@
 
   @Override
   public void onBody(Buffer bytes) {
+    if (over) {
+      return;
+    }
+    bodyBytes += bytes.length();
+    if (bodyBytes > listener.maxBodyBytes()) {
+      abort();
+      listener.onBroken(BrokenCause.NOT_HTTP);
+      return;
+    }
     listener.onBody(bytes);
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/ReplyListener.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/ReplyListener.java
@@ -6,6 +6,9 @@
 /** Hears the answer to one request to an endpoint; the last call is an end or a break. */
 public interface ReplyListener {
 
+  /** The most bytes of a body that is held and not passed on as it comes. */
+  long MAX_HELD_BYTES = 1024 * 1024;
+
   /**
    * Hears the head of an answer that belongs to the request.
    *
@@ -20,6 +23,16 @@
    */
   void onBody(Buffer bytes);
 
+  /**
+   * Says how long a body may become of which the head was heard; a longer one is no answer, and its
+   * connection is closed.
+   *
+   * @return bytes
+   */
+  default long maxBodyBytes() {
+    return MAX_HELD_BYTES;
+  }
+
   /** Hears that the answer is whole. */
   void onEnd();
 
