Free a KV cache that is given up after refusals

Found on reading the change: a cache that two or three engines had refused was forgotten, not freed, so that its engine held the memory until it lapsed. kvCacheThatEnginesRefusedIsFreed fails without this.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -430,7 +430,7 @@
       if (refusedFetches < (seemedFull ? MAX_REFUSED_BY_FULL : MAX_REFUSED_FETCHES)) {
         return;
       }
-      held = Optional.empty();
+      releaseHeld();
       refusedFetches = 0;
       reader.ifPresent(
           id -> {
