Compute the weights of drawn engines once, and say a suspicion once

Found on reading the whole change: drawing an engine looked up its work and raised a power twice, once for the sum and once for the draw, on a path that a waiting call takes every 25 ms; unreachable() repeated what suspected() does; and whether reading pauses others was looked up before it was needed. Behaviour is as before: the same numbers are drawn in the same order.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.DoubleStream;
 import java.util.stream.Stream;
 import org.knapweedcleat.core.directory.EndpointEntry;
 import org.knapweedcleat.core.directory.EndpointStage;
@@ -181,12 +182,11 @@
    * engine that seems to run none may run those of instances that were not heard yet.
    */
   private boolean pausesNobody(long nowMillis, EndpointEntry decode, StreamNeed need) {
-    EndpointWork there = work.at(decode.id(), nowMillis);
     if (need.maxGapMillis() == 0) {
       return true;
     }
-    double readMillis =
-        speed(decode.service()).decodeMillis(there.promptTokens() + need.promptTokens());
+    long ahead = work.at(decode.id(), nowMillis).promptTokens();
+    double readMillis = speed(decode.service()).decodeMillis(ahead + need.promptTokens());
     return EVENT_MILLIS + readMillis <= need.maxGapMillis();
   }
 
@@ -265,12 +265,12 @@
   }
 
   private EndpointEntry drawOne(List<EndpointEntry> from, ToDoubleFunction<EndpointEntry> weight) {
-    double total = from.stream().mapToDouble(weight).sum();
-    double left = total * random.getAsDouble();
-    for (EndpointEntry entry : from) {
-      left -= weight.applyAsDouble(entry);
+    double[] weights = from.stream().mapToDouble(weight).toArray();
+    double left = DoubleStream.of(weights).sum() * random.getAsDouble();
+    for (int i = 0; i < weights.length; i++) {
+      left -= weights[i];
       if (left < 0) {
-        return entry;
+        return from.get(i);
       }
     }
     return from.get(from.size() - 1);
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointHealth.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointHealth.java
@@ -64,9 +64,8 @@
 
   /** Notes that the endpoint did not react: no connection came about or nothing was heard. */
   public void unreachable() {
-    unreachable = true;
+    suspected();
     foundOut = true;
-    triedUntilMillis = Long.MIN_VALUE;
   }
 
   /** Notes that the endpoint may have ended: a connection was lost while it carried a call. */
