--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/DomainMap.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/DomainMap.java
@@ -26,15 +26,6 @@
     return new DomainMap(own, regions);
   }
 
-  /**
-   * Returns the own failure domain.
-   *
-   * @return its id
-   */
-  public FailureDomainId own() {
-    return own;
-  }
-
   /**
    * Returns how far a failure domain is from the own one.
    *
