--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/FakeFleet.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/FakeFleet.java
@@ -35,6 +35,10 @@
 /** Instances of a fleet that exchange news over a simulated network in simulated time. */
 final class FakeFleet {
 
+  /** What the whole fleet keeps to; of repeats, a fifth of the calls and 100 in ten seconds. */
+  static final ForwarderSettings.Bounds BOUNDS =
+      new ForwarderSettings.Bounds(8_000, 0.2, 10_000, 100, 0, 0, 0.27);
+
   private static final long TICK_MILLIS = 20;
   private static final int NEAR_MILLIS = 1;
   private static final int REGION_MILLIS = 30;
@@ -46,6 +50,8 @@
   private final Map<InstanceId, Node> nodes = new LinkedHashMap<>();
   private final Set<InstanceId> dead = new HashSet<>();
   private final Set<FailureDomainId> cutFromStore = new HashSet<>();
+  private final Set<FailureDomainId> cutOff = new HashSet<>();
+  private final List<InetAddressPort> seeds = new ArrayList<>();
   private final PriorityQueue<Delivery> deliveries =
       new PriorityQueue<>((one, other) -> Long.compare(one.atMillis(), other.atMillis()));
   private final Map<FailureDomainId, RegionId> regions = new LinkedHashMap<>();
@@ -62,6 +68,7 @@
     final PublishedDirectory directory;
     final WorkBook work = WorkBook.of(2_500);
     final FleetQuota quota = FleetQuota.of(QuotaTolerance.NONE);
+    final ServiceBudgets budgets;
     final FleetLink link;
 
     Node(FakeFleet fleet, FleetMember self, List<InetAddressPort> seeds) {
@@ -70,8 +77,7 @@
       MetricRegistry metrics = new MetricRegistry();
       DecisionLog log = DecisionLog.of(() -> fleet.nowMillis, metrics);
       this.directory = PublishedDirectory.of(() -> fleet.nowMillis, log);
-      ForwarderSettings.Bounds bounds =
-          new ForwarderSettings.Bounds(8_000, 0.2, 10_000, 100, 0, 0, 0.27);
+      this.budgets = ServiceBudgets.of(BOUNDS);
       ForwardContext context =
           new ForwardContext(
               null,
@@ -83,7 +89,7 @@
               work,
               HealthBook.create(),
               quota,
-              ServiceBudgets.of(bounds),
+              budgets,
               null,
               null,
               log,
@@ -127,6 +133,9 @@
     }
 
     private void deliver(Node to, PeerMessage message) {
+      if (cutOff.contains(from.domain()) != cutOff.contains(to.self.domain())) {
+        return;
+      }
       messages++;
       boolean far = !regions.get(from.domain()).equals(regions.get(to.self.domain()));
       byte[] body = codec.encodeBody(message);
@@ -137,7 +146,10 @@
       Runnable action =
           () -> {
             if (!dead.contains(to.self.incarnation().instance())) {
-              to.link.onMessage(from.incarnation(), arrived);
+              nodes
+                  .get(to.self.incarnation().instance())
+                  .link
+                  .onMessage(from.incarnation(), arrived);
             }
           };
       deliveries.add(new Delivery(nowMillis + (far ? REGION_MILLIS : NEAR_MILLIS), action));
@@ -151,16 +163,15 @@
       RegionId region = RegionId.of(i < (domains.length + 1) / 2 ? "near" : "far");
       fleet.regions.put(FailureDomainId.of(domains[i]), region);
     }
-    List<InetAddressPort> seeds = new ArrayList<>();
     for (int i = 0; i < instances; i++) {
       FailureDomainId domain = FailureDomainId.of(domains[i % domains.length]);
       InstanceId id = InstanceId.of("front-" + domain + "-" + i);
       FleetMember self =
           new FleetMember(IncarnationId.of(id, 1_000 + i), domain, "10.1.0." + i, 8_229);
       if (i < 3) {
-        seeds.add(new InetAddressPort(self.host(), self.port()));
+        fleet.seeds.add(new InetAddressPort(self.host(), self.port()));
       }
-      fleet.nodes.put(id, new Node(fleet, self, seeds));
+      fleet.nodes.put(id, new Node(fleet, self, fleet.seeds));
     }
     return fleet;
   }
@@ -175,6 +186,23 @@
     dead.add(node.self.incarnation().instance());
   }
 
+  /** Kills an instance and starts it again at once, without anything that it knew. */
+  void restart(Node node) {
+    InstanceId id = node.self.incarnation().instance();
+    FleetMember next =
+        new FleetMember(
+            IncarnationId.of(id, nowMillis), node.self.domain(), node.self.host(), 8_229);
+    dead.remove(id);
+    nodes.put(id, new Node(this, next, seeds));
+  }
+
+  /** Cuts failure domains off from all others. */
+  void cutOff(String... domains) {
+    for (String domain : domains) {
+      cutOff.add(FailureDomainId.of(domain));
+    }
+  }
+
   void cutFromStore(FailureDomainId domain) {
     cutFromStore.add(domain);
   }
