--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/forward/RepeatBudget.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/forward/RepeatBudget.java
@@ -75,8 +75,18 @@
    * @return true if one could be taken
    */
   public boolean hasOne(long nowMillis) {
+    return left(nowMillis) >= 1;
+  }
+
+  /**
+   * Returns what is left, for the log.
+   *
+   * @param nowMillis the time
+   * @return repeats, below 0 after calls or slack that allowed some have gone
+   */
+  public double left(long nowMillis) {
     expire(nowMillis);
-    return repeats.size() + 1 <= ratio * calls.size() + slack;
+    return ratio * calls.size() + slack - repeats.size();
   }
 
   private void expire(long nowMillis) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -229,6 +229,8 @@
                 why,
                 "sends",
                 ledger.sends(),
+                "repeatsLeft",
+                repeatsLeft(),
                 "remainingMillis",
                 remainingMillis());
         place();
@@ -357,6 +359,8 @@
             ledger.mayHaveRun(),
             "tried",
             ledger.tried(),
+            "repeatsLeft",
+            repeatsLeft(),
             "millis",
             context.nowMillis() - beganMillis,
             "configVersion",
@@ -365,6 +369,10 @@
             context.directory().storeAgeMillis());
   }
 
+  private String repeatsLeft() {
+    return String.format(Locale.ROOT, "%.1f", budget.left(context.nowMillis()));
+  }
+
   private boolean close() {
     if (over) {
       return false;
