Take a repeat for every send that an endpoint may count as one

Cause: the budget was asked in two places, and neither saw the other's sends. A read of a prompt that an engine refused counts as an arrival, so the run after it is a repeat; StreamForward asked only before a second read.

The ledger of a call now counts reads and runs alike, takes repeats before a send leaves, refuses a run that none was taken for, and gives back what was not used.

Ruled out: that no repeat was taken for calls that could not connect (they do not arrive).

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/forward/CallLedger.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/forward/CallLedger.java
@@ -10,6 +10,9 @@
  *
  * <p>A send that an endpoint refused has not run. Any other send may have run, whatever became of
  * its connection.
+ *
+ * <p>Each send beyond the first is a repeat and is taken from the budget before it leaves. The
+ * first read of a prompt that an engine accepts is none; until then a read counts like any send.
  */
 public final class CallLedger {
 
@@ -21,6 +24,9 @@
   private final Set<EndpointId> tried = new HashSet<>();
   private int sends;
   private int runs;
+  private int arrivals;
+  private int taken;
+  private boolean readAccepted;
 
   private CallLedger(ForwardRoute route, RepeatBudget budget) {
     this.route = route;
@@ -44,9 +50,56 @@
    * @param endpoint the endpoint
    */
   public void sent(EndpointId endpoint) {
+    if (taken < repeatsWithRun()) {
+      throw new IllegalStateException("a run that no repeat was taken for");
+    }
     tried.add(endpoint);
     sends++;
     runs++;
+    arrivals++;
+  }
+
+  /**
+   * Takes what a read of the prompt costs, with the run that follows it.
+   *
+   * @param nowMillis the time
+   * @return false if the budget has not enough
+   */
+  public boolean tryRead(long nowMillis) {
+    return take(arrivals, nowMillis);
+  }
+
+  /**
+   * Takes what a run costs beyond what was taken.
+   *
+   * @param nowMillis the time
+   * @return false if the budget has not enough
+   */
+  public boolean tryRun(long nowMillis) {
+    return take(repeatsWithRun(), nowMillis);
+  }
+
+  /** Notes that an engine may have got the prompt to read. */
+  public void reading() {
+    arrivals++;
+  }
+
+  /** Notes that no byte of the last read could leave. */
+  public void readNotSent() {
+    arrivals--;
+  }
+
+  /** Notes that an engine has read the prompt. */
+  public void readAccepted() {
+    readAccepted = true;
+  }
+
+  /** Gives back what was taken for sends that did not come about; the call is over. */
+  public void settle() {
+    int repeats = Math.max(0, arrivals - 1 - (readAccepted ? 1 : 0));
+    for (; taken > repeats; taken--) {
+      budget.giveBack();
+    }
   }
 
   /**
@@ -67,6 +120,7 @@
    */
   public NextStep notSent() {
     runs--;
+    arrivals--;
     return sends < MAX_SENDS ? NextStep.AGAIN : end();
   }
 
@@ -80,7 +134,7 @@
     return route.isRepeatable()
         && runs < route.maxRuns()
         && sends < MAX_SENDS
-        && budget.hasOne(nowMillis);
+        && (taken >= repeatsWithRun() || budget.hasOne(nowMillis));
   }
 
   /**
@@ -133,7 +187,21 @@
   }
 
   private NextStep again(long nowMillis) {
-    boolean allowed = sends < MAX_SENDS && budget.trySpend(nowMillis);
-    return allowed ? NextStep.AGAIN : end();
+    return sends < MAX_SENDS && tryRun(nowMillis) ? NextStep.AGAIN : end();
+  }
+
+  /** Returns how many repeats the call has had once it was sent to run once more. */
+  private int repeatsWithRun() {
+    return arrivals - (readAccepted ? 1 : 0);
+  }
+
+  private boolean take(int repeats, long nowMillis) {
+    while (taken < repeats) {
+      if (!budget.trySpend(nowMillis)) {
+        return false;
+      }
+      taken++;
+    }
+    return true;
   }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/forward/RepeatBudget.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/forward/RepeatBudget.java
@@ -6,8 +6,8 @@
 /**
  * Bounds the sends beyond the first of each call to a share of the calls in a sliding window.
  *
- * <p>Each instance keeps to its own part of the fleet's slack, so that all together keep to the
- * whole without talking to each other.
+ * <p>Each instance keeps to its own part of the fleet's slack, see {@link SlackShare}, so that all
+ * together keep to the whole.
  */
 public final class RepeatBudget {
 
@@ -68,6 +68,11 @@
     return allowed;
   }
 
+  /** Gives back the latest repeat that was taken, because no endpoint got it. */
+  public void giveBack() {
+    repeats.pollLast();
+  }
+
   /**
    * Tells whether a repeat is left.
    *
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/forward/RepeatBudgetTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/forward/RepeatBudgetTest.java
@@ -36,4 +36,14 @@
     assertThat(budget.hasOne(9_999), is(true));
     assertThat(budget.hasOne(10_000), is(false));
   }
+
+  @Test
+  void repeatThatIsGivenBackCanBeTakenAgain() {
+    RepeatBudget budget = RepeatBudget.of(0, 10_000, 1);
+    assertThat(budget.trySpend(0), is(true));
+    budget.giveBack();
+
+    assertThat(budget.trySpend(0), is(true));
+    assertThat(budget.trySpend(0), is(false));
+  }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -98,10 +98,6 @@
     return over;
   }
 
-  protected final RepeatBudget budget() {
-    return budget;
-  }
-
   protected final long remainingMillis() {
     return endMillis - context.nowMillis();
   }
@@ -381,6 +377,7 @@
     context.vertx().cancelTimer(deadlineTimer);
     abortSend();
     releaseHeld();
+    ledger.settle();
     List.copyOf(begunWork.keySet()).forEach(this::endWork);
     return true;
   }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -94,7 +94,6 @@
   private final Set<EndpointId> failedReaders = new HashSet<>();
   private int refusedFetches;
   private boolean splitFailed;
-  private int prefills;
   private long brokenAtMillis = NEVER_MILLIS;
 
   StreamForward(
@@ -192,12 +191,12 @@
   }
 
   private void prefill(EndpointEntry reader, StreamPlacement placement) {
-    if (prefills > 0 && !budget().trySpend(context.nowMillis())) {
+    if (!ledger.tryRead(context.nowMillis())) {
       splitFailed = true;
       place();
       return;
     }
-    prefills++;
+    ledger.reading();
     final Prefill prefill = new Prefill(reader, placement.decode());
     long prompt = usage.promptTokens();
     beginWork(reader.id(), new EndpointWork(1, prompt, prompt));
@@ -214,6 +213,11 @@
   }
 
   private void run(EndpointEntry engine, Optional<KvHandle> cache, long expectedMillis) {
+    if (!ledger.tryRun(context.nowMillis())) {
+      endWork(engine.id());
+      follow(ledger.end(), "no repeat is left after a read that failed");
+      return;
+    }
     Optional<String> resumeAfter =
         splitter.lastId().isPresent() ? splitter.lastId() : call.resumeAfter();
     ledger.sent(engine.id());
@@ -276,6 +280,9 @@
       endPatience();
       endWork(source.id());
       noteBroken(health, cause);
+      if (!cause.mayHaveArrived()) {
+        ledger.readNotSent();
+      }
       failed(cause.name());
     }
 
@@ -289,6 +296,7 @@
     private void prefilled(String handle) {
       long tookMillis = context.nowMillis() - sentMillis;
       prefillMillis = tookMillis;
+      ledger.readAccepted();
       timeline.read(context.nowMillis());
       if (wasIdle) {
         context.chooser().speed(service).observed(Math.max(1, usage.promptTokens()), tookMillis);
