Send nothing more to endpoints that say they leave, and heed when they want calls again

EndpointNotices holds what each life of an endpoint said; it is asked before the chooser, whose last resort is to use what it does not trust. A call for which no endpoint is open is refused at once, with the time at which the first opens.

Not done: instances do not tell each other; each learns from its own answers.

--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointNotices.java
@@ -0,0 +1,99 @@
+package org.knapweedcleat.core.balance;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.knapweedcleat.core.directory.EndpointEntry;
+import org.knapweedcleat.core.id.EndpointId;
+
+/**
+ * What endpoints say in their answers of further calls: that they leave, or from when on they want
+ * some. Unlike what is seen of their health, it binds also if there is no other endpoint.
+ */
+public final class EndpointNotices {
+
+  /** Far more than endpoints that are known at a time; the oldest are dropped. */
+  private static final int MAX_NOTICES = 4_000;
+
+  private final Map<Run, Long> closedUntilMillis =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Run, Long> eldest) {
+          return size() > MAX_NOTICES;
+        }
+      };
+
+  /** One life of an endpoint, which may start again under the same id. */
+  private record Run(EndpointId id, long bornMillis) {
+    static Run of(EndpointEntry endpoint) {
+      return new Run(endpoint.id(), endpoint.bornMillis());
+    }
+  }
+
+  private EndpointNotices() {}
+
+  /**
+   * Returns notices of no endpoint.
+   *
+   * @return the notices
+   */
+  public static EndpointNotices create() {
+    return new EndpointNotices();
+  }
+
+  /**
+   * Notes that an endpoint leaves.
+   *
+   * @param endpoint the endpoint
+   * @return true if that was not known
+   */
+  public boolean leaves(EndpointEntry endpoint) {
+    Long before = closedUntilMillis.put(Run.of(endpoint), Long.MAX_VALUE);
+    return before == null || before != Long.MAX_VALUE;
+  }
+
+  /**
+   * Notes that an endpoint wants no calls for a time.
+   *
+   * @param nowMillis the time
+   * @param endpoint the endpoint
+   * @param pauseMillis how long, at least 0
+   */
+  public void pauses(long nowMillis, EndpointEntry endpoint, long pauseMillis) {
+    closedUntilMillis.merge(Run.of(endpoint), nowMillis + pauseMillis, Math::max);
+  }
+
+  /**
+   * Lists the endpoints that take calls now.
+   *
+   * @param nowMillis the time
+   * @param endpoints endpoints
+   * @return those of them that neither leave nor pause
+   */
+  public List<EndpointEntry> open(long nowMillis, List<EndpointEntry> endpoints) {
+    if (closedUntilMillis.isEmpty()) {
+      return endpoints;
+    }
+    return endpoints.stream().filter(one -> closedUntil(one) <= nowMillis).toList();
+  }
+
+  /**
+   * Returns how long it takes until one of the endpoints takes calls again.
+   *
+   * @param nowMillis the time
+   * @param endpoints endpoints
+   * @return milliseconds, 0 if one does now; empty if all leave or there are none
+   */
+  public OptionalLong opensInMillis(long nowMillis, List<EndpointEntry> endpoints) {
+    return endpoints.stream()
+        .mapToLong(this::closedUntil)
+        .filter(until -> until != Long.MAX_VALUE)
+        .map(until -> Math.max(0, until - nowMillis))
+        .min();
+  }
+
+  private long closedUntil(EndpointEntry endpoint) {
+    return closedUntilMillis.getOrDefault(Run.of(endpoint), Long.MIN_VALUE);
+  }
+}
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardContext.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardContext.java
@@ -5,6 +5,7 @@
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 import org.knapweedcleat.core.balance.EndpointChooser;
+import org.knapweedcleat.core.balance.EndpointNotices;
 import org.knapweedcleat.core.balance.HealthBook;
 import org.knapweedcleat.core.balance.WorkBook;
 import org.knapweedcleat.core.quota.FleetQuota;
@@ -25,6 +26,7 @@
  * @param chooser chooses endpoints
  * @param work the work at each endpoint
  * @param health the health of each endpoint
+ * @param notices what endpoints say of further calls
  * @param quota the client accounts' quotas
  * @param budgets the repeats that each service may get
  * @param punctuality tells calls that are late in any case
@@ -41,6 +43,7 @@
     EndpointChooser chooser,
     WorkBook work,
     HealthBook health,
+    EndpointNotices notices,
     FleetQuota quota,
     ServiceBudgets budgets,
     Punctuality punctuality,
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.knapweedcleat.core.balance.EndpointHealth;
 import org.knapweedcleat.core.balance.EndpointWork;
@@ -22,7 +23,9 @@
 import org.knapweedcleat.router.forward.codec.HeaderField;
 import org.knapweedcleat.router.forward.codec.InboundCall;
 import org.knapweedcleat.router.forward.codec.KvHandle;
+import org.knapweedcleat.router.forward.codec.ReplyHead;
 import org.knapweedcleat.router.forward.codec.ReplyNature;
+import org.knapweedcleat.router.forward.codec.ReplyNotice;
 import org.knapweedcleat.router.forward.codec.TokenUsage;
 import org.knapweedcleat.router.forward.http.BrokenCause;
 import org.knapweedcleat.router.forward.http.CallerExchange;
@@ -122,6 +125,42 @@
         resumeAfter);
   }
 
+  /** Lists the endpoints of the service that take calls now. */
+  protected final List<EndpointEntry> candidates() {
+    return context
+        .notices()
+        .open(context.nowMillis(), context.directory().endpoints().usable(service));
+  }
+
+  /**
+   * Refuses a call for which there is no candidate; if all of them pause, until the first is back.
+   */
+  protected final void refuseWithoutCandidates() {
+    OptionalLong opensInMillis =
+        context
+            .notices()
+            .opensInMillis(context.nowMillis(), context.directory().endpoints().usable(service));
+    if (opensInMillis.isPresent()) {
+      refuse("all endpoints of the service want no calls for now", opensInMillis.getAsLong());
+    } else {
+      follow(ledger.end(), "no endpoint of the service takes calls");
+    }
+  }
+
+  /** Takes what an answer says of further calls to its endpoint. */
+  protected final void noteNotice(EndpointEntry endpoint, ReplyHead reply, ReplyNature nature) {
+    if (nature == ReplyNature.MISDIRECTED) {
+      return;
+    }
+    ReplyNotice notice = context.codec().notice(reply);
+    notice
+        .pauseMillis()
+        .ifPresent(millis -> context.notices().pauses(context.nowMillis(), endpoint, millis));
+    if (notice.leaving() && context.notices().leaves(endpoint)) {
+      context.log().belief("endpoint.leaving", "endpoint", endpoint.id(), "source", "its answer");
+    }
+  }
+
   /** Sends the call to an endpoint; answers to other requests are not heard. */
   protected final void send(EndpointEntry endpoint, Dispatch dispatch, ReplyListener listener) {
     context.health().of(endpoint.id()).sending(context.nowMillis());
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/PlainForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/PlainForward.java
@@ -1,7 +1,6 @@
 package org.knapweedcleat.router.forward.call;
 
 import io.vertx.core.buffer.Buffer;
-import java.util.List;
 import java.util.Optional;
 import org.knapweedcleat.core.balance.EndpointHealth;
 import org.knapweedcleat.core.balance.EndpointWork;
@@ -42,14 +41,10 @@
 
   @Override
   protected void place() {
-    List<EndpointEntry> candidates = context.directory().endpoints().usable(service);
-    Optional<EndpointEntry> chosen =
-        context.chooser().plain(context.nowMillis(), candidates, ledger.tried());
-    if (chosen.isEmpty()) {
-      follow(ledger.end(), "no endpoint of the service is known");
-      return;
-    }
-    send(chosen.get());
+    context
+        .chooser()
+        .plain(context.nowMillis(), candidates(), ledger.tried())
+        .ifPresentOrElse(this::send, this::refuseWithoutCandidates);
   }
 
   private void send(EndpointEntry endpoint) {
@@ -80,6 +75,7 @@
     public void onHead(ReplyHead reply) {
       head = reply;
       nature = context.codec().nature(reply, call.requestId());
+      noteNotice(endpoint, reply, nature);
     }
 
     @Override
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -118,7 +118,11 @@
 
   @Override
   protected void place() {
-    List<EndpointEntry> candidates = context.directory().endpoints().usable(service);
+    List<EndpointEntry> candidates = candidates();
+    if (candidates.isEmpty() && !exchange.isBegun()) {
+      refuseWithoutCandidates();
+      return;
+    }
     boolean forced =
         exchange.isBegun() && context.nowMillis() - brokenAtMillis >= RESUME_WAIT_MILLIS;
     Optional<StreamPlacement> placement =
@@ -248,6 +252,7 @@
     @Override
     public void onHead(ReplyHead reply) {
       head = reply;
+      noteNotice(source, reply, context.codec().nature(reply, call.requestId()));
     }
 
     @Override
@@ -350,6 +355,7 @@
     public void onHead(ReplyHead reply) {
       head = reply;
       nature = context.codec().nature(reply, call.requestId());
+      noteNotice(engine, reply, nature);
       if (nature == ReplyNature.GENUINE && reply.isSuccess()) {
         held = Optional.empty();
         if (fetches) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/codec/CallCodec.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/codec/CallCodec.java
@@ -35,6 +35,14 @@
    */
   ReplyNature nature(ReplyHead reply, String requestId);
 
+  /**
+   * Reads what an answer says of further calls to its endpoint.
+   *
+   * @param reply the answer's head
+   * @return the notice
+   */
+  ReplyNotice notice(ReplyHead reply);
+
   /**
    * Returns the headers of an endpoint's answer that callers get.
    *
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.knapweedcleat.core.balance.DomainMap;
 import org.knapweedcleat.core.balance.EndpointChooser;
+import org.knapweedcleat.core.balance.EndpointNotices;
 import org.knapweedcleat.core.balance.HealthBook;
 import org.knapweedcleat.core.balance.WorkBook;
 import org.knapweedcleat.core.config.ForwarderSettings;
@@ -109,6 +110,7 @@
             EndpointChooser.of(domains, work, health, random::nextDouble),
             work,
             health,
+            EndpointNotices.create(),
             quota,
             budgets,
             Punctuality.create(),
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/FakeFleet.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/FakeFleet.java
@@ -10,6 +10,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import org.knapweedcleat.core.balance.DomainMap;
+import org.knapweedcleat.core.balance.EndpointNotices;
 import org.knapweedcleat.core.balance.HealthBook;
 import org.knapweedcleat.core.balance.WorkBook;
 import org.knapweedcleat.core.config.ForwarderSettings;
@@ -88,6 +89,7 @@
               null,
               work,
               HealthBook.create(),
+              EndpointNotices.create(),
               quota,
               budgets,
               null,
