--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointChooser.java
@@ -103,12 +103,14 @@
    */
   public Optional<EndpointEntry> plain(
       long nowMillis, List<EndpointEntry> candidates, Set<EndpointId> tried) {
+    ToDoubleFunction<EndpointEntry> millis =
+        entry -> plainMillis(nowMillis, entry) + detourMillis(nowMillis, entry);
     return ranked(
             nowMillis,
             inReach(candidates),
             tried,
-            entry -> plainMillis(nowMillis, entry) + detourMillis(nowMillis, entry),
-            Optional.of(entry -> 1))
+            millis,
+            Optional.of(entry -> 1 / millis.applyAsDouble(entry)))
         .stream()
         .findFirst();
   }
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/balance/EndpointChooserTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/balance/EndpointChooserTest.java
@@ -2,11 +2,14 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.knapweedcleat.core.directory.EndpointEntry;
 import org.knapweedcleat.core.directory.EndpointStage;
@@ -58,6 +61,32 @@
     assertThat(chooser.plain(0, List.of(far, near), Set.of()), is(Optional.of(far)));
   }
 
+  /** One of many plain endpoints was drawn evenly, whatever it had to do. */
+  @Test
+  void fullEndpointOfManyIsSeldomDrawn() {
+    List<EndpointEntry> many =
+        IntStream.range(0, 10)
+            .mapToObj(i -> engine("e-" + i, "near", EndpointStage.WHOLE))
+            .toList();
+    many.subList(0, 5).forEach(one -> work.begin(one.id(), new EndpointWork(640, 0, 0)));
+    Random random = new Random(20261204);
+    EndpointChooser drawing =
+        EndpointChooser.of(
+            DomainMap.of(
+                FailureDomainId.of("near"), Map.of(FailureDomainId.of("near"), RegionId.of("r1"))),
+            work,
+            health,
+            random::nextDouble);
+
+    long full =
+        IntStream.range(0, 1_000)
+            .mapToObj(i -> drawing.plain(0, many, Set.of()).orElseThrow())
+            .filter(one -> many.indexOf(one) < 5)
+            .count();
+
+    assertThat(full, lessThan(200L));
+  }
+
   @Test
   void streamIsSplitWithinDomain() {
     StreamPlacement placement = place(NEED).get();
