Say in the log what is known of an engine's refusal

Engines refuse with 503 for want of room, a KV cache that is gone, or work that they stopped, and give no reason; the line of a refused run now has the status, how full the engine seemed and whose KV cache was offered.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -3,6 +3,7 @@
 import io.vertx.core.buffer.Buffer;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import org.knapweedcleat.core.balance.EndpointHealth;
@@ -447,7 +448,7 @@
   private final class Run implements ReplyListener {
     private final EndpointEntry engine;
     private final boolean fetches;
-    private final boolean seemedFull;
+    private final double seemedFill;
     private final EndpointHealth health;
     private final long sentMillis = context.nowMillis();
     private ReplyHead head;
@@ -460,7 +461,7 @@
       this.engine = engine;
       this.fetches = fetches;
       long taken = context.work().at(engine.id(), sentMillis).memoryTokens();
-      this.seemedFull = taken > profile.memoryTokens() * LIKELY_FULL;
+      this.seemedFill = (double) taken / Math.max(1, profile.memoryTokens());
       this.health = context.health().of(engine.id());
     }
 
@@ -540,7 +541,7 @@
         if (fetches && nature == ReplyNature.NOT_RUN) {
           fetchRefused(nowMillis);
         }
-        follow(ledger.refused(nowMillis), "engine " + engine.id() + " refused");
+        follow(ledger.refused(nowMillis), refusal());
       } else if (nature == ReplyNature.GENUINE && head.isSuccess()) {
         ended(nowMillis);
       } else if (nature == ReplyNature.GENUINE) {
@@ -551,10 +552,21 @@
       }
     }
 
+    /** Says what is known of a refusal: engines give no reason. */
+    private String refusal() {
+      return String.format(
+          Locale.ROOT,
+          "engine %s refused with %d, its memory taken to %.2f, %s",
+          engine.id(),
+          head.status(),
+          seemedFill,
+          fetches ? "KV cache of " + reader.map(EndpointId::value).orElse("?") : "no KV cache");
+    }
+
     /** Drops a KV cache that seems to be gone; its reader's others may be, too. */
     private void fetchRefused(long nowMillis) {
       refusedFetches++;
-      if (refusedFetches < (seemedFull ? MAX_REFUSED_BY_FULL : MAX_REFUSED_FETCHES)) {
+      if (refusedFetches < (seemedFill > LIKELY_FULL ? MAX_REFUSED_BY_FULL : MAX_REFUSED_FETCHES)) {
         return;
       }
       releaseHeld();
