--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -15,12 +15,10 @@
 import org.knapweedcleat.core.directory.EndpointEntry;
 import org.knapweedcleat.core.directory.EngineProfile;
 import org.knapweedcleat.core.directory.ForwardRoute;
-import org.knapweedcleat.core.fleet.FleetMember;
 import org.knapweedcleat.core.forward.EventSplitter;
 import org.knapweedcleat.core.forward.NextStep;
 import org.knapweedcleat.core.forward.StreamTimeline;
 import org.knapweedcleat.core.id.EndpointId;
-import org.knapweedcleat.core.id.RegionId;
 import org.knapweedcleat.core.room.RoomPolicy;
 import org.knapweedcleat.router.forward.codec.InboundCall;
 import org.knapweedcleat.router.forward.codec.KvHandle;
@@ -31,8 +29,6 @@
 import org.knapweedcleat.router.forward.http.CallerExchange;
 import org.knapweedcleat.router.forward.http.CollectedReply;
 import org.knapweedcleat.router.forward.http.ReplyListener;
-import org.knapweedcleat.router.forward.room.RoomAnswer;
-import org.knapweedcleat.router.forward.room.RoomQuestion;
 
 /**
  * A call whose answer is a stream of events.
@@ -81,15 +77,6 @@
   /** The part of a KV cache's life in which it is still offered to an engine. */
   private static final double HANDLE_PART = 0.7;
 
-  /** The pause between tries to find room. */
-  private static final long ROOM_RETRY_MILLIS = 25;
-
-  /** The pause between questions to keepers, which all waiting calls of a region ask. */
-  private static final long KEEPER_RETRY_MILLIS = 150;
-
-  /** The most engines that a question names as not to be used. */
-  private static final int MAX_AVOIDED = 30;
-
   private static final int FIRST_SERVER_ERROR = 500;
 
   private static final TokenUsage UNKNOWN_USAGE = new TokenUsage(1, 1);
@@ -98,6 +85,7 @@
   private final EngineProfile profile;
   private final RoomPolicy room;
   private final StreamTimeline timeline;
+  private final StreamPlacer placer;
   private final EventSplitter splitter = EventSplitter.of(MAX_EVENT_BYTES);
   private Optional<KvHandle> held = Optional.empty();
   private long heldSinceMillis;
@@ -106,7 +94,6 @@
   private final Set<EndpointId> failedReaders = new HashSet<>();
   private int refusedFetches;
   private boolean splitFailed;
-  private Optional<FleetMember> keptBy = Optional.empty();
   private long brokenAtMillis = NEVER_MILLIS;
 
   StreamForward(
@@ -118,6 +105,7 @@
       long units) {
     super(context, exchange, call, route, account, units);
     this.timeline = StreamTimeline.began(beganMillis);
+    this.placer = new StreamPlacer(context, service, call.requestId(), this::isOver);
     this.usage = call.usage().orElse(UNKNOWN_USAGE);
     this.room = RoomPolicy.of(context.punctuality().isLate(route, call.deadlineMillis()));
     this.profile =
@@ -151,113 +139,9 @@
             room.usableMemory(),
             forced,
             route.maxGapMillis());
-    if (forced) {
-      placeAlone(candidates, need);
-    } else {
-      askKeeper(candidates, need, context.rooms().regions());
-    }
-  }
-
-  /** Places the call by what this instance knows. */
-  private void placeAlone(List<EndpointEntry> candidates, StreamNeed need) {
-    placed(
-        context.chooser().stream(context.nowMillis(), candidates, ledger.tried(), profile, need));
-  }
-
-  /** Asks the keepers of some regions in turn; who cannot be asked is not waited for. */
-  private void askKeeper(List<EndpointEntry> candidates, StreamNeed need, List<RegionId> regions) {
-    Optional<FleetMember> asked =
-        regions.stream().findFirst().flatMap(region -> context.rooms().keeper(region, service));
-    if (asked.isEmpty()) {
-      placeAlone(candidates, need);
-      return;
-    }
-    FleetMember keeper = asked.get();
-    context
-        .rooms()
-        .ask(keeper, question(candidates, need))
-        .subscribe()
-        .with(
-            answer -> {
-              if (answer.hasRoom()) {
-                take(keeper, answer, candidates, need);
-              } else if (isOver()) {
-                return;
-              } else if (regions.size() > 1) {
-                askKeeper(candidates, need, regions.subList(1, regions.size()));
-              } else {
-                placed(Optional.empty());
-              }
-            },
-            failure -> {
-              if (!isOver()) {
-                placeAlone(candidates, need);
-              }
-            });
-  }
-
-  private RoomQuestion question(List<EndpointEntry> candidates, StreamNeed need) {
-    return new RoomQuestion(
-        service.value(),
-        call.requestId(),
-        Math.max(1, remainingMillis()),
-        need.promptTokens(),
-        need.memoryTokens(),
-        need.split(),
-        names(failedReaders),
-        need.usableMemory(),
-        need.maxGapMillis(),
-        names(ledger.tried()),
-        candidates.stream()
-            .filter(one -> !context.health().of(one.id()).isTrusted(context.nowMillis()))
-            .limit(MAX_AVOIDED)
-            .map(one -> one.id().value())
-            .toList());
-  }
-
-  private static List<String> names(Set<EndpointId> endpoints) {
-    return endpoints.stream().map(EndpointId::value).toList();
-  }
-
-  /** Uses a place that a keeper gave, or gives it back. */
-  private void take(
-      FleetMember keeper, RoomAnswer answer, List<EndpointEntry> candidates, StreamNeed need) {
-    keptBy.filter(before -> !before.equals(keeper)).ifPresent(this::giveUpPlace);
-    keptBy = Optional.of(keeper);
-    Optional<EndpointEntry> engine = find(candidates, answer.engine());
-    Optional<EndpointEntry> reader = find(candidates, answer.reader());
-    boolean known = engine.isPresent() && (answer.reader().isEmpty() || reader.isPresent());
-    if (isOver()) {
-      releasePlace();
-    } else if (known) {
-      placed(Optional.of(new StreamPlacement(reader, engine.get(), answer.firstEventMillis())));
-    } else {
-      releasePlace();
-      placeAlone(candidates, need);
-    }
-  }
-
-  private static Optional<EndpointEntry> find(List<EndpointEntry> candidates, String id) {
-    return candidates.stream().filter(one -> one.id().value().equals(id)).findFirst();
-  }
-
-  private void giveUpPlace(FleetMember keeper) {
-    context.rooms().tellEnded(keeper, call.requestId());
-  }
-
-  /** Tells the keeper that placed this call how an engine failed it. */
-  private void tellKeeper(EndpointId engine, EngineFault fault) {
-    keptBy.ifPresent(keeper -> context.rooms().tellFault(keeper, engine, fault));
-  }
-
-  private void tellKeeper(EndpointId engine, ReplyNature nature) {
-    tellKeeper(
-        engine, nature == ReplyNature.MISDIRECTED ? EngineFault.MISDIRECTED : EngineFault.REFUSED);
-  }
-
-  private void releasePlace() {
-    keptBy.ifPresent(this::giveUpPlace);
-    keptBy = Optional.empty();
+    placer.find(
+        new StreamPlacer.Wanted(candidates, ledger.tried(), profile, need, remainingMillis()),
+        this::placed);
   }
 
   private void placed(Optional<StreamPlacement> placement) {
@@ -273,9 +157,7 @@
       found.prefill().ifPresentOrElse(reader -> prefill(reader, found), () -> alone(found));
     } else if (exchange.isBegun()
         || context.nowMillis() - beganMillis < room.waitMillis(route.targetMillis())) {
-      patience(
-          context.rooms().regions().isEmpty() ? ROOM_RETRY_MILLIS : KEEPER_RETRY_MILLIS,
-          this::place);
+      patience(placer.retryMillis(), this::place);
     } else {
       refuse(
           "no engine has room for a call that is " + room,
@@ -302,7 +184,7 @@
   @Override
   protected void onOver() {
     releaseHeld();
-    releasePlace();
+    placer.release();
   }
 
   private void free(KvHandle handle) {
@@ -393,7 +275,7 @@
         ReplyNature nature = context.codec().nature(head, call.requestId());
         if (nature.isNotRun()) {
           health.turnedAway(context.nowMillis());
-          tellKeeper(source.id(), EngineFault.MISDIRECTED);
+          placer.failed(source.id(), EngineFault.MISDIRECTED);
         } else {
           health.failed(context.nowMillis());
         }
@@ -412,7 +294,7 @@
       endPatience();
       endWork(source.id());
       noteBroken(health, cause);
-      tellKeeper(source.id(), EngineFault.LOST);
+      placer.failed(source.id(), EngineFault.LOST);
       if (!cause.mayHaveArrived()) {
         ledger.readNotSent();
       }
@@ -423,7 +305,7 @@
       abortSend();
       endWork(source.id());
       noteBroken(health, BrokenCause.SILENT);
-      tellKeeper(source.id(), EngineFault.LOST);
+      placer.failed(source.id(), EngineFault.LOST);
       failed("silent");
     }
 
@@ -553,7 +435,9 @@
       long nowMillis = context.nowMillis();
       if (nature.isNotRun()) {
         noteRefused(health, nature);
-        tellKeeper(engine.id(), nature);
+        placer.failed(
+            engine.id(),
+            nature == ReplyNature.MISDIRECTED ? EngineFault.MISDIRECTED : EngineFault.REFUSED);
         if (fetches && nature == ReplyNature.NOT_RUN) {
           fetchRefused(nowMillis);
         }
@@ -638,7 +522,7 @@
       endPatience();
       endWork(engine.id());
       noteBroken(health, cause);
-      tellKeeper(engine.id(), EngineFault.LOST);
+      placer.failed(engine.id(), EngineFault.LOST);
       splitter.dropPartial();
       brokenAtMillis = context.nowMillis();
       if (cause.mayHaveArrived()) {
