--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/FakeFleet.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/FakeFleet.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.smallrye.mutiny.Uni;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -53,6 +54,7 @@
   private final PeerCodec codec = PeerCodec.create();
   private final Map<InstanceId, Node> nodes = new LinkedHashMap<>();
   private final Set<InstanceId> dead = new HashSet<>();
+  private final Map<InstanceId, List<Runnable>> frozen = new HashMap<>();
   private final Set<FailureDomainId> cutFromStore = new HashSet<>();
   private final Set<FailureDomainId> cutOff = new HashSet<>();
   private final List<InetAddressPort> seeds = new ArrayList<>();
@@ -143,6 +145,7 @@
         PeerAddress address, IncarnationId target, PeerMessage question, long timeoutMillis) {
       return node(address)
           .filter(to -> !dead.contains(to.self.incarnation().instance()))
+          .filter(to -> !frozen.containsKey(to.self.incarnation().instance()))
           .map(to -> to.link.onQuestion(from.incarnation(), question))
           .orElseGet(() -> Uni.createFrom().failure(new IllegalStateException("no answer")));
     }
@@ -164,17 +167,18 @@
         bytesBetweenRegions += body.length + PACKET_BYTES;
       }
       PeerMessage arrived = codec.decodeBody(body).get();
-      Runnable action =
-          () -> {
-            if (!dead.contains(to.self.incarnation().instance())) {
-              nodes
-                  .get(to.self.incarnation().instance())
-                  .link
-                  .onMessage(from.incarnation(), arrived);
-            }
-          };
+      Runnable action = () -> receive(to.self.incarnation().instance(), arrived);
       deliveries.add(new Delivery(nowMillis + (far ? REGION_MILLIS : NEAR_MILLIS), action));
     }
+
+    /** Hands a message to an instance; one that stands still gets it when it goes on. */
+    private void receive(InstanceId to, PeerMessage message) {
+      if (frozen.containsKey(to)) {
+        frozen.get(to).add(() -> receive(to, message));
+      } else if (!dead.contains(to)) {
+        nodes.get(to).link.onMessage(from.incarnation(), message);
+      }
+    }
   }
 
   /** Makes a fleet; its first three instances are the seeds. */
@@ -217,6 +221,15 @@
     nodes.put(id, new Node(this, next, seeds));
   }
 
+  /** Stops an instance, which goes on later with what it knew. */
+  void freeze(Node node) {
+    frozen.put(node.self.incarnation().instance(), new ArrayList<>());
+  }
+
+  void thaw(Node node) {
+    frozen.remove(node.self.incarnation().instance()).forEach(Runnable::run);
+  }
+
   /** Cuts failure domains off from all others. */
   void cutOff(String... domains) {
     for (String domain : domains) {
@@ -244,6 +257,9 @@
 
   /** Lets an instance act; the store answers those that read it. */
   private void tick(Node node) {
+    if (frozen.containsKey(node.self.incarnation().instance())) {
+      return;
+    }
     if (node.link.readsStore() && !cutFromStore.contains(node.self.domain())) {
       node.directory.changed(PublishedKind.CONFIG, List.of(), 0);
     }
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/LargeFleetTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/LargeFleetTest.java
@@ -124,6 +124,29 @@
     }
   }
 
+  /** The pattern: an instance stands still while an endpoint leaves, and the store goes away. */
+  @Test
+  void endpointThatLeftDoesNotComeBackFromAnInstanceThatStoodStill() {
+    Node frozen = fleet.living().get(INSTANCES - 1);
+    Node restarted = fleet.living().get(INSTANCES - 1 - 6);
+    fleet.freeze(frozen);
+    fleet.run(1_000);
+    readers()
+        .forEach(node -> change(node, new PublishedItem.Removed(EndpointId.of("i-1"), 12), 12));
+    fleet.run(2_000);
+    List.of("a", "b", "c", "d", "e", "f")
+        .forEach(domain -> fleet.cutFromStore(FailureDomainId.of(domain)));
+    fleet.restart(restarted);
+    fleet.thaw(frozen);
+    fleet.run(4_000);
+
+    assertThat(restarted.self.domain(), is(frozen.self.domain()));
+    for (Node node : fleet.living()) {
+      assertThat(node.directory.isKnown(), is(true));
+      assertThat(node.directory.endpoints().find(EndpointId.of("i-1")).isPresent(), is(false));
+    }
+  }
+
   private List<Node> readers() {
     return fleet.living().stream().filter(node -> node.link.readsStore()).toList();
   }
