Send no run to an engine that asked for a pause while its prompt was read

The engine for a run is chosen before the prompt is read, which takes up to seconds under load; what the engine says meanwhile was not heeded. Failing before: EndpointNoticeTest.engineThatAsksForPauseGetsNoRunThatWasPlacedBefore (2 runs instead of 1).

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -321,7 +321,7 @@
       held = Optional.of(cache);
       reader = Optional.of(source.id());
       heldSinceMillis = context.nowMillis();
-      if (context.health().of(decode.id()).isUnreachable()) {
+      if (!stillTakesCalls(decode)) {
         endWork(decode.id());
         place();
         return;
@@ -329,6 +329,12 @@
       run(decode, held, 0);
     }
 
+    /** Tells whether the engine that was chosen before the prompt was read can get the run. */
+    private boolean stillTakesCalls(EndpointEntry chosen) {
+      return !context.health().of(chosen.id()).isUnreachable()
+          && !context.notices().open(context.nowMillis(), List.of(chosen)).isEmpty();
+    }
+
     private void failed(String why) {
       endWork(decode.id());
       failedReaders.add(source.id());
