Give back the repeat that was taken, not the latest one

A call that gives a repeat back removed the latest entry of the window, which may be that of a repeat that was sent: it then counted less long than the window. Found on the last reading, not seen to break the budget. RepeatBudgetTest.repeatThatIsGivenBackLeavesTheOthers does not compile on the code before, whose method named no repeat.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/forward/CallLedger.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/forward/CallLedger.java
@@ -1,5 +1,7 @@
 package org.knapweedcleat.core.forward;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.Set;
 import org.knapweedcleat.core.directory.ForwardRoute;
@@ -22,10 +24,10 @@
   private final ForwardRoute route;
   private final RepeatBudget budget;
   private final Set<EndpointId> tried = new HashSet<>();
+  private final Deque<Long> takenAtMillis = new ArrayDeque<>();
   private int sends;
   private int runs;
   private int arrivals;
-  private int taken;
   private boolean readAccepted;
 
   private CallLedger(ForwardRoute route, RepeatBudget budget) {
@@ -50,7 +52,7 @@
    * @param endpoint the endpoint
    */
   public void sent(EndpointId endpoint) {
-    if (taken < repeatsWithRun()) {
+    if (takenAtMillis.size() < repeatsWithRun()) {
       throw new IllegalStateException("a run that no repeat was taken for");
     }
     tried.add(endpoint);
@@ -97,8 +99,8 @@
   /** Gives back what was taken for sends that did not come about; the call is over. */
   public void settle() {
     int repeats = Math.max(0, arrivals - 1 - (readAccepted ? 1 : 0));
-    for (; taken > repeats; taken--) {
-      budget.giveBack();
+    while (takenAtMillis.size() > repeats) {
+      budget.giveBack(takenAtMillis.pollLast());
     }
   }
 
@@ -134,7 +136,7 @@
     return route.isRepeatable()
         && runs < route.maxRuns()
         && sends < MAX_SENDS
-        && (taken >= repeatsWithRun() || budget.hasOne(nowMillis));
+        && (takenAtMillis.size() >= repeatsWithRun() || budget.hasOne(nowMillis));
   }
 
   /**
@@ -196,11 +198,11 @@
   }
 
   private boolean take(int repeats, long nowMillis) {
-    while (taken < repeats) {
+    while (takenAtMillis.size() < repeats) {
       if (!budget.trySpend(nowMillis)) {
         return false;
       }
-      taken++;
+      takenAtMillis.addLast(nowMillis);
     }
     return true;
   }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/forward/RepeatBudget.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/forward/RepeatBudget.java
@@ -68,9 +68,13 @@
     return allowed;
   }
 
-  /** Gives back the latest repeat that was taken, because no endpoint got it. */
-  public void giveBack() {
-    repeats.pollLast();
+  /**
+   * Gives back a repeat that no endpoint got, unless it has left the window by itself.
+   *
+   * @param takenAtMillis when it was taken
+   */
+  public void giveBack(long takenAtMillis) {
+    repeats.removeLastOccurrence(takenAtMillis);
   }
 
   /**
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/forward/RepeatBudgetTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/forward/RepeatBudgetTest.java
@@ -41,9 +41,24 @@
   void repeatThatIsGivenBackCanBeTakenAgain() {
     RepeatBudget budget = RepeatBudget.of(0, 10_000, 1);
     assertThat(budget.trySpend(0), is(true));
-    budget.giveBack();
+    budget.giveBack(0);
 
     assertThat(budget.trySpend(0), is(true));
     assertThat(budget.trySpend(0), is(false));
   }
+
+  /**
+   * A repeat that was given back took the place of one that had been sent, which then counted less.
+   */
+  @Test
+  void repeatThatIsGivenBackLeavesTheOthers() {
+    RepeatBudget budget = RepeatBudget.of(0, 10_000, 2);
+    assertThat(budget.trySpend(0), is(true));
+    assertThat(budget.trySpend(9_000), is(true));
+    budget.giveBack(0);
+
+    assertThat(budget.left(10_500), is(1.0));
+    budget.giveBack(0);
+    assertThat(budget.left(10_500), is(1.0));
+  }
 }
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/LargeFleetTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/LargeFleetTest.java
@@ -128,7 +128,7 @@
   @Test
   void endpointThatLeftDoesNotComeBackFromAnInstanceThatStoodStill() {
     Node frozen = fleet.living().get(INSTANCES - 1);
-    Node restarted = fleet.living().get(INSTANCES - 1 - 6);
+    final Node restarted = fleet.living().get(INSTANCES - 1 - 6);
     fleet.freeze(frozen);
     fleet.run(1_000);
     readers()
