Say once what the last reading found said twice, and look for a keeper without sorting out all

No change of behaviour. The address of a forwarding instance was written in FleetLink and RoomExchange (now PeerAddress.of); what a refusal does to an engine's health in ForwardedCall and EngineFault (the latter serves both); the used part of the budget in ServiceBudgets and SlackShare; a lost read in two listeners of StreamForward. EndpointNotices answers for one endpoint without making lists.

On the way of each stream a keeper was found by asking of every live instance whether it is a representative, each time through the whole fleet; now only of those that the hash prefers. Regions and the own one are worked out once, unknown seeds once a tick.

--- a/knapweedcleat-bench/src/test/java/org/knapweedcleat/bench/pattern/StreamLoad.java
+++ b/knapweedcleat-bench/src/test/java/org/knapweedcleat/bench/pattern/StreamLoad.java
@@ -168,9 +168,9 @@
   /** Lets all instances ask one of them, which is told by nobody but its askers. */
   StreamLoad kept() {
     WorkBook work = WorkBook.of(WORK_AGE_MILLIS);
-    EndpointChooser chooser =
-        EndpointChooser.of(domains, work, HealthBook.create(), random::nextDouble);
-    keeper = Optional.of(RoomKeeper.of(KEEPER, chooser, work, HealthBook.create()));
+    HealthBook health = HealthBook.create();
+    EndpointChooser chooser = EndpointChooser.of(domains, work, health, random::nextDouble);
+    keeper = Optional.of(RoomKeeper.of(KEEPER, chooser, work, health));
     return this;
   }
 
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointNotices.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointNotices.java
@@ -75,7 +75,18 @@
     if (closedUntilMillis.isEmpty()) {
       return endpoints;
     }
-    return endpoints.stream().filter(one -> closedUntil(one) <= nowMillis).toList();
+    return endpoints.stream().filter(one -> isOpen(nowMillis, one)).toList();
+  }
+
+  /**
+   * Tells whether an endpoint takes calls now.
+   *
+   * @param nowMillis the time
+   * @param endpoint the endpoint
+   * @return false if it leaves or pauses
+   */
+  public boolean isOpen(long nowMillis, EndpointEntry endpoint) {
+    return closedUntil(endpoint) <= nowMillis;
   }
 
   /**
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EngineFault.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EngineFault.java
@@ -5,25 +5,30 @@
   /** Its connection was lost, or it did not react. */
   LOST {
     @Override
-    void note(long nowMillis, EndpointHealth health) {
+    public void note(long nowMillis, EndpointHealth health) {
       health.doubted(nowMillis);
     }
   },
   /** Another engine answers at its address, or it does no such work. */
   MISDIRECTED {
     @Override
-    void note(long nowMillis, EndpointHealth health) {
+    public void note(long nowMillis, EndpointHealth health) {
       health.turnedAway(nowMillis);
     }
   },
   /** It refused, mostly for want of room. */
   REFUSED {
     @Override
-    void note(long nowMillis, EndpointHealth health) {
+    public void note(long nowMillis, EndpointHealth health) {
       health.full(nowMillis);
     }
   };
 
-  /** Notes the fault that another instance met. */
-  abstract void note(long nowMillis, EndpointHealth health);
+  /**
+   * Notes the fault.
+   *
+   * @param nowMillis the time
+   * @param health the engine's health
+   */
+  public abstract void note(long nowMillis, EndpointHealth health);
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/forward/RepeatBudget.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/forward/RepeatBudget.java
@@ -11,6 +11,9 @@
  */
 public final class RepeatBudget {
 
+  /** The part that is used of what operators allow; the rest covers calls that cross a window. */
+  public static final double USED_PART = 0.8;
+
   private final double ratio;
   private final long windowMillis;
   private final Deque<Long> calls = new ArrayDeque<>();
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/forward/SlackShare.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/forward/SlackShare.java
@@ -11,9 +11,6 @@
  */
 public final class SlackShare {
 
-  /** The part of the slack that is used; the rest covers calls that cross a window. */
-  private static final double USED_PART = 0.8;
-
   /** The part that a young run uses: two restarts within a window stay inside the slack. */
   private static final double YOUNG_PART = 0.1;
 
@@ -105,7 +102,7 @@
     if (size() == 0 || young && !settled) {
       return 0;
     }
-    return (young ? YOUNG_PART : USED_PART) / size();
+    return (young ? YOUNG_PART : RepeatBudget.USED_PART) / size();
   }
 
   private void grow(long nowMillis, int size) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -230,15 +230,6 @@
     }
   }
 
-  /** Notes that an endpoint refused a call that it has not run. */
-  protected final void noteRefused(EndpointHealth health, ReplyNature nature) {
-    if (nature == ReplyNature.MISDIRECTED) {
-      health.turnedAway(context.nowMillis());
-    } else {
-      health.full(context.nowMillis());
-    }
-  }
-
   protected final void beginWork(EndpointId endpoint, EndpointWork work) {
     context.work().begin(endpoint, work);
     begunWork.merge(endpoint, work, EndpointWork::plus);
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ServiceBudgets.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ServiceBudgets.java
@@ -10,9 +10,6 @@
 /** The repeats that this instance may send to each service. */
 public final class ServiceBudgets {
 
-  /** The part of the ratio that is used; the rest covers calls that cross a window. */
-  private static final double USED_PART = 0.8;
-
   private final ForwarderSettings.Bounds bounds;
   private final SlackShare share;
   private final Map<ServiceId, RepeatBudget> budgets = new HashMap<>();
@@ -76,6 +73,7 @@
     return budgets.computeIfAbsent(
         service,
         id ->
-            RepeatBudget.of(bounds.repeatRatio() * USED_PART, bounds.repeatWindowMillis(), slack));
+            RepeatBudget.of(
+                bounds.repeatRatio() * RepeatBudget.USED_PART, bounds.repeatWindowMillis(), slack));
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamForward.java
@@ -292,21 +292,22 @@
     @Override
     public void onBroken(BrokenCause cause) {
       endPatience();
-      endWork(source.id());
-      noteBroken(health, cause);
-      placer.failed(source.id(), EngineFault.LOST);
-      if (!cause.mayHaveArrived()) {
-        ledger.readNotSent();
-      }
-      failed(cause.name());
+      lost(cause, cause.name());
     }
 
     void tooSlow() {
       abortSend();
+      lost(BrokenCause.SILENT, "silent");
+    }
+
+    private void lost(BrokenCause cause, String why) {
       endWork(source.id());
-      noteBroken(health, BrokenCause.SILENT);
+      noteBroken(health, cause);
       placer.failed(source.id(), EngineFault.LOST);
-      failed("silent");
+      if (!cause.mayHaveArrived()) {
+        ledger.readNotSent();
+      }
+      failed(why);
     }
 
     private void prefilled(String handle) {
@@ -332,7 +333,7 @@
     /** Tells whether the engine that was chosen before the prompt was read can get the run. */
     private boolean stillTakesCalls(EndpointEntry chosen) {
       return !context.health().of(chosen.id()).isUnreachable()
-          && !context.notices().open(context.nowMillis(), List.of(chosen)).isEmpty();
+          && context.notices().isOpen(context.nowMillis(), chosen);
     }
 
     private void failed(String why) {
@@ -440,10 +441,10 @@
       endWork(engine.id());
       long nowMillis = context.nowMillis();
       if (nature.isNotRun()) {
-        noteRefused(health, nature);
-        placer.failed(
-            engine.id(),
-            nature == ReplyNature.MISDIRECTED ? EngineFault.MISDIRECTED : EngineFault.REFUSED);
+        EngineFault fault =
+            nature == ReplyNature.MISDIRECTED ? EngineFault.MISDIRECTED : EngineFault.REFUSED;
+        fault.note(nowMillis, health);
+        placer.failed(engine.id(), fault);
         if (fetches && nature == ReplyNature.NOT_RUN) {
           fetchRefused(nowMillis);
         }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetLink.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetLink.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.knapweedcleat.core.balance.Distance;
 import org.knapweedcleat.core.balance.DomainMap;
 import org.knapweedcleat.core.balance.DoubtBook;
@@ -161,10 +160,11 @@
     toldConfigVersion = exchange.configVersion();
     toldEndpointsHash = exchange.endpointsHash();
     members.forget(nowMillis).forEach(this::ended);
-    countFleet(nowMillis);
+    List<InetAddressPort> unknownSeeds = unknownSeeds();
+    countFleet(nowMillis, unknownSeeds.size());
     FleetNews news = news(false, List.of(ownReport()), members.nextNamed(nowMillis));
     members.direct().forEach(member -> send(member, news));
-    unknownSeeds().forEach(seed -> carrier.send(seedAddress(seed), news));
+    unknownSeeds.forEach(seed -> carrier.send(seedAddress(seed), news));
     sendAcross(nowMillis);
   }
 
@@ -196,20 +196,19 @@
     return Uni.createFrom().failure(new IllegalArgumentException("not a question for " + self));
   }
 
-  private void countFleet(long nowMillis) {
+  private void countFleet(long nowMillis, int unknownSeeds) {
     int live = members.live(nowMillis).size() + 1;
     int known = members.possible().size() + 1;
     quota.fleet(live, known);
-    long unknownSeeds = unknownSeeds().count();
-    budgets.fleet(nowMillis, known, (int) unknownSeeds);
+    budgets.fleet(nowMillis, known, unknownSeeds);
     if (live != liveBefore) {
       log.belief("fleet.live", "live", live, "known", known, "dividedBy", budgets.fleetSize());
       liveBefore = live;
     }
   }
 
-  private Stream<InetAddressPort> unknownSeeds() {
-    return seeds.stream().filter(seed -> !members.isKnown(seed.toString()));
+  private List<InetAddressPort> unknownSeeds() {
+    return seeds.stream().filter(seed -> !members.isKnown(seed.toString())).toList();
   }
 
   /** Tells whether this instance learned from the store what others wait for. */
@@ -252,7 +251,7 @@
     hearDoubts(nowMillis, from, news);
     boolean reads = readsStore();
     if (reads || mayAskOfOthers(nowMillis, news.sender())) {
-      exchange.askIfBehind(nowMillis, news, reads, address(news.sender()), carrier);
+      exchange.askIfBehind(nowMillis, news, reads, PeerAddress.of(news.sender()), carrier);
     }
   }
 
@@ -335,11 +334,7 @@
   }
 
   private void send(FleetMember member, FleetNews news) {
-    carrier.send(address(member), member.incarnation(), news);
-  }
-
-  private static PeerAddress address(FleetMember member) {
-    return new PeerAddress(member.incarnation().instance(), member.host(), member.port());
+    carrier.send(PeerAddress.of(member), member.incarnation(), news);
   }
 
   private static PeerAddress seedAddress(InetAddressPort seed) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/room/RoomExchange.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/room/RoomExchange.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.knapweedcleat.core.balance.EndpointNotices;
 import org.knapweedcleat.core.balance.EngineFault;
 import org.knapweedcleat.core.balance.RoomKeeper;
@@ -49,6 +50,8 @@
   private final FleetMember self;
   private final FleetMembers members;
   private final Map<FailureDomainId, RegionId> regions;
+  private final RegionId own;
+  private final List<RegionId> ownFirst;
   private final RoomKeeper keeper;
   private final PublishedDirectory directory;
   private final EndpointNotices notices;
@@ -69,6 +72,8 @@
     this.self = self;
     this.members = members;
     this.regions = Map.copyOf(regions);
+    this.own = regions.get(self.domain());
+    this.ownFirst = Stream.concat(Stream.of(own), regions.values().stream()).distinct().toList();
     this.keeper = keeper;
     this.directory = directory;
     this.notices = notices;
@@ -116,13 +121,7 @@
    * @return none in a small fleet, whose instances know each other's work soon enough
    */
   public List<RegionId> regions() {
-    if (members.isSmall()) {
-      return List.of();
-    }
-    RegionId own = regions.get(self.domain());
-    List<RegionId> all = new ArrayList<>(List.of(own));
-    regions.values().stream().distinct().filter(one -> !one.equals(own)).forEach(all::add);
-    return all;
+    return members.isSmall() ? List.of() : ownFirst;
   }
 
   /**
@@ -139,18 +138,24 @@
         members.live(nowMillis).stream()
             .filter(member -> region.equals(regions.get(member.domain())))
             .collect(Collectors.toCollection(ArrayList::new));
-    if (region.equals(regions.get(self.domain()))) {
+    if (region.equals(own)) {
       live.add(self);
     }
-    List<FleetMember> free =
-        live.stream().filter(member -> !members.isRepresentative(nowMillis, member)).toList();
-    return RendezvousHash.choose(
-            service.value(),
-            free.isEmpty() ? live : free,
-            member -> member.incarnation().instance().value())
+    Optional<FleetMember> first = choose(service, live);
+    Optional<FleetMember> free = first;
+    while (free.filter(one -> members.isRepresentative(nowMillis, one)).isPresent()) {
+      live.remove(free.get());
+      free = choose(service, live);
+    }
+    return free.or(() -> first)
         .filter(one -> silentUntilMillis.getOrDefault(one.incarnation(), 0L) <= nowMillis);
   }
 
+  private static Optional<FleetMember> choose(ServiceId service, List<FleetMember> from) {
+    return RendezvousHash.choose(
+        service.value(), from, member -> member.incarnation().instance().value());
+  }
+
   /**
    * Asks a keeper.
    *
@@ -163,7 +168,7 @@
       return Uni.createFrom().item(() -> answer(self.incarnation(), question));
     }
     return carrier
-        .ask(address(member), member.incarnation(), question, ASK_MILLIS)
+        .ask(PeerAddress.of(member), member.incarnation(), question, ASK_MILLIS)
         .map(RoomAnswer.class::cast)
         .onFailure()
         .invoke(failure -> silent(member, failure));
@@ -179,7 +184,7 @@
     if (member.incarnation().equals(self.incarnation())) {
       ended(self.incarnation(), requestId);
     } else {
-      carrier.send(address(member), member.incarnation(), new RoomEnded(requestId));
+      carrier.send(PeerAddress.of(member), member.incarnation(), new RoomEnded(requestId));
     }
   }
 
@@ -193,7 +198,7 @@
   public void tellFault(FleetMember member, EndpointId engine, EngineFault fault) {
     if (!member.incarnation().equals(self.incarnation())) {
       RoomFault told = new RoomFault(engine.value(), fault);
-      carrier.send(address(member), member.incarnation(), told);
+      carrier.send(PeerAddress.of(member), member.incarnation(), told);
     }
   }
 
@@ -217,7 +222,6 @@
     long nowMillis = clock.getAsLong();
     ServiceId service = ServiceId.of(asked.service());
     Set<String> avoided = Set.copyOf(asked.avoided());
-    RegionId own = regions.get(self.domain());
     List<EndpointEntry> candidates =
         notices.open(nowMillis, directory.endpoints().usable(service)).stream()
             .filter(entry -> own.equals(regions.get(entry.domain())))
@@ -285,8 +289,4 @@
   private static Set<EndpointId> ids(List<String> names) {
     return names.stream().map(EndpointId::of).collect(Collectors.toSet());
   }
-
-  private static PeerAddress address(FleetMember member) {
-    return new PeerAddress(member.incarnation().instance(), member.host(), member.port());
-  }
 }
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/FakeFleet.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/FakeFleet.java
@@ -86,15 +86,15 @@
       this.directory = PublishedDirectory.of(() -> fleet.nowMillis, log);
       this.budgets = ServiceBudgets.of(BOUNDS, fleet.nowMillis);
       EndpointNotices notices = EndpointNotices.create();
+      HealthBook health = HealthBook.create();
       EndpointChooser chooser =
-          EndpointChooser.of(
-              DomainMap.of(self.domain(), fleet.regions), work, HealthBook.create(), () -> 0.5);
+          EndpointChooser.of(DomainMap.of(self.domain(), fleet.regions), work, health, () -> 0.5);
       this.rooms =
           RoomExchange.of(
               self,
               members,
               fleet.regions,
-              RoomKeeper.of(self.incarnation(), chooser, work, HealthBook.create()),
+              RoomKeeper.of(self.incarnation(), chooser, work, health),
               directory,
               notices,
               () -> fleet.nowMillis,
@@ -108,7 +108,7 @@
               directory,
               null,
               work,
-              HealthBook.create(),
+              health,
               notices,
               rooms,
               quota,
