Log the request rates that endpoints announce, and count what is sent to such endpoints

The adapter reads the header; endpoint.limited and endpoint.unlimited are logged on change, sends.limited counts. Nothing is decided by it yet.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointAvailability.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointAvailability.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import org.knapweedcleat.core.directory.EndpointEntry;
-import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.directory.EndpointIncarnation;
 
 /**
  * Tracks what endpoints announce in their responses: that they are leaving, or accept no calls for
@@ -24,13 +24,6 @@
         }
       };
 
-  /** Identifies one start of an endpoint, since it may restart under the same id. */
-  private record EndpointIncarnation(EndpointId id, long bornMillis) {
-    static EndpointIncarnation of(EndpointEntry endpoint) {
-      return new EndpointIncarnation(endpoint.id(), endpoint.startedAtMillis());
-    }
-  }
-
   private EndpointAvailability() {}
 
   /**
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardContext.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardContext.java
@@ -10,6 +10,7 @@
 import org.knapweedcleat.core.balance.WorkloadTracker;
 import org.knapweedcleat.core.quota.FleetQuotaLimiter;
 import org.knapweedcleat.core.room.LateCallDetector;
+import org.knapweedcleat.core.throttle.EndpointRateLimits;
 import org.knapweedcleat.router.forward.codec.CallCodec;
 import org.knapweedcleat.router.forward.http.EndpointConnectionPool;
 import org.knapweedcleat.router.forward.log.DecisionLog;
@@ -28,6 +29,7 @@
  * @param work the known load of each endpoint
  * @param health the health of each endpoint
  * @param notices which endpoints have announced that they are leaving or want a pause
+ * @param rateLimits the request rates that endpoints announced as their limit
  * @param placements asks the regions' coordinators to place streams
  * @param quota the client accounts' quotas
  * @param retryBudgets the retry budget of each service
@@ -46,6 +48,7 @@
     WorkloadTracker work,
     EndpointHealthRegistry health,
     EndpointAvailability notices,
+    EndpointRateLimits rateLimits,
     PlacementExchange placements,
     FleetQuotaLimiter quota,
     ServiceRetryBudgets retryBudgets,
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -7,12 +7,14 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.knapweedcleat.core.balance.EndpointHealth;
 import org.knapweedcleat.core.balance.EndpointWorkload;
 import org.knapweedcleat.core.directory.AccountQuota;
 import org.knapweedcleat.core.directory.EndpointEntry;
+import org.knapweedcleat.core.directory.EndpointIncarnation;
 import org.knapweedcleat.core.directory.ForwardRoute;
 import org.knapweedcleat.core.forward.AttemptLedger;
 import org.knapweedcleat.core.forward.RetryDecision;
@@ -149,13 +151,23 @@
     }
   }
 
-  /** Records what a response announces about the availability of its endpoint. */
+  /**
+   * Records what a response announces about the availability of its endpoint.
+   *
+   * @param isGenuine whether the response is certain to come from the endpoint, so that it also
+   *     counts what it does not announce
+   */
   protected final void recordNotice(
-      EndpointEntry endpoint, ResponseHead response, ResponseKind kind) {
+      EndpointEntry endpoint,
+      ResponseHead response,
+      ResponseKind kind,
+      boolean isGenuine,
+      long sentMillis) {
     if (kind == ResponseKind.MISDIRECTED) {
       return;
     }
     AvailabilityNotice notice = context.codec().decodeNotice(response);
+    recordRateLimit(endpoint, notice, isGenuine, sentMillis);
     notice
         .pauseMillis()
         .ifPresent(millis -> context.notices().markPaused(context.nowMillis(), endpoint, millis));
@@ -166,10 +178,37 @@
     }
   }
 
+  private void recordRateLimit(
+      EndpointEntry endpoint, AvailabilityNotice notice, boolean isGenuine, long sentMillis) {
+    EndpointIncarnation incarnation = EndpointIncarnation.of(endpoint);
+    OptionalDouble limit = notice.requestsPerSecond();
+    if (limit.isPresent()) {
+      if (context.rateLimits().recordLimit(incarnation, limit.getAsDouble(), context.nowMillis())) {
+        context
+            .log()
+            .stateChange(
+                "endpoint.limited",
+                "endpoint",
+                endpoint.id(),
+                "requestsPerSecond",
+                limit.getAsDouble(),
+                "source",
+                "its response");
+      }
+    } else if (isGenuine && context.rateLimits().recordNoLimit(incarnation, sentMillis)) {
+      context
+          .log()
+          .stateChange("endpoint.unlimited", "endpoint", endpoint.id(), "source", "its response");
+    }
+  }
+
   /** Sends the call to an endpoint; responses to other requests are ignored. */
   protected final void send(
       EndpointEntry endpoint, DispatchAttributes dispatch, ResponseListener listener) {
     context.health().get(endpoint.id()).recordSend(context.nowMillis());
+    if (context.rateLimits().requestsPerSecond(EndpointIncarnation.of(endpoint)).isPresent()) {
+      context.metrics().counter("sends.limited").inc();
+    }
     EndpointRequest sent =
         context
             .pool()
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
@@ -273,7 +273,8 @@
     @Override
     public void onHead(ResponseHead response) {
       head = response;
-      recordNotice(engine, response, context.codec().classify(response, call.requestId()));
+      ResponseKind kind = context.codec().classify(response, call.requestId());
+      recordNotice(engine, response, kind, response.isSuccess(), sentMillis);
     }
 
     @Override
@@ -396,7 +397,7 @@
     public void onHead(ResponseHead response) {
       head = response;
       kind = context.codec().classify(response, call.requestId());
-      recordNotice(engine, response, kind);
+      recordNotice(engine, response, kind, kind == ResponseKind.GENUINE, sentMillis);
       if (kind == ResponseKind.GENUINE && response.isSuccess()) {
         kvHandle = Optional.empty();
         if (fetchesKvCache) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/UnaryCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/UnaryCall.java
@@ -76,7 +76,7 @@
     public void onHead(ResponseHead response) {
       head = response;
       kind = context.codec().classify(response, call.requestId());
-      recordNotice(endpoint, response, kind);
+      recordNotice(endpoint, response, kind, kind == ResponseKind.GENUINE, sentMillis);
     }
 
     @Override
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/codec/AvailabilityNotice.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/codec/AvailabilityNotice.java
@@ -1,5 +1,6 @@
 package org.knapweedcleat.router.forward.codec;
 
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 /**
@@ -7,5 +8,8 @@
  *
  * @param leaving whether the endpoint is about to leave
  * @param pauseMillis how long the endpoint wants no calls from this instance; empty if not stated
+ * @param requestsPerSecond the request rate that the endpoint accepts from all instances together;
+ *     empty if not stated
  */
-public record AvailabilityNotice(boolean leaving, OptionalLong pauseMillis) {}
+public record AvailabilityNotice(
+    boolean leaving, OptionalLong pauseMillis, OptionalDouble requestsPerSecond) {}
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -26,6 +26,7 @@
 import org.knapweedcleat.core.room.LateCallDetector;
 import org.knapweedcleat.core.stage.OrderLeaderElection;
 import org.knapweedcleat.core.stage.StageBalancer;
+import org.knapweedcleat.core.throttle.EndpointRateLimits;
 import org.knapweedcleat.router.forward.call.AdmissionHandler;
 import org.knapweedcleat.router.forward.call.ForwardContext;
 import org.knapweedcleat.router.forward.call.ReconnectProbe;
@@ -136,6 +137,7 @@
             work,
             health,
             notices,
+            EndpointRateLimits.create(),
             rooms,
             quota,
             budgets,
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
@@ -27,6 +27,7 @@
 import org.knapweedcleat.core.message.PeerMessage;
 import org.knapweedcleat.core.quota.FleetQuotaLimiter;
 import org.knapweedcleat.core.quota.QuotaTolerance;
+import org.knapweedcleat.core.throttle.EndpointRateLimits;
 import org.knapweedcleat.router.forward.call.ForwardContext;
 import org.knapweedcleat.router.forward.call.ServiceRetryBudgets;
 import org.knapweedcleat.router.forward.log.DecisionLog;
@@ -111,6 +112,7 @@
               work,
               health,
               notices,
+              EndpointRateLimits.create(),
               rooms,
               quota,
               budgets,
