Move the choice and querying of coordinators out of PlacementExchange

CoordinatorClient chooses the instance that coordinates something by hash and leaves one that does not reply alone for a time.

--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/coordinator/package-info.java
@@ -0,0 +1,2 @@
+/** Finds and queries the instance that coordinates something for other instances. */
+package org.knapweedcleat.router.forward.coordinator;
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/room/PlacementExchange.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/room/PlacementExchange.java
@@ -1,8 +1,6 @@
 package org.knapweedcleat.router.forward.room;
 
 import io.smallrye.mutiny.Uni;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,10 +22,9 @@
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.RegionId;
 import org.knapweedcleat.core.id.ServiceId;
-import org.knapweedcleat.core.membership.RendezvousHash;
+import org.knapweedcleat.router.forward.coordinator.CoordinatorClient;
 import org.knapweedcleat.router.forward.log.DecisionLog;
 import org.knapweedcleat.router.forward.store.DirectoryCache;
-import org.knapweedcleat.router.peer.PeerAddress;
 import org.knapweedcleat.router.peer.PeerMessenger;
 
 /**
@@ -45,14 +42,9 @@
    */
   private static final long REPLY_TIMEOUT_MILLIS = 400;
 
-  /**
-   * How long a coordinator that did not reply is not queried; it takes as long until an instance is
-   * no longer considered live.
-   */
-  private static final long UNRESPONSIVE_MILLIS = 2_000;
-
   private final FleetMember self;
   private final FleetMembership members;
+  private final CoordinatorClient coordinators;
   private final Map<FailureDomainId, RegionId> regionByDomain;
   private final RegionId ownRegion;
   private final List<RegionId> regionsOwnFirst;
@@ -60,9 +52,6 @@
   private final DirectoryCache directory;
   private final EndpointAvailability notices;
   private final LongSupplier clock;
-  private final DecisionLog log;
-  private final Map<IncarnationId, Long> unresponsiveUntilMillis = new HashMap<>();
-  private PeerMessenger transport;
 
   private PlacementExchange(
       FleetMember self,
@@ -83,7 +72,8 @@
     this.directory = directory;
     this.notices = notices;
     this.clock = clock;
-    this.log = log;
+    this.coordinators =
+        CoordinatorClient.of(self, members, clock, log, "room.unanswered", REPLY_TIMEOUT_MILLIS);
   }
 
   /**
@@ -118,7 +108,7 @@
    * @param peerTransport the transport
    */
   public void transport(PeerMessenger peerTransport) {
-    transport = peerTransport;
+    coordinators.transport(peerTransport);
   }
 
   /**
@@ -139,28 +129,9 @@
    * @return the coordinator, which may be this instance; empty if none is to be queried
    */
   public Optional<FleetMember> coordinator(RegionId region, ServiceId service) {
-    long nowMillis = clock.getAsLong();
-    List<FleetMember> live =
-        members.liveMembers(nowMillis).stream()
-            .filter(member -> region.equals(regionByDomain.get(member.domain())))
-            .collect(Collectors.toCollection(ArrayList::new));
-    if (region.equals(ownRegion)) {
-      live.add(self);
-    }
-    Optional<FleetMember> preferred = choose(service, live);
-    Optional<FleetMember> chosen = preferred;
-    while (chosen.filter(one -> members.isRepresentative(nowMillis, one)).isPresent()) {
-      live.remove(chosen.get());
-      chosen = choose(service, live);
-    }
-    return chosen
-        .or(() -> preferred)
-        .filter(one -> unresponsiveUntilMillis.getOrDefault(one.incarnation(), 0L) <= nowMillis);
-  }
-
-  private static Optional<FleetMember> choose(ServiceId service, List<FleetMember> from) {
-    return RendezvousHash.choose(
-        service.value(), from, member -> member.incarnation().instance().value());
+    return coordinators.choose(
+        service.value(),
+        coordinators.live(member -> region.equals(regionByDomain.get(member.domain()))));
   }
 
   /**
@@ -171,14 +142,10 @@
    * @return the reply; fails on a timeout
    */
   public Uni<StreamPlacementReply> ask(FleetMember member, StreamPlacementQuery query) {
-    if (member.incarnation().equals(self.incarnation())) {
+    if (coordinators.isSelf(member)) {
       return Uni.createFrom().item(() -> place(self.incarnation(), query));
     }
-    return transport
-        .request(PeerAddress.of(member), member.incarnation(), query, REPLY_TIMEOUT_MILLIS)
-        .map(StreamPlacementReply.class::cast)
-        .onFailure()
-        .invoke(failure -> onUnanswered(member, failure));
+    return coordinators.ask(member, query, StreamPlacementReply.class);
   }
 
   /**
@@ -188,11 +155,10 @@
    * @param requestId the id of the stream's request
    */
   public void notifyEnded(FleetMember member, String requestId) {
-    if (member.incarnation().equals(self.incarnation())) {
+    if (coordinators.isSelf(member)) {
       release(self.incarnation(), requestId);
     } else {
-      transport.send(
-          PeerAddress.of(member), member.incarnation(), new StreamEndedNotice(requestId));
+      coordinators.send(member, new StreamEndedNotice(requestId));
     }
   }
 
@@ -204,9 +170,8 @@
    * @param fault the kind of failure
    */
   public void notifyFault(FleetMember member, EndpointId engine, EngineFault fault) {
-    if (!member.incarnation().equals(self.incarnation())) {
-      EngineFaultNotice notice = new EngineFaultNotice(engine.value(), fault);
-      transport.send(PeerAddress.of(member), member.incarnation(), notice);
+    if (!coordinators.isSelf(member)) {
+      coordinators.send(member, new EngineFaultNotice(engine.value(), fault));
     }
   }
 
@@ -286,12 +251,7 @@
    */
   public void release(IncarnationId owner) {
     localCoordinator.release(owner);
-    unresponsiveUntilMillis.remove(owner);
-  }
-
-  private void onUnanswered(FleetMember member, Throwable failure) {
-    unresponsiveUntilMillis.put(member.incarnation(), clock.getAsLong() + UNRESPONSIVE_MILLIS);
-    log.stateChange("room.unanswered", "keeper", member.incarnation(), "why", failure.getMessage());
+    coordinators.forget(owner);
   }
 
   private static Set<EndpointId> endpointIds(List<String> names) {
