Keep the requests of all instances to an endpoint within the rate that it announces

Cause: no code read the announcement. An instance chooses an endpoint by its expected time, of which the rate is no part, and a limited endpoint that answers fast even got more than the others. No bound on what several instances send to one endpoint existed at all: a pause or a leave is told to each instance by itself and binds each by itself, a rate binds their sum.

Fix: an instance that knows of a limit (from a response, or from another instance) asks for a permit before each send. One live instance near the endpoint, chosen by hash, issues them evenly spaced. Without its answer nothing is sent there. A call whose permit would take too long goes to another endpoint, and waits up to half its latency target only where it has no choice; if no endpoint is left it is refused at once with the time of the next permit. A limit ends with a response that names none to a request sent after the last that did.

Why it works: the sum of all sends is counted at one place.

Ruled out: dividing the rate by the instances (one permit in 36 s each at 95 instances, unused where callers are not), and gossiped counts (all instances see one free permit at the same time).

An instance of the former build closes the connection on the new messages; they are sent only while an endpoint announces a limit.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/throttle/EndpointRateLimits.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/throttle/EndpointRateLimits.java
@@ -1,13 +1,16 @@
 package org.knapweedcleat.core.throttle;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 import org.knapweedcleat.core.directory.EndpointIncarnation;
 
 /**
- * The request rates that endpoints currently announce as their limit for the whole fleet.
+ * The request rates that endpoints currently announce as their limit for the whole fleet, as
+ * observed by this and other instances.
  *
  * <p>The latest observation decides, since responses on different connections may overtake each
  * other. A response without a limit counts from the time its request was sent: an endpoint may have
@@ -15,19 +18,21 @@
  */
 public final class EndpointRateLimits {
 
+  /** Other instances learn of an observation many times over in this time. */
+  private static final long REPORT_MILLIS = 10_000;
+
   /** Far more than the endpoints of any deployment; the oldest entries are dropped. */
   private static final int MAX_ENTRIES = 4_000;
 
-  private final Map<EndpointIncarnation, Observation> latest =
+  private final Map<EndpointIncarnation, LimitObservation> latest =
       new LinkedHashMap<>() {
         @Override
-        protected boolean removeEldestEntry(Map.Entry<EndpointIncarnation, Observation> eldest) {
+        protected boolean removeEldestEntry(
+            Map.Entry<EndpointIncarnation, LimitObservation> eldest) {
           return size() > MAX_ENTRIES;
         }
       };
 
-  private record Observation(OptionalDouble requestsPerSecond, long observedAtMillis) {}
-
   private EndpointRateLimits() {}
 
   /**
@@ -40,38 +45,32 @@
   }
 
   /**
-   * Records that an endpoint announced a limit.
+   * Records an observation, unless a later one of the same endpoint is known.
    *
-   * @param endpoint the endpoint
-   * @param requestsPerSecond the limit, at least 0
-   * @param observedAtMillis when the announcement arrived
+   * @param observation the observation
    * @return true if the limit in force has changed
    */
-  public boolean recordLimit(
-      EndpointIncarnation endpoint, double requestsPerSecond, long observedAtMillis) {
-    Observation previous = latest.get(endpoint);
-    if (previous != null && previous.observedAtMillis() > observedAtMillis) {
+  public boolean record(LimitObservation observation) {
+    LimitObservation previous = latest.get(observation.endpoint());
+    if (previous == null && observation.requestsPerSecond().isEmpty()) {
       return false;
     }
-    OptionalDouble limit = OptionalDouble.of(requestsPerSecond);
-    latest.put(endpoint, new Observation(limit, observedAtMillis));
-    return previous == null || !previous.requestsPerSecond().equals(limit);
+    if (previous != null && !observation.supersedes(previous)) {
+      return false;
+    }
+    latest.put(observation.endpoint(), observation);
+    return previous == null
+        || !previous.requestsPerSecond().equals(observation.requestsPerSecond());
   }
 
   /**
-   * Records that an endpoint responded without announcing a limit.
+   * Returns the latest observation of an endpoint's limit.
    *
    * @param endpoint the endpoint
-   * @param sentAtMillis when the request was sent
-   * @return true if a limit was in force and no longer is
+   * @return the observation; empty if the endpoint never announced a limit
    */
-  public boolean recordNoLimit(EndpointIncarnation endpoint, long sentAtMillis) {
-    Observation previous = latest.get(endpoint);
-    if (previous == null || previous.observedAtMillis() >= sentAtMillis) {
-      return false;
-    }
-    latest.put(endpoint, new Observation(OptionalDouble.empty(), sentAtMillis));
-    return previous.requestsPerSecond().isPresent();
+  public Optional<LimitObservation> find(EndpointIncarnation endpoint) {
+    return Optional.ofNullable(latest.get(endpoint));
   }
 
   /**
@@ -81,8 +80,23 @@
    * @return requests per second of all instances together; empty if there is no limit
    */
   public OptionalDouble requestsPerSecond(EndpointIncarnation endpoint) {
-    return Optional.ofNullable(latest.get(endpoint))
-        .map(Observation::requestsPerSecond)
-        .orElse(OptionalDouble.empty());
+    return find(endpoint).map(LimitObservation::requestsPerSecond).orElse(OptionalDouble.empty());
+  }
+
+  /**
+   * Returns the recent observations that other instances may not know of yet.
+   *
+   * @param nowMillis the current time
+   * @param sources whose observations to return
+   * @return the observations
+   */
+  public List<LimitObservation> recent(long nowMillis, Set<LimitObservation.Source> sources) {
+    if (latest.isEmpty()) {
+      return List.of();
+    }
+    return latest.values().stream()
+        .filter(observation -> sources.contains(observation.source()))
+        .filter(observation -> nowMillis - observation.observedAtMillis() <= REPORT_MILLIS)
+        .toList();
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardContext.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardContext.java
@@ -16,6 +16,7 @@
 import org.knapweedcleat.router.forward.log.DecisionLog;
 import org.knapweedcleat.router.forward.room.PlacementExchange;
 import org.knapweedcleat.router.forward.store.DirectoryCache;
+import org.knapweedcleat.router.forward.throttle.PermitExchange;
 
 /**
  * The services and state that all forwarded calls of an instance share.
@@ -30,6 +31,7 @@
  * @param health the health of each endpoint
  * @param notices which endpoints have announced that they are leaving or want a pause
  * @param rateLimits the request rates that endpoints announced as their limit
+ * @param permits asks whether a request may be sent to an endpoint with a rate limit
  * @param placements asks the regions' coordinators to place streams
  * @param quota the client accounts' quotas
  * @param retryBudgets the retry budget of each service
@@ -49,6 +51,7 @@
     EndpointHealthRegistry health,
     EndpointAvailability notices,
     EndpointRateLimits rateLimits,
+    PermitExchange permits,
     PlacementExchange placements,
     FleetQuotaLimiter quota,
     ServiceRetryBudgets retryBudgets,
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -3,12 +3,13 @@
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.knapweedcleat.core.balance.EndpointHealth;
 import org.knapweedcleat.core.balance.EndpointWorkload;
@@ -21,6 +22,8 @@
 import org.knapweedcleat.core.forward.WindowedRetryBudget;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.ServiceId;
+import org.knapweedcleat.core.throttle.LimitObservation;
+import org.knapweedcleat.core.throttle.PermitDecision;
 import org.knapweedcleat.router.forward.codec.AvailabilityNotice;
 import org.knapweedcleat.router.forward.codec.DispatchAttributes;
 import org.knapweedcleat.router.forward.codec.HeaderField;
@@ -42,6 +45,9 @@
   /** Base Retry-After of a refused call: about as long as a place at an endpoint stays occupied. */
   private static final long BASE_RETRY_AFTER_MILLIS = 700;
 
+  /** A call waits for a permit for at most this multiple of its latency target. */
+  private static final double MAX_PERMIT_DELAY_TARGETS = 0.5;
+
   protected final ForwardContext context;
   protected final CallerExchange exchange;
   protected final InboundCall call;
@@ -54,6 +60,8 @@
   private final long expiresAtMillis;
   private final WindowedRetryBudget retryBudget;
   private final Map<EndpointId, EndpointWorkload> activeWork = new HashMap<>();
+  private final Set<EndpointId> permits = new HashSet<>();
+  private int permitDenials;
   private Optional<EndpointRequest> request = Optional.empty();
   private boolean finished;
   private long deadlineTimer;
@@ -135,8 +143,8 @@
   }
 
   /**
-   * Refuses a call without candidate endpoints. If all of them have asked for a pause, Retry-After
-   * is the end of the first pause.
+   * Refuses a call without candidate endpoints. If all of them have asked for a pause or have
+   * reached their rate limit, Retry-After is the end of the first pause.
    */
   protected final void refuseWithoutCandidates() {
     OptionalLong opensInMillis =
@@ -145,7 +153,9 @@
             .millisUntilAvailable(
                 context.nowMillis(), context.directory().endpoints().available(service));
     if (opensInMillis.isPresent()) {
-      refuse("all endpoints of the service have asked for a pause", opensInMillis.getAsLong());
+      refuse(
+          "all endpoints of the service have asked for a pause or have reached their rate limit",
+          opensInMillis.getAsLong());
     } else {
       proceed(ledger.giveUp(), "no endpoint of the service accepts calls");
     }
@@ -180,25 +190,84 @@
 
   private void recordRateLimit(
       EndpointEntry endpoint, AvailabilityNotice notice, boolean isGenuine, long sentMillis) {
-    EndpointIncarnation incarnation = EndpointIncarnation.of(endpoint);
-    OptionalDouble limit = notice.requestsPerSecond();
-    if (limit.isPresent()) {
-      if (context.rateLimits().recordLimit(incarnation, limit.getAsDouble(), context.nowMillis())) {
-        context
-            .log()
-            .stateChange(
-                "endpoint.limited",
-                "endpoint",
-                endpoint.id(),
-                "requestsPerSecond",
-                limit.getAsDouble(),
-                "source",
-                "its response");
-      }
-    } else if (isGenuine && context.rateLimits().recordNoLimit(incarnation, sentMillis)) {
+    boolean isLimited = notice.requestsPerSecond().isPresent();
+    LimitObservation observation =
+        new LimitObservation(
+            EndpointIncarnation.of(endpoint),
+            notice.requestsPerSecond(),
+            isLimited ? context.nowMillis() : sentMillis,
+            LimitObservation.Source.LOCAL);
+    if ((isLimited || isGenuine) && context.rateLimits().record(observation)) {
+      context.log().limitChange(observation);
+    }
+  }
+
+  /**
+   * Runs an action when the call may be sent to an endpoint, which is at once unless the endpoint
+   * has announced a rate limit. If it may not be sent soon enough, the endpoint gets no calls from
+   * this instance until the limit permits one. The permit is used up by the next send.
+   *
+   * @param onPermitted sends the call
+   * @param onDenied places the call again
+   */
+  protected final void whenPermitted(
+      EndpointEntry endpoint, Runnable onPermitted, Runnable onDenied) {
+    boolean isLimited =
+        context.rateLimits().requestsPerSecond(EndpointIncarnation.of(endpoint)).isPresent();
+    if (!isLimited || permits.contains(endpoint.id())) {
+      onPermitted.run();
+      return;
+    }
+    context
+        .permits()
+        .request(endpoint, maxPermitDelayMillis())
+        .subscribe()
+        .with(decision -> onPermitDecision(endpoint, decision, onPermitted, onDenied));
+  }
+
+  /** A call goes to another endpoint rather than wait, unless it has no choice. */
+  private long maxPermitDelayMillis() {
+    boolean hasAlternative = permitDenials == 0 && candidates().size() > 1;
+    return hasAlternative ? 0 : (long) (MAX_PERMIT_DELAY_TARGETS * route.targetMillis());
+  }
+
+  private void onPermitDecision(
+      EndpointEntry endpoint, PermitDecision decision, Runnable onPermitted, Runnable onDenied) {
+    if (finished) {
+      return;
+    }
+    if (!decision.granted()) {
+      permitDenials++;
+      context.metrics().counter("sends.denied").inc();
       context
           .log()
-          .stateChange("endpoint.unlimited", "endpoint", endpoint.id(), "source", "its response");
+          .failure(
+              "send.denied",
+              "requestId",
+              call.requestId(),
+              "endpoint",
+              endpoint.id(),
+              "permittedInMillis",
+              decision.delayMillis(),
+              "remainingMillis",
+              remainingMillis());
+      context.notices().markPaused(context.nowMillis(), endpoint, decision.delayMillis());
+      onDenied.run();
+      return;
+    }
+    permits.add(endpoint.id());
+    if (decision.delayMillis() == 0) {
+      onPermitted.run();
+    } else {
+      startAttemptTimer(
+          decision.delayMillis(),
+          () -> {
+            if (context.notices().isAvailable(context.nowMillis(), endpoint)) {
+              onPermitted.run();
+            } else {
+              onDenied.run();
+            }
+          });
     }
   }
 
@@ -209,6 +278,7 @@
     if (context.rateLimits().requestsPerSecond(EndpointIncarnation.of(endpoint)).isPresent()) {
       context.metrics().counter("sends.limited").inc();
     }
+    permits.remove(endpoint.id());
     EndpointRequest sent =
         context
             .pool()
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamPlacer.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamPlacer.java
@@ -157,8 +157,11 @@
         need.usableMemoryFraction(),
         need.maxGapMillis(),
         idValues(requirements.triedEngines()),
-        requirements.candidates().stream()
-            .filter(one -> !context.health().get(one.id()).acceptsCall(context.nowMillis()))
+        context.directory().endpoints().available(service).stream()
+            .filter(
+                one ->
+                    !context.notices().isAvailable(context.nowMillis(), one)
+                        || !context.health().get(one.id()).acceptsCall(context.nowMillis()))
             .limit(MAX_UNUSABLE_ENGINES)
             .map(one -> one.id().value())
             .toList());
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
@@ -163,10 +163,7 @@
       startDecode(engine, kvHandle, 0);
     } else if (placement.isPresent()) {
       StreamPlacement selected = placement.get();
-      selected
-          .prefill()
-          .ifPresentOrElse(
-              prefillEngine -> startPrefill(prefillEngine, selected), () -> runUnsplit(selected));
+      whenPermitted(selected.decode(), () -> startUnread(selected), this::place);
     } else if (exchange.isResponseStarted()
         || context.nowMillis() - startedMillis < capacityPolicy.waitMillis(route.targetMillis())) {
       startAttemptTimer(placer.retryDelayMillis(), this::place);
@@ -177,6 +174,17 @@
     }
   }
 
+  /** Starts a stream whose prompt has not been processed yet and whose decode is permitted. */
+  private void startUnread(StreamPlacement selected) {
+    selected
+        .prefill()
+        .ifPresentOrElse(
+            prefillEngine ->
+                whenPermitted(
+                    prefillEngine, () -> startPrefill(prefillEngine, selected), this::place),
+            () -> runUnsplit(selected));
+  }
+
   @Override
   protected List<Object> timings() {
     return List.of(
@@ -238,6 +246,17 @@
 
   private void startDecode(
       EndpointEntry engine, Optional<KvHandle> fetchedHandle, long expectedMillis) {
+    whenPermitted(
+        engine,
+        () -> sendDecode(engine, fetchedHandle, expectedMillis),
+        () -> {
+          endWork(engine.id());
+          place();
+        });
+  }
+
+  private void sendDecode(
+      EndpointEntry engine, Optional<KvHandle> fetchedHandle, long expectedMillis) {
     if (!ledger.tryReserveRun(context.nowMillis())) {
       endWork(engine.id());
       proceed(ledger.giveUp(), "no retry left after a failed prefill");
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/UnaryCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/UnaryCall.java
@@ -44,7 +44,9 @@
     context
         .chooser()
         .selectForPlainCall(context.nowMillis(), candidates(), ledger.triedEndpoints())
-        .ifPresentOrElse(this::send, this::refuseWithoutCandidates);
+        .ifPresentOrElse(
+            endpoint -> whenPermitted(endpoint, () -> send(endpoint), this::place),
+            this::refuseWithoutCandidates);
   }
 
   private void send(EndpointEntry endpoint) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
@@ -2,6 +2,7 @@
 
 import io.smallrye.mutiny.Uni;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +24,9 @@
 import org.knapweedcleat.core.id.InstanceId;
 import org.knapweedcleat.core.message.PeerMessage;
 import org.knapweedcleat.core.quota.FleetQuotaLimiter;
+import org.knapweedcleat.core.throttle.EndpointRateLimits;
+import org.knapweedcleat.core.throttle.LimitObservation;
+import org.knapweedcleat.core.throttle.LimitObservation.Source;
 import org.knapweedcleat.router.forward.call.ForwardContext;
 import org.knapweedcleat.router.forward.call.ServiceRetryBudgets;
 import org.knapweedcleat.router.forward.log.DecisionLog;
@@ -31,6 +35,10 @@
 import org.knapweedcleat.router.forward.room.StreamEndedNotice;
 import org.knapweedcleat.router.forward.room.StreamPlacementQuery;
 import org.knapweedcleat.router.forward.store.DirectoryCache;
+import org.knapweedcleat.router.forward.throttle.LimitNotice;
+import org.knapweedcleat.router.forward.throttle.LimitReport;
+import org.knapweedcleat.router.forward.throttle.PermitExchange;
+import org.knapweedcleat.router.forward.throttle.SendPermitQuery;
 import org.knapweedcleat.router.peer.PeerAddress;
 import org.knapweedcleat.router.peer.PeerMessageHandler;
 import org.knapweedcleat.router.peer.PeerMessenger;
@@ -63,6 +71,8 @@
   private final FleetQuotaLimiter quota;
   private final ServiceRetryBudgets budgets;
   private final PlacementExchange rooms;
+  private final EndpointRateLimits rateLimits;
+  private final PermitExchange permits;
   private final LongSupplier clock;
   private final DecisionLog log;
   private final DirectorySynchronizer synchronizer;
@@ -90,6 +100,8 @@
     this.quota = context.quota();
     this.budgets = context.retryBudgets();
     this.rooms = context.placements();
+    this.rateLimits = context.rateLimits();
+    this.permits = context.permits();
     this.clock = context.clock();
     this.log = context.log();
     this.synchronizer = new DirectorySynchronizer(directory, log);
@@ -117,6 +129,7 @@
   public void messenger(PeerMessenger newMessenger) {
     messenger = newMessenger;
     rooms.transport(newMessenger);
+    permits.transport(newMessenger);
   }
 
   /**
@@ -167,6 +180,7 @@
     GossipMessage gossip =
         message(false, List.of(ownReport()), members.nextGossipMembers(nowMillis));
     members.directPeers().forEach(member -> send(member, gossip));
+    sendLimits(nowMillis, members.directPeers(), EnumSet.of(Source.LOCAL));
     unknownSeeds.forEach(seed -> messenger.send(seedAddress(seed), gossip));
     sendAcrossDomains(nowMillis);
   }
@@ -185,6 +199,8 @@
       rooms.release(from, ended.requestId());
     } else if (message instanceof EngineFaultNotice fault) {
       rooms.onFault(fault);
+    } else if (message instanceof LimitNotice limits) {
+      onLimits(limits);
     }
   }
 
@@ -196,6 +212,9 @@
     if (request instanceof StreamPlacementQuery roomQuestion) {
       return Uni.createFrom().item(rooms.place(from, roomQuestion));
     }
+    if (request instanceof SendPermitQuery permitQuery) {
+      return Uni.createFrom().item(permits.issue(permitQuery));
+    }
     return Uni.createFrom()
         .failure(new IllegalArgumentException("unsupported request type received by " + self));
   }
@@ -234,6 +253,34 @@
         reports.latestOf(nowMillis, members.liveMembers(nowMillis, self.domain())));
     GossipMessage gossip = message(false, memberReports, List.of());
     members.crossDomainPeers().forEach(member -> send(member, gossip));
+    sendLimits(nowMillis, members.crossDomainPeers(), EnumSet.of(Source.LOCAL, Source.OWN_DOMAIN));
+  }
+
+  /**
+   * Tells other instances which limits endpoints have announced; sends nothing if there are none.
+   */
+  private void sendLimits(long nowMillis, List<FleetMember> recipients, Set<Source> sources) {
+    List<LimitReport> limits =
+        rateLimits.recent(nowMillis, sources).stream()
+            .map(observation -> LimitReport.of(nowMillis, observation))
+            .toList();
+    if (!limits.isEmpty()) {
+      LimitNotice notice = new LimitNotice(self, limits);
+      recipients.forEach(
+          member -> messenger.send(PeerAddress.of(member), member.incarnation(), notice));
+    }
+  }
+
+  private void onLimits(LimitNotice notice) {
+    long nowMillis = clock.getAsLong();
+    Source source =
+        notice.sender().domain().equals(self.domain()) ? Source.OWN_DOMAIN : Source.OTHER_DOMAIN;
+    for (LimitReport report : notice.reports()) {
+      LimitObservation observation = report.toObservation(nowMillis, source);
+      if (rateLimits.record(observation)) {
+        log.limitChange(observation);
+      }
+    }
   }
 
   private void onGossip(IncarnationId from, GossipMessage gossip) {
@@ -318,6 +365,7 @@
     quota.forget(incarnation.toString());
     work.forget(incarnation.toString());
     rooms.release(incarnation);
+    permits.forget(incarnation);
   }
 
   private MemberReport ownReport() {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/log/DecisionLog.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/log/DecisionLog.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.util.function.LongSupplier;
+import org.knapweedcleat.core.throttle.LimitObservation;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.spi.LoggingEventBuilder;
@@ -77,6 +78,33 @@
     write(MAX_LINES_PER_SECOND, event, pairs);
   }
 
+  /**
+   * Logs that the rate limit of an endpoint has changed.
+   *
+   * @param observation the observation of its new limit
+   */
+  public void limitChange(LimitObservation observation) {
+    observation
+        .requestsPerSecond()
+        .ifPresentOrElse(
+            limit ->
+                stateChange(
+                    "endpoint.limited",
+                    "endpoint",
+                    observation.endpoint().id(),
+                    "requestsPerSecond",
+                    limit,
+                    "source",
+                    observation.source().label()),
+            () ->
+                stateChange(
+                    "endpoint.unlimited",
+                    "endpoint",
+                    observation.endpoint().id(),
+                    "source",
+                    observation.source().label()));
+  }
+
   private void write(int limit, String event, Object... pairs) {
     startNewSecond();
     if (lines >= limit) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -41,6 +41,7 @@
 import org.knapweedcleat.router.forward.store.PublishedKind;
 import org.knapweedcleat.router.forward.store.PublishedStore;
 import org.knapweedcleat.router.forward.store.StoreWatcher;
+import org.knapweedcleat.router.forward.throttle.PermitExchange;
 import org.knapweedcleat.router.lifecycle.Closer;
 import org.knapweedcleat.router.operator.MetricsFormatter;
 import org.knapweedcleat.router.peer.Hello;
@@ -116,6 +117,7 @@
     FleetMembership members = FleetMembership.of(self, settings.discovery().gossipMillis());
     EndpointSelector chooser = EndpointSelector.of(domains, work, health, random::nextDouble);
     EndpointAvailability notices = EndpointAvailability.create();
+    EndpointRateLimits rateLimits = EndpointRateLimits.create();
     PlacementExchange rooms =
         PlacementExchange.of(
             self,
@@ -137,7 +139,9 @@
             work,
             health,
             notices,
-            EndpointRateLimits.create(),
+            rateLimits,
+            PermitExchange.of(
+                self, members, settings.regions(), rateLimits, ForwarderNode::nowMillis, log),
             rooms,
             quota,
             budgets,
--- /dev/null
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/throttle/SendPermitQuery.java
@@ -0,0 +1,20 @@
+package org.knapweedcleat.router.forward.throttle;
+
+import org.knapweedcleat.core.message.PeerMessage;
+
+/**
+ * Asks for a permit to send a request to an endpoint with a rate limit.
+ *
+ * @param endpoint the endpoint's id
+ * @param startedAtMillis the endpoint's start time in Unix milliseconds
+ * @param requestsPerSecond the limit that the sender knows of
+ * @param limitAgeMillis the time since the limit was observed
+ * @param maxDelayMillis how long the sender is prepared to wait
+ */
+public record SendPermitQuery(
+    String endpoint,
+    long startedAtMillis,
+    double requestsPerSecond,
+    long limitAgeMillis,
+    long maxDelayMillis)
+    implements PeerMessage {}
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerMessageType.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerMessageType.java
@@ -19,6 +19,9 @@
 import org.knapweedcleat.router.forward.room.StreamEndedNotice;
 import org.knapweedcleat.router.forward.room.StreamPlacementQuery;
 import org.knapweedcleat.router.forward.room.StreamPlacementReply;
+import org.knapweedcleat.router.forward.throttle.LimitNotice;
+import org.knapweedcleat.router.forward.throttle.SendPermitQuery;
+import org.knapweedcleat.router.forward.throttle.SendPermitReply;
 import org.knapweedcleat.router.limit.DomainDrawRequest;
 import org.knapweedcleat.router.limit.DomainDrawResponse;
 
@@ -89,7 +92,13 @@
   /** Notifies a capacity coordinator that a stream has ended. */
   ROOM_ENDED(105, StreamEndedNotice.class),
   /** Notifies a capacity coordinator that a stream failed on an engine. */
-  ROOM_FAULT(106, EngineFaultNotice.class);
+  ROOM_FAULT(106, EngineFaultNotice.class),
+  /** Requests a permit to send to an endpoint with a rate limit. */
+  PERMIT_QUESTION(107, SendPermitQuery.class),
+  /** Grants or denies a permit. */
+  PERMIT_ANSWER(108, SendPermitReply.class),
+  /** Reports the rate limits that endpoints have announced. */
+  LIMIT_NEWS(109, LimitNotice.class);
 
   private static final Map<Short, PeerMessageType> BY_CODE = new HashMap<>();
   private static final Map<Class<?>, PeerMessageType> BY_CLASS = new HashMap<>();
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
@@ -34,6 +34,7 @@
 import org.knapweedcleat.router.forward.room.PlacementExchange;
 import org.knapweedcleat.router.forward.store.DirectoryCache;
 import org.knapweedcleat.router.forward.store.PublishedKind;
+import org.knapweedcleat.router.forward.throttle.PermitExchange;
 import org.knapweedcleat.router.peer.PeerAddress;
 import org.knapweedcleat.router.peer.PeerCodec;
 import org.knapweedcleat.router.peer.PeerMessenger;
@@ -76,6 +77,8 @@
     final WorkloadTracker work = WorkloadTracker.of(2_500);
     final FleetQuotaLimiter quota = FleetQuotaLimiter.of(QuotaTolerance.NONE);
     final ServiceRetryBudgets budgets;
+    final EndpointRateLimits rateLimits = EndpointRateLimits.create();
+    final PermitExchange permits;
     final PlacementExchange rooms;
     final FleetGossip gossip;
 
@@ -101,6 +104,8 @@
               notices,
               () -> fleet.nowMillis,
               log);
+      this.permits =
+          PermitExchange.of(self, members, fleet.regions, rateLimits, () -> fleet.nowMillis, log);
       ForwardContext context =
           new ForwardContext(
               null,
@@ -112,7 +117,8 @@
               work,
               health,
               notices,
-              EndpointRateLimits.create(),
+              rateLimits,
+              permits,
               rooms,
               quota,
               budgets,
@@ -150,6 +156,8 @@
       return node(address)
           .filter(to -> !killed.contains(to.self.incarnation().instance()))
           .filter(to -> !paused.containsKey(to.self.incarnation().instance()))
+          .filter(to -> to.self.incarnation().equals(target))
+          .filter(to -> !isPartitionedFrom(to))
           .map(to -> to.gossip.onRequest(from.incarnation(), question))
           .orElseGet(() -> Uni.createFrom().failure(new IllegalStateException("no response")));
     }
@@ -160,8 +168,12 @@
           .findFirst();
     }
 
+    private boolean isPartitionedFrom(Node to) {
+      return partitioned.contains(from.domain()) != partitioned.contains(to.self.domain());
+    }
+
     private void deliver(Node to, PeerMessage message) {
-      if (partitioned.contains(from.domain()) != partitioned.contains(to.self.domain())) {
+      if (isPartitionedFrom(to)) {
         return;
       }
       messages++;
@@ -213,6 +225,13 @@
         .toList();
   }
 
+  /** Returns the running instances that are not paused. */
+  List<Node> active() {
+    return running().stream()
+        .filter(node -> !paused.containsKey(node.self.incarnation().instance()))
+        .toList();
+  }
+
   void kill(Node node) {
     killed.add(node.self.incarnation().instance());
   }
