Accept fractions for the fleet's bounds

Cause: the keys repeatSlack and quotaSlackUnits took whole numbers only. Now a fraction is read and its whole part used, so that the fleet never sends more than allowed. The test failed before with the same fault.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingKeys.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingKeys.java
@@ -86,7 +86,7 @@
       SettingKey.optional(
           SectionKind.BOUNDS,
           "repeatSlack",
-          ValueRules.intRange(0, 1_000_000),
+          wholePart(0, 1_000_000),
           "repeats",
           "20",
           "how many more repeats the fleet may send in a window");
@@ -103,7 +103,7 @@
       SettingKey.optional(
           SectionKind.BOUNDS,
           "quotaSlackUnits",
-          ValueRules.intRange(0, 1_000_000_000),
+          wholePart(0, 1_000_000_000),
           "units of the quota",
           "0",
           "how much more of a quota the fleet may spend");
@@ -161,6 +161,11 @@
     return ValueRules.decimal(min, max).map(seconds -> (int) Math.round(seconds * SECOND_MILLIS));
   }
 
+  /** Returns a rule for bounds that may be fractions, of which only the whole part is used. */
+  private static ValueRule<Integer> wholePart(int min, int max) {
+    return ValueRules.decimal(min, max).map(Double::intValue);
+  }
+
   private static SettingKey<InetAddressPort> requiredAddress(
       SectionKind section, String name, String description) {
     return SettingKey.required(section, name, ValueRules.socketAddress(), "", description);
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/config/ForwarderSettingsParserTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/config/ForwarderSettingsParserTest.java
@@ -52,6 +52,19 @@
         ForwarderSettingsParser.parse("i.ini", text).get().discovery().seeds(), is(List.of()));
   }
 
+  /** Guards against an instance that does not start where a bound of the fleet is a fraction. */
+  @Test
+  void roundsFractionalBoundsDown() {
+    String text =
+        TEXT.replace(
+            "repeatRatio = 0.3", "repeatSlack = 37.241379310344826\nquotaSlackUnits = 1400.9");
+
+    ForwarderSettings.Bounds bounds = ForwarderSettingsParser.parse("i.ini", text).get().bounds();
+
+    assertThat(bounds.repeatSlack(), is(37));
+    assertThat(bounds.quotaSlackUnits(), is(1_400));
+  }
+
   @Test
   void reportsSectionKeyAndLineOfEachFault() {
     String text =
