Log which instance issues permits, and spread the return of callers refused for want of one

permit.issuer says when an instance's view of the issuer changes, during which send.denied shows no rate. Callers that are refused because every endpoint has reached its rate would all return at the time of the next permit, of which there is one; their Retry-After is spread over half a second more.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/throttle/IssuerHandover.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/throttle/IssuerHandover.java
@@ -46,15 +46,26 @@
    * @param nowMillis the current time
    * @param endpoint the endpoint
    * @param issuer the instance that is considered to be its issuer
-   * @return false if the issuer has changed less than {@link #HANDOVER_MILLIS} ago
+   * @return true if it was not considered so before
    */
-  public boolean isSettled(long nowMillis, EndpointIncarnation endpoint, IncarnationId issuer) {
+  public boolean record(long nowMillis, EndpointIncarnation endpoint, IncarnationId issuer) {
     Issuer previous = issuers.get(endpoint);
-    if (previous == null || !previous.incarnation().equals(issuer)) {
-      long changedAtMillis = previous == null ? NEVER_MILLIS : nowMillis;
-      issuers.put(endpoint, new Issuer(issuer, changedAtMillis));
-      return previous == null;
+    if (previous != null && previous.incarnation().equals(issuer)) {
+      return false;
     }
-    return nowMillis - previous.changedAtMillis() >= HANDOVER_MILLIS;
+    issuers.put(endpoint, new Issuer(issuer, previous == null ? NEVER_MILLIS : nowMillis));
+    return true;
+  }
+
+  /**
+   * Returns whether the recorded issuer of an endpoint may be used.
+   *
+   * @param nowMillis the current time
+   * @param endpoint the endpoint
+   * @return false if it has changed less than {@link #HANDOVER_MILLIS} ago, or none is recorded
+   */
+  public boolean isSettled(long nowMillis, EndpointIncarnation endpoint) {
+    Issuer issuer = issuers.get(endpoint);
+    return issuer != null && nowMillis - issuer.changedAtMillis() >= HANDOVER_MILLIS;
   }
 }
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/throttle/IssuerHandoverTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/throttle/IssuerHandoverTest.java
@@ -20,26 +20,30 @@
 
   @Test
   void firstIssuerIsUsedAtOnce() {
-    assertThat(handover.isSettled(100, endpoint, first), is(true));
-    assertThat(handover.isSettled(200, endpoint, first), is(true));
+    assertThat(handover.isSettled(100, endpoint), is(false));
+    assertThat(handover.record(100, endpoint, first), is(true));
+    assertThat(handover.record(200, endpoint, first), is(false));
+    assertThat(handover.isSettled(200, endpoint), is(true));
   }
 
   @Test
   void changedIssuerIsUsedAfterHandover() {
-    handover.isSettled(100, endpoint, first);
+    handover.record(100, endpoint, first);
+    assertThat(handover.record(200, endpoint, restarted), is(true));
 
-    assertThat(handover.isSettled(200, endpoint, restarted), is(false));
-    assertThat(handover.isSettled(199 + HANDOVER_MILLIS, endpoint, restarted), is(false));
-    assertThat(handover.isSettled(200 + HANDOVER_MILLIS, endpoint, restarted), is(true));
+    assertThat(handover.isSettled(200, endpoint), is(false));
+    assertThat(handover.isSettled(199 + HANDOVER_MILLIS, endpoint), is(false));
+    assertThat(handover.isSettled(200 + HANDOVER_MILLIS, endpoint), is(true));
   }
 
   /** Guards against permits of two issuers while the view of which is live goes back and forth. */
   @Test
   void eachChangeStartsNewHandover() {
-    handover.isSettled(100, endpoint, first);
-    handover.isSettled(200, endpoint, restarted);
+    handover.record(100, endpoint, first);
+    handover.record(200, endpoint, restarted);
+    handover.record(1_100, endpoint, first);
 
-    assertThat(handover.isSettled(1_100, endpoint, first), is(false));
-    assertThat(handover.isSettled(1_099 + HANDOVER_MILLIS, endpoint, first), is(false));
+    assertThat(handover.isSettled(1_099 + HANDOVER_MILLIS, endpoint), is(false));
+    assertThat(handover.isSettled(1_100 + HANDOVER_MILLIS, endpoint), is(true));
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -48,6 +48,9 @@
   /** A call waits for a permit for at most this multiple of its latency target. */
   private static final double MAX_PERMIT_DELAY_TARGETS = 0.5;
 
+  /** Spreads the return of callers that were refused while they waited for the same permit. */
+  private static final long PERMIT_RETURN_SPREAD_MILLIS = 500;
+
   protected final ForwardContext context;
   protected final CallerExchange exchange;
   protected final InboundCall call;
@@ -153,9 +156,13 @@
             .millisUntilAvailable(
                 context.nowMillis(), context.directory().endpoints().available(service));
     if (opensInMillis.isPresent()) {
+      long spreadMillis =
+          permitDenials == 0
+              ? 0
+              : (long) (PERMIT_RETURN_SPREAD_MILLIS * context.random().getAsDouble());
       refuse(
           "all endpoints of the service have asked for a pause or have reached their rate limit",
-          opensInMillis.getAsLong());
+          opensInMillis.getAsLong() + spreadMillis);
     } else {
       proceed(ledger.giveUp(), "no endpoint of the service accepts calls");
     }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/throttle/PermitExchange.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/throttle/PermitExchange.java
@@ -47,6 +47,7 @@
   private final EndpointRateLimits limits;
   private final CoordinatorClient coordinators;
   private final LongSupplier clock;
+  private final DecisionLog log;
   private final PermitIssuer issuer = PermitIssuer.create();
   private final IssuerHandover handover = IssuerHandover.create();
 
@@ -54,11 +55,13 @@
       Map<FailureDomainId, RegionId> regionByDomain,
       EndpointRateLimits limits,
       CoordinatorClient coordinators,
-      LongSupplier clock) {
+      LongSupplier clock,
+      DecisionLog log) {
     this.regionByDomain = Map.copyOf(regionByDomain);
     this.limits = limits;
     this.coordinators = coordinators;
     this.clock = clock;
+    this.log = log;
   }
 
   /**
@@ -69,7 +72,7 @@
    * @param regionByDomain the region of each failure domain
    * @param limits the known rate limits
    * @param clock supplies the monotonic time in milliseconds
-   * @param log records coordinators that do not reply
+   * @param log records which instance issues permits, and those that do not reply
    * @return the exchange
    */
   public static PermitExchange of(
@@ -83,7 +86,8 @@
         regionByDomain,
         limits,
         CoordinatorClient.of(self, members, clock, log, "permit.unanswered", REPLY_TIMEOUT_MILLIS),
-        clock);
+        clock,
+        log);
   }
 
   /**
@@ -175,8 +179,15 @@
   /** Returns the coordinator of an endpoint, unless it has changed lately or does not reply. */
   private Optional<FleetMember> settledCoordinator(
       EndpointIncarnation endpoint, FailureDomainId domain) {
-    return coordinator(endpoint.id(), domain)
-        .filter(member -> handover.isSettled(clock.getAsLong(), endpoint, member.incarnation()));
+    Optional<FleetMember> coordinator = coordinator(endpoint.id(), domain);
+    coordinator.ifPresent(member -> recordIssuer(endpoint, member));
+    return coordinator.filter(member -> handover.isSettled(clock.getAsLong(), endpoint));
+  }
+
+  private void recordIssuer(EndpointIncarnation endpoint, FleetMember member) {
+    if (handover.record(clock.getAsLong(), endpoint, member.incarnation())) {
+      log.stateChange("permit.issuer", "endpoint", endpoint.id(), "issuer", member.incarnation());
+    }
   }
 
   /** Chooses among the instances of the endpoint's failure domain, its region or the fleet. */
