--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointAvailability.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointAvailability.java
@@ -1,9 +1,9 @@
 package org.knapweedcleat.core.balance;
 
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import org.knapweedcleat.core.collection.BoundedMap;
 import org.knapweedcleat.core.directory.EndpointEntry;
 import org.knapweedcleat.core.directory.EndpointIncarnation;
 
@@ -16,13 +16,7 @@
   /** Far more than the endpoints of any deployment; the oldest entries are dropped. */
   private static final int MAX_ENTRIES = 4_000;
 
-  private final Map<EndpointIncarnation, Long> unavailableUntilMillis =
-      new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<EndpointIncarnation, Long> eldest) {
-          return size() > MAX_ENTRIES;
-        }
-      };
+  private final Map<EndpointIncarnation, Long> unavailableUntilMillis = BoundedMap.of(MAX_ENTRIES);
 
   private EndpointAvailability() {}
 
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/collection/package-info.java
@@ -0,0 +1,2 @@
+/** Collections that the standard library lacks. */
+package org.knapweedcleat.core.collection;
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/throttle/EndpointRateLimits.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/throttle/EndpointRateLimits.java
@@ -1,11 +1,11 @@
 package org.knapweedcleat.core.throttle;
 
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import org.knapweedcleat.core.collection.BoundedMap;
 import org.knapweedcleat.core.directory.EndpointIncarnation;
 
 /**
@@ -24,14 +24,7 @@
   /** Far more than the endpoints of any deployment; the oldest entries are dropped. */
   private static final int MAX_ENTRIES = 4_000;
 
-  private final Map<EndpointIncarnation, LimitObservation> latest =
-      new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(
-            Map.Entry<EndpointIncarnation, LimitObservation> eldest) {
-          return size() > MAX_ENTRIES;
-        }
-      };
+  private final Map<EndpointIncarnation, LimitObservation> latest = BoundedMap.of(MAX_ENTRIES);
 
   private EndpointRateLimits() {}
 
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/throttle/IssuerHandover.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/throttle/IssuerHandover.java
@@ -1,7 +1,7 @@
 package org.knapweedcleat.core.throttle;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
+import org.knapweedcleat.core.collection.BoundedMap;
 import org.knapweedcleat.core.directory.EndpointIncarnation;
 import org.knapweedcleat.core.id.IncarnationId;
 
@@ -19,13 +19,7 @@
 
   private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
 
-  private final Map<EndpointIncarnation, Issuer> issuers =
-      new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<EndpointIncarnation, Issuer> eldest) {
-          return size() > MAX_ENTRIES;
-        }
-      };
+  private final Map<EndpointIncarnation, Issuer> issuers = BoundedMap.of(MAX_ENTRIES);
 
   private record Issuer(IncarnationId incarnation, long changedAtMillis) {}
 
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/throttle/PermitIssuer.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/throttle/PermitIssuer.java
@@ -1,7 +1,7 @@
 package org.knapweedcleat.core.throttle;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
+import org.knapweedcleat.core.collection.BoundedMap;
 import org.knapweedcleat.core.directory.EndpointIncarnation;
 
 /**
@@ -30,13 +30,7 @@
   private static final int MAX_ENTRIES = 4_000;
 
   /** The time of the latest permit of each endpoint. */
-  private final Map<EndpointIncarnation, Double> lastPermitMillis =
-      new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<EndpointIncarnation, Double> eldest) {
-          return size() > MAX_ENTRIES;
-        }
-      };
+  private final Map<EndpointIncarnation, Double> lastPermitMillis = BoundedMap.of(MAX_ENTRIES);
 
   private PermitIssuer() {}
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -3,13 +3,11 @@
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.knapweedcleat.core.balance.EndpointHealth;
 import org.knapweedcleat.core.balance.EndpointWorkload;
@@ -23,7 +21,6 @@
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.ServiceId;
 import org.knapweedcleat.core.throttle.LimitObservation;
-import org.knapweedcleat.core.throttle.PermitDecision;
 import org.knapweedcleat.router.forward.codec.AvailabilityNotice;
 import org.knapweedcleat.router.forward.codec.DispatchAttributes;
 import org.knapweedcleat.router.forward.codec.HeaderField;
@@ -45,9 +42,6 @@
   /** Base Retry-After of a refused call: about as long as a place at an endpoint stays occupied. */
   private static final long BASE_RETRY_AFTER_MILLIS = 700;
 
-  /** A call waits for a permit for at most this multiple of its latency target. */
-  private static final double MAX_PERMIT_DELAY_TARGETS = 0.5;
-
   /** Spreads the return of callers that were refused while they waited for the same permit. */
   private static final long PERMIT_RETURN_SPREAD_MILLIS = 500;
 
@@ -57,14 +51,13 @@
   protected final ForwardRoute route;
   protected final ServiceId service;
   protected final AttemptLedger ledger;
+  protected final SendPermits permits;
   protected final long startedMillis;
   private final Optional<AccountQuota> account;
   private final long quotaUnits;
   private final long expiresAtMillis;
   private final WindowedRetryBudget retryBudget;
   private final Map<EndpointId, EndpointWorkload> activeWork = new HashMap<>();
-  private final Set<EndpointId> permits = new HashSet<>();
-  private int permitDenials;
   private Optional<EndpointRequest> request = Optional.empty();
   private boolean finished;
   private long deadlineTimer;
@@ -86,6 +79,7 @@
     this.quotaUnits = units;
     this.retryBudget = context.retryBudgets().budget(service);
     this.ledger = AttemptLedger.of(route, retryBudget);
+    this.permits = SendPermits.of(context, this);
     this.startedMillis = context.nowMillis();
     this.expiresAtMillis = startedMillis + route.effectiveTimeoutMillis(call.deadlineMillis());
   }
@@ -157,9 +151,9 @@
                 context.nowMillis(), context.directory().endpoints().available(service));
     if (opensInMillis.isPresent()) {
       long spreadMillis =
-          permitDenials == 0
-              ? 0
-              : (long) (PERMIT_RETURN_SPREAD_MILLIS * context.random().getAsDouble());
+          permits.wasDenied()
+              ? (long) (PERMIT_RETURN_SPREAD_MILLIS * context.random().getAsDouble())
+              : 0;
       refuse(
           "all endpoints of the service have asked for a pause or have reached their rate limit",
           opensInMillis.getAsLong() + spreadMillis);
@@ -209,83 +203,11 @@
     }
   }
 
-  /**
-   * Runs an action when the call may be sent to an endpoint, which is at once unless the endpoint
-   * has announced a rate limit. If it may not be sent soon enough, the endpoint gets no calls from
-   * this instance until the limit permits one. The permit is used up by the next send.
-   *
-   * @param onPermitted sends the call
-   * @param onDenied places the call again
-   */
-  protected final void whenPermitted(
-      EndpointEntry endpoint, Runnable onPermitted, Runnable onDenied) {
-    boolean isLimited =
-        context.rateLimits().requestsPerSecond(EndpointIncarnation.of(endpoint)).isPresent();
-    if (!isLimited || permits.contains(endpoint.id())) {
-      onPermitted.run();
-      return;
-    }
-    context
-        .permits()
-        .request(endpoint, maxPermitDelayMillis())
-        .subscribe()
-        .with(decision -> onPermitDecision(endpoint, decision, onPermitted, onDenied));
-  }
-
-  /** A call goes to another endpoint rather than wait, unless it has no choice. */
-  private long maxPermitDelayMillis() {
-    boolean hasAlternative = permitDenials == 0 && candidates().size() > 1;
-    return hasAlternative ? 0 : (long) (MAX_PERMIT_DELAY_TARGETS * route.targetMillis());
-  }
-
-  private void onPermitDecision(
-      EndpointEntry endpoint, PermitDecision decision, Runnable onPermitted, Runnable onDenied) {
-    if (finished) {
-      return;
-    }
-    if (!decision.granted()) {
-      permitDenials++;
-      context.metrics().counter("sends.denied").inc();
-      context
-          .log()
-          .failure(
-              "send.denied",
-              "requestId",
-              call.requestId(),
-              "endpoint",
-              endpoint.id(),
-              "permittedInMillis",
-              decision.delayMillis(),
-              "remainingMillis",
-              remainingMillis());
-      context.notices().markPaused(context.nowMillis(), endpoint, decision.delayMillis());
-      onDenied.run();
-      return;
-    }
-    permits.add(endpoint.id());
-    if (decision.delayMillis() == 0) {
-      onPermitted.run();
-    } else {
-      startAttemptTimer(
-          decision.delayMillis(),
-          () -> {
-            if (context.notices().isAvailable(context.nowMillis(), endpoint)) {
-              onPermitted.run();
-            } else {
-              onDenied.run();
-            }
-          });
-    }
-  }
-
   /** Sends the call to an endpoint; responses to other requests are ignored. */
   protected final void send(
       EndpointEntry endpoint, DispatchAttributes dispatch, ResponseListener listener) {
     context.health().get(endpoint.id()).recordSend(context.nowMillis());
-    if (context.rateLimits().requestsPerSecond(EndpointIncarnation.of(endpoint)).isPresent()) {
-      context.metrics().counter("sends.limited").inc();
-    }
-    permits.remove(endpoint.id());
+    permits.recordSend(endpoint);
     EndpointRequest sent =
         context
             .pool()
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
@@ -163,7 +163,7 @@
       startDecode(engine, kvHandle, 0);
     } else if (placement.isPresent()) {
       StreamPlacement selected = placement.get();
-      whenPermitted(selected.decode(), () -> startUnread(selected), this::place);
+      permits.whenPermitted(selected.decode(), () -> startUnread(selected), this::place);
     } else if (exchange.isResponseStarted()
         || context.nowMillis() - startedMillis < capacityPolicy.waitMillis(route.targetMillis())) {
       startAttemptTimer(placer.retryDelayMillis(), this::place);
@@ -180,7 +180,7 @@
         .prefill()
         .ifPresentOrElse(
             prefillEngine ->
-                whenPermitted(
+                permits.whenPermitted(
                     prefillEngine, () -> startPrefill(prefillEngine, selected), this::place),
             () -> runUnsplit(selected));
   }
@@ -246,7 +246,7 @@
 
   private void startDecode(
       EndpointEntry engine, Optional<KvHandle> fetchedHandle, long expectedMillis) {
-    whenPermitted(
+    permits.whenPermitted(
         engine,
         () -> sendDecode(engine, fetchedHandle, expectedMillis),
         () -> {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/UnaryCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/UnaryCall.java
@@ -45,7 +45,7 @@
         .chooser()
         .selectForPlainCall(context.nowMillis(), candidates(), ledger.triedEndpoints())
         .ifPresentOrElse(
-            endpoint -> whenPermitted(endpoint, () -> send(endpoint), this::place),
+            endpoint -> permits.whenPermitted(endpoint, () -> send(endpoint), this::place),
             this::refuseWithoutCandidates);
   }
 
