Send no stream to a decode engine that was published as leaving during its prefill

Cause: the engine is chosen before the prefill, which took 3.3 s; the check after it looked at the engine's own notices and connections, not at the directory.

Fix: an engine that was chosen earlier has to be among the candidates still. The same check follows a wait for a permit.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -139,6 +139,13 @@
         .available(context.nowMillis(), context.directory().endpoints().available(service));
   }
 
+  /** Tells whether an endpoint that was chosen earlier is still published and accepts calls. */
+  protected final boolean acceptsCalls(EndpointEntry chosen) {
+    EndpointIncarnation incarnation = EndpointIncarnation.of(chosen);
+    return candidates().stream()
+        .anyMatch(candidate -> EndpointIncarnation.of(candidate).equals(incarnation));
+  }
+
   /**
    * Refuses a call without candidate endpoints. If all of them have asked for a pause or have
    * reached their rate limit, Retry-After is the end of the first pause.
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/SendPermits.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/SendPermits.java
@@ -90,7 +90,7 @@
     call.startAttemptTimer(
         decision.delayMillis(),
         () -> {
-          if (context.notices().isAvailable(context.nowMillis(), endpoint)) {
+          if (call.acceptsCalls(endpoint)) {
             onPermitted.run();
           } else {
             onDenied.run();
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
@@ -359,7 +359,7 @@
       kvHandle = Optional.of(receivedHandle);
       lastPrefillEngine = Optional.of(engine.id());
       kvHandleSinceMillis = context.nowMillis();
-      if (!acceptsCalls(decodeEngine)) {
+      if (context.health().get(decodeEngine.id()).isUnreachable() || !acceptsCalls(decodeEngine)) {
         endWork(decodeEngine.id());
         place();
         return;
@@ -367,12 +367,6 @@
       startDecode(decodeEngine, kvHandle, 0);
     }
 
-    /** Tells whether the decode engine that was chosen before the prefill still accepts calls. */
-    private boolean acceptsCalls(EndpointEntry chosen) {
-      return !context.health().get(chosen.id()).isUnreachable()
-          && context.notices().isAvailable(context.nowMillis(), chosen);
-    }
-
     private void fallBack(String reason) {
       endWork(decodeEngine.id());
       failedPrefillEngines.add(engine.id());
