--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -281,6 +281,35 @@
     }
   }
 
+  /**
+   * Records that an endpoint has made no progress with the call for its timeout.
+   *
+   * @param searches whether another endpoint is looked for
+   */
+  protected final void recordSilence(EndpointEntry endpoint, long silentMillis, boolean searches) {
+    context.metrics().counter("attempts.silent").inc();
+    context
+        .log()
+        .failure(
+            "attempt.silent",
+            "requestId",
+            call.requestId(),
+            "endpoint",
+            endpoint.id(),
+            "silentMillis",
+            silentMillis,
+            "responseStarted",
+            exchange.isResponseStarted(),
+            "searches",
+            searches,
+            "sends",
+            ledger.sends(),
+            "repeatsLeft",
+            retriesLeft(),
+            "remainingMillis",
+            remainingMillis());
+  }
+
   protected final void beginWork(EndpointId endpoint, EndpointWorkload work) {
     context.work().addLocal(endpoint, work);
     activeWork.merge(endpoint, work, EndpointWorkload::plus);
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
@@ -396,6 +396,7 @@
     private ResponseKind kind;
     private Buffer errorBody = Buffer.buffer();
     private boolean receivedEvent;
+    private long progressMillis = sentMillis;
     private long producedTokens;
 
     DecodeAttempt(EndpointEntry engine, boolean fetchesKvCache) {
@@ -454,6 +455,7 @@
 
     private void forward(byte[] event) {
       trackMemory();
+      progressMillis = context.nowMillis();
       timeline.recordEvent(context.nowMillis());
       exchange.startResponse(head.status(), context.codec().callerHeaders(head));
       exchange.write(Buffer.buffer(event));
@@ -568,7 +570,9 @@
     }
 
     void onTimeout() {
-      if (!ledger.canRetry(context.nowMillis())) {
+      boolean canRetry = ledger.canRetry(context.nowMillis());
+      recordSilence(engine, context.nowMillis() - progressMillis, canRetry);
+      if (!canRetry) {
         return;
       }
       abortRequest();
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/UnaryCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/UnaryCall.java
@@ -160,7 +160,12 @@
     }
 
     void onTimeout() {
-      if (exchange.isResponseStarted() || !ledger.canRetry(context.nowMillis())) {
+      if (exchange.isResponseStarted()) {
+        return;
+      }
+      boolean canRetry = ledger.canRetry(context.nowMillis());
+      recordSilence(endpoint, context.nowMillis() - sentMillis, canRetry);
+      if (!canRetry) {
         return;
       }
       abortRequest();
