Keep the request at a silent endpoint open until another endpoint has the call

Callers saw a response that had begun break off, or 502, 500 or 504, though their engine was sound: it was silent for a second or so and would have gone on. The same for safe calls.

Cause: break before make. After 1 s without an event (1.5 times the target of a safe call) the request was aborted, and only then another endpoint looked for. Without a place, a retry in the budget, or an endpoint that accepted, nothing was left to answer from. A single engine even got the call again.

Now the silent attempt stays open as a standby while a successor is looked for. It is left when the successor sends the head of a genuine 2xx response; engines begin a run with its first token, so that two runs do not overlap longer than the abort takes. A whole event from the standby ends the search, whatever it has reached: its request is aborted, its KV cache and placement freed, unused retries refunded. Any failure of the successor returns to waiting, and the search may start again. If the standby fails, the search is the only attempt, as before. Each attempt has its own partial event; the last event id belongs to the call. The KV cache that a silent engine may still fetch is kept.

Safe calls: two open attempts occupy two of a service's places, so the silent one is kept only until the next endpoint responds, or has kept the call for 300 ms without a refusal. A refusal, a failed connection or a quick error within that time goes back to the silent endpoint. The call is not hedged beyond that.

Also fixed with it: a request paused by backpressure was resumed through the call's current request, which may be another one by then.

Ruled out: leaving the successor instead after a fixed time. A dead engine would then never be left where the successor has to read the prompt first.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -58,7 +58,9 @@
   private final long expiresAtMillis;
   private final WindowedRetryBudget retryBudget;
   private final Map<EndpointId, EndpointWorkload> activeWork = new HashMap<>();
-  private Optional<EndpointRequest> request = Optional.empty();
+  private final OpenRequests requests = new OpenRequests();
+  private Optional<StandbyAttempt> standby = Optional.empty();
+  private long searches;
   private boolean finished;
   private long deadlineTimer;
   private long attemptTimer = -1;
@@ -101,6 +103,15 @@
     return List.of();
   }
 
+  /** Sets the resources of the silent attempt aside; the search for a successor uses its own. */
+  protected void onStandbyKept() {}
+
+  /** Releases the resources that were set aside for the silent attempt. */
+  protected void onStandbyLeft() {}
+
+  /** Releases the resources of the search and takes back those of the silent attempt. */
+  protected void onSearchCancelled() {}
+
   /** Releases remote resources after the call has finished. */
   protected void onFinished() {}
 
@@ -132,11 +143,125 @@
         resumeAfter);
   }
 
-  /** Lists the endpoints of the service that currently accept calls. */
+  /**
+   * Lists the endpoints of the service that currently accept calls, without a silent one that still
+   * has this call.
+   */
   protected final List<EndpointEntry> candidates() {
-    return context
-        .notices()
-        .available(context.nowMillis(), context.directory().endpoints().available(service));
+    List<EndpointEntry> available =
+        context
+            .notices()
+            .available(context.nowMillis(), context.directory().endpoints().available(service));
+    return standby.isEmpty()
+        ? available
+        : available.stream()
+            .filter(one -> !one.id().equals(standby.get().endpoint().id()))
+            .toList();
+  }
+
+  protected final boolean hasStandby() {
+    return standby.isPresent();
+  }
+
+  protected final boolean isStandby(StandbyAttempt attempt) {
+    return standby.isPresent() && standby.get() == attempt;
+  }
+
+  /** Returns the number of the current search; actions of an earlier search are void. */
+  protected final long currentSearch() {
+    return searches;
+  }
+
+  protected final boolean isCurrentSearch(long number) {
+    return !finished && number == searches;
+  }
+
+  /** Keeps a silent attempt open and looks for another endpoint meanwhile. */
+  protected final void searchBeside(StandbyAttempt silent) {
+    cancelAttemptTimer();
+    requests.keepAsStandby();
+    standby = Optional.of(silent);
+    onStandbyKept();
+    place();
+  }
+
+  /** Leaves the silent attempt, if any, because another endpoint has taken the call over. */
+  protected final void replaceStandby(EndpointEntry successor) {
+    standby.ifPresent(
+        silent -> {
+          context.metrics().counter("attempts.replaced").inc();
+          logStandby("attempt.replaced", silent, "endpoint " + successor.id() + " took over");
+          dropStandby();
+          silent.onLeft();
+        });
+  }
+
+  /** Leaves the silent attempt, which has failed; the search is the only attempt. */
+  protected final void endStandby(String reason) {
+    StandbyAttempt silent = standby.orElseThrow();
+    context.metrics().counter("attempts.ended").inc();
+    logStandby("attempt.ended", silent, reason);
+    dropStandby();
+    silent.onLeft();
+  }
+
+  private void dropStandby() {
+    StandbyAttempt silent = standby.orElseThrow();
+    standby = Optional.empty();
+    requests.abortStandby();
+    endWork(silent.endpoint().id());
+    onStandbyLeft();
+  }
+
+  /** Ends the search, whatever it has reached, because the silent endpoint goes on. */
+  protected final void cancelSearch(String reason) {
+    StandbyAttempt silent = standby.orElseThrow();
+    context.metrics().counter("attempts.continued").inc();
+    logStandby("attempt.continued", silent, reason);
+    standby = Optional.empty();
+    searches++;
+    cancelAttemptTimer();
+    requests.returnToStandby();
+    activeWork.keySet().stream()
+        .filter(id -> !id.equals(silent.endpoint().id()))
+        .toList()
+        .forEach(this::endWork);
+    ledger.refundUnused();
+    onSearchCancelled();
+  }
+
+  /**
+   * Waits for the silent endpoint again, if there is one, instead of ending the call.
+   *
+   * @return false if no endpoint is left that may still respond
+   */
+  protected final boolean returnToStandby(String reason) {
+    if (finished || standby.isEmpty()) {
+      return false;
+    }
+    StandbyAttempt silent = standby.get();
+    cancelSearch(reason);
+    silent.awaitProgress();
+    return true;
+  }
+
+  private void logStandby(String event, StandbyAttempt silent, String reason) {
+    context
+        .log()
+        .failure(
+            event,
+            "requestId",
+            call.requestId(),
+            "endpoint",
+            silent.endpoint().id(),
+            "silentMillis",
+            silent.silentMillis(),
+            "why",
+            reason,
+            "sends",
+            ledger.sends(),
+            "remainingMillis",
+            remainingMillis());
   }
 
   /** Tells whether an endpoint that was chosen earlier is still published and accepts calls. */
@@ -226,7 +351,7 @@
                 head -> context.codec().classify(head, call.requestId()) != ResponseKind.FOREIGN,
                 listener);
     if (!finished) {
-      request = Optional.of(sent);
+      requests.begin(sent);
     } else {
       sent.abort();
     }
@@ -235,15 +360,19 @@
   /** Pauses reading from the endpoint while the caller reads the response more slowly. */
   protected final void applyBackpressure() {
     if (exchange.isWriteQueueFull()) {
-      request.ifPresent(EndpointRequest::pause);
-      exchange.onWriteQueueDrained(() -> request.ifPresent(EndpointRequest::resume));
+      requests
+          .current()
+          .ifPresent(
+              paused -> {
+                paused.pause();
+                exchange.onWriteQueueDrained(paused::resume);
+              });
     }
   }
 
-  /** Aborts the pending request to an endpoint, if any; its listener is not called again. */
+  /** Aborts the current request to an endpoint, if any; its listener is not called again. */
   protected final void abortRequest() {
-    request.ifPresent(EndpointRequest::abort);
-    request = Optional.empty();
+    requests.abortCurrent();
     cancelAttemptTimer();
   }
 
@@ -362,9 +491,11 @@
     finishWith(RouterResponse.NOT_RUN, reason, Optional.of(retryAfterMillis));
   }
 
-  /** Responds that the call failed and may have run. */
+  /** Responds that the call failed and may have run, unless a silent endpoint still has it. */
   protected final void fail(String reason) {
-    finishWith(RouterResponse.FAILED, reason, Optional.empty());
+    if (!returnToStandby(reason)) {
+      finishWith(RouterResponse.FAILED, reason, Optional.empty());
+    }
   }
 
   /** Finishes the call after the complete response was passed on. */
@@ -406,8 +537,17 @@
     }
   }
 
-  /** Aborts a response that was started and cannot be completed. */
+  /**
+   * Aborts a response that was started and cannot be completed, unless a silent endpoint still has
+   * the call.
+   */
   protected final void abortResponse(String reason) {
+    if (!returnToStandby(reason)) {
+      breakOff(reason);
+    }
+  }
+
+  private void breakOff(String reason) {
     if (finish()) {
       context.metrics().counter("calls.broken_off").inc();
       logOutcome("call.broken_off", reason);
@@ -417,7 +557,7 @@
 
   private void finishWith(RouterResponse response, String reason, Optional<Long> retryAfterMillis) {
     if (exchange.isResponseStarted()) {
-      abortResponse(reason);
+      breakOff(reason);
       return;
     }
     if (finish()) {
@@ -490,6 +630,9 @@
     finished = true;
     context.vertx().cancelTimer(deadlineTimer);
     abortRequest();
+    if (hasStandby()) {
+      dropStandby();
+    }
     onFinished();
     ledger.refundUnused();
     List.copyOf(activeWork.keySet()).forEach(this::endWork);
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/SendPermits.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/SendPermits.java
@@ -53,13 +53,14 @@
       onPermitted.run();
       return;
     }
+    long search = call.currentSearch();
     context
         .permits()
         .request(endpoint, maxDelayMillis())
         .subscribe()
         .with(
             decision -> {
-              if (!call.isFinished()) {
+              if (call.isCurrentSearch(search)) {
                 onDecision(endpoint, decision, onPermitted, onDenied);
               }
             });
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
@@ -35,7 +35,8 @@
  *
  * <p>A prefill engine processes the prompt and a decode engine fetches the resulting KV cache, or a
  * decode engine does both. Only complete events are passed on. An interrupted stream resumes at
- * another engine after the last complete event if its route allows that.
+ * another engine after the last complete event if its route allows that. The request at a silent
+ * engine stays open until another engine has begun to respond.
  */
 final class StreamingCall extends ForwardedCall {
 
@@ -90,8 +91,9 @@
   private final CapacityWaitPolicy capacityPolicy;
   private final StreamTimeline timeline;
   private final StreamPlacer placer;
-  private final EventSplitter splitter = EventSplitter.of(MAX_EVENT_BYTES);
+  private Optional<String> lastEventId = Optional.empty();
   private Optional<KvHandle> kvHandle = Optional.empty();
+  private Optional<KvHandle> standbyKvHandle = Optional.empty();
   private long kvHandleSinceMillis;
   private Optional<EndpointId> lastPrefillEngine = Optional.empty();
   private long prefillMillis;
@@ -147,10 +149,17 @@
             capacityPolicy.usableMemoryFraction(),
             forced,
             route.maxGapMillis());
+    long search = currentSearch();
     placer.place(
         new StreamPlacer.Requirements(
             candidates, ledger.triedEndpoints(), profile, need, remainingMillis()),
-        this::onPlacement);
+        placement -> {
+          if (isCurrentSearch(search)) {
+            onPlacement(placement);
+          } else if (!hasStandby()) {
+            placer.release();
+          }
+        });
   }
 
   private void onPlacement(Optional<StreamPlacement> placement) {
@@ -201,6 +210,26 @@
     kvHandle = Optional.empty();
   }
 
+  @Override
+  protected void onStandbyKept() {
+    standbyKvHandle = kvHandle;
+    kvHandle = Optional.empty();
+  }
+
+  @Override
+  protected void onStandbyLeft() {
+    standbyKvHandle.ifPresent(this::freeKvCache);
+    standbyKvHandle = Optional.empty();
+  }
+
+  @Override
+  protected void onSearchCancelled() {
+    releaseKvCache();
+    kvHandle = standbyKvHandle;
+    standbyKvHandle = Optional.empty();
+    placer.release();
+  }
+
   @Override
   protected void onFinished() {
     releaseKvCache();
@@ -262,8 +291,7 @@
       proceed(ledger.giveUp(), "no retry left after a failed prefill");
       return;
     }
-    Optional<String> resumeAfter =
-        splitter.lastEventId().isPresent() ? splitter.lastEventId() : call.resumeAfter();
+    Optional<String> resumeAfter = lastEventId.isPresent() ? lastEventId : call.resumeAfter();
     ledger.recordSend(engine.id());
     DecodeAttempt attempt = new DecodeAttempt(engine, fetchedHandle.isPresent());
     send(engine, dispatch(engine, false, fetchedHandle, resumeAfter), attempt);
@@ -386,8 +414,9 @@
   }
 
   /** One decode request; passes its events on. */
-  private final class DecodeAttempt implements ResponseListener {
+  private final class DecodeAttempt implements ResponseListener, StandbyAttempt {
     private final EndpointEntry engine;
+    private final EventSplitter splitter = EventSplitter.of(MAX_EVENT_BYTES);
     private final boolean fetchesKvCache;
     private final double estimatedFill;
     private final EndpointHealth health;
@@ -412,7 +441,10 @@
       head = response;
       kind = context.codec().classify(response, call.requestId());
       recordNotice(engine, response, kind, kind == ResponseKind.GENUINE, sentMillis);
-      if (kind == ResponseKind.GENUINE && response.isSuccess()) {
+      if (isStream() && isStandby(this)) {
+        standbyKvHandle = Optional.empty();
+      } else if (isStream()) {
+        replaceStandby(engine);
         kvHandle = Optional.empty();
         if (fetchesKvCache) {
           lastPrefillEngine.ifPresent(
@@ -443,16 +475,40 @@
         context
             .log()
             .failure("stream.unreadable", "requestId", call.requestId(), "why", e.getMessage());
-        abortRequest();
+        if (!isStandby(this)) {
+          abortRequest();
+        }
         onInterrupted(TransportFailure.NOT_HTTP);
         return;
       }
+      if (events.isEmpty()) {
+        return;
+      }
+      if (isStandby(this)) {
+        cancelSearch("the engine goes on");
+      }
       events.forEach(this::forward);
-      if (!events.isEmpty() && route.isRepeatable()) {
-        startAttemptTimer(NEXT_EVENT_TIMEOUT_MILLIS, this::onTimeout);
+      lastEventId = splitter.lastEventId().or(() -> lastEventId);
+      if (route.isRepeatable()) {
+        awaitProgress();
       }
     }
 
+    @Override
+    public EndpointEntry endpoint() {
+      return engine;
+    }
+
+    @Override
+    public long silentMillis() {
+      return context.nowMillis() - progressMillis;
+    }
+
+    @Override
+    public void awaitProgress() {
+      startAttemptTimer(NEXT_EVENT_TIMEOUT_MILLIS, this::onTimeout);
+    }
+
     private void forward(byte[] event) {
       trackMemory();
       progressMillis = context.nowMillis();
@@ -477,6 +533,13 @@
 
     @Override
     public void onComplete() {
+      if (isStandby(this)) {
+        if (!isFinalResponse()) {
+          onStandbyEnded();
+          return;
+        }
+        cancelSearch("the engine has ended its response");
+      }
       cancelAttemptTimer();
       endWork(engine.id());
       long nowMillis = context.nowMillis();
@@ -501,6 +564,31 @@
       }
     }
 
+    @Override
+    public void onLeft() {
+      placer.reportFault(engine.id(), EngineFault.LOST);
+    }
+
+    /** Returns whether the response, which is complete, can be passed on as the call's response. */
+    private boolean isFinalResponse() {
+      if (kind != ResponseKind.GENUINE) {
+        return false;
+      }
+      return isStream()
+          ? splitter.isAtEventBoundary() && exchange.isResponseStarted()
+          : head.status() < FIRST_SERVER_ERROR && !exchange.isResponseStarted();
+    }
+
+    /** Handles a response of a silent engine that cannot be passed on; the search goes on. */
+    private void onStandbyEnded() {
+      long nowMillis = context.nowMillis();
+      if (kind.isNotRun()) {
+        ledger.onRefused(nowMillis);
+      }
+      endStandby("responded with status " + head.status());
+      health.recordFailure(nowMillis);
+    }
+
     /** Describes the circumstances of a refusal, since engines give no reason. */
     private String describeRefusal() {
       return String.format(
@@ -556,8 +644,12 @@
           return;
         }
       }
+      String reason = "engine " + engine.id() + " responded with status " + head.status();
       if (exchange.isResponseStarted()) {
-        abortResponse("engine " + engine.id() + " responded with status " + head.status());
+        abortResponse(reason);
+        return;
+      }
+      if (head.status() >= FIRST_SERVER_ERROR && returnToStandby(reason)) {
         return;
       }
       exchange.respond(head.status(), context.codec().callerHeaders(head), errorBody);
@@ -570,21 +662,30 @@
     }
 
     void onTimeout() {
-      boolean canRetry = ledger.canRetry(context.nowMillis());
-      recordSilence(engine, context.nowMillis() - progressMillis, canRetry);
-      if (!canRetry) {
-        return;
+      boolean searches = ledger.onFailed(context.nowMillis()) == RetryDecision.AGAIN;
+      recordSilence(engine, silentMillis(), searches);
+      if (!searches) {
+        awaitProgress();
+      } else if (hasStandby()) {
+        abortRequest();
+        onInterrupted(TransportFailure.SILENT);
+      } else {
+        recordFailure(health, TransportFailure.SILENT);
+        interruptedAtMillis = context.nowMillis();
+        searchBeside(this);
       }
-      abortRequest();
-      onInterrupted(TransportFailure.SILENT);
     }
 
     private void onInterrupted(TransportFailure cause) {
+      if (isStandby(this)) {
+        recordFailure(health, cause);
+        endStandby(cause.name());
+        return;
+      }
       cancelAttemptTimer();
       endWork(engine.id());
       recordFailure(health, cause);
       placer.reportFault(engine.id(), EngineFault.LOST);
-      splitter.discardPartial();
       interruptedAtMillis = context.nowMillis();
       if (cause.mayHaveReachedEndpoint()) {
         releaseKvCache();
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/UnaryCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/UnaryCall.java
@@ -27,6 +27,12 @@
   /** A retryable call is sent to another endpoint after this multiple of its latency target. */
   private static final double ATTEMPT_TIMEOUT_TARGETS = 1.5;
 
+  /**
+   * How long a call stays open at a silent endpoint beside the next one. Refusals and failed
+   * connections are known by then; longer, a call would occupy two places.
+   */
+  private static final long MAX_OVERLAP_MILLIS = 300;
+
   private static final int FIRST_SERVER_ERROR = 500;
 
   UnaryCall(
@@ -55,13 +61,14 @@
     DispatchAttributes dispatch = dispatch(endpoint, false, Optional.empty(), call.resumeAfter());
     Attempt attempt = new Attempt(endpoint);
     send(endpoint, dispatch, attempt);
-    if (route.isRepeatable()) {
-      startAttemptTimer(
-          (long) (ATTEMPT_TIMEOUT_TARGETS * route.targetMillis()), attempt::onTimeout);
+    if (hasStandby()) {
+      startAttemptTimer(MAX_OVERLAP_MILLIS, attempt::takeOver);
+    } else if (route.isRepeatable()) {
+      attempt.awaitProgress();
     }
   }
 
-  private final class Attempt implements ResponseListener {
+  private final class Attempt implements ResponseListener, StandbyAttempt {
     private final EndpointEntry endpoint;
     private final EndpointHealth health;
     private final long sentMillis = context.nowMillis();
@@ -79,6 +86,34 @@
       head = response;
       kind = context.codec().classify(response, call.requestId());
       recordNotice(endpoint, response, kind, kind == ResponseKind.GENUINE, sentMillis);
+      if (!hasStandby() || kind != ResponseKind.GENUINE || head.status() >= FIRST_SERVER_ERROR) {
+        return;
+      }
+      if (isStandby(this)) {
+        cancelSearch("the endpoint responds");
+      } else {
+        replaceStandby(endpoint);
+      }
+    }
+
+    @Override
+    public EndpointEntry endpoint() {
+      return endpoint;
+    }
+
+    @Override
+    public long silentMillis() {
+      return context.nowMillis() - sentMillis;
+    }
+
+    @Override
+    public void awaitProgress() {
+      startAttemptTimer((long) (ATTEMPT_TIMEOUT_TARGETS * route.targetMillis()), this::onTimeout);
+    }
+
+    void takeOver() {
+      replaceStandby(endpoint);
+      awaitProgress();
     }
 
     @Override
@@ -94,7 +129,9 @@
         return;
       }
       buffered.appendBuffer(bytes);
-      if (buffered.length() > STREAMING_THRESHOLD_BYTES && kind == ResponseKind.GENUINE) {
+      if (buffered.length() > STREAMING_THRESHOLD_BYTES
+          && kind == ResponseKind.GENUINE
+          && !hasStandby()) {
         exchange.startResponse(head.status(), context.codec().callerHeaders(head));
         exchange.write(buffered);
       }
@@ -102,6 +139,10 @@
 
     @Override
     public void onComplete() {
+      if (isStandby(this)) {
+        onStandbyEnded();
+        return;
+      }
       cancelAttemptTimer();
       endWork(endpoint.id());
       long nowMillis = context.nowMillis();
@@ -124,6 +165,16 @@
       }
     }
 
+    /** Handles a response of a silent endpoint that cannot be passed on; the search goes on. */
+    private void onStandbyEnded() {
+      long nowMillis = context.nowMillis();
+      if (kind.isNotRun()) {
+        ledger.onRefused(nowMillis);
+      }
+      health.recordFailure(nowMillis);
+      endStandby("responded with status " + head.status());
+    }
+
     private void onEndpointResponse(long nowMillis) {
       if (head.status() >= FIRST_SERVER_ERROR) {
         health.recordFailure(nowMillis);
@@ -133,6 +184,10 @@
               "endpoint " + endpoint.id() + " responded with status " + head.status());
           return;
         }
+        if (returnToStandby(
+            "endpoint " + endpoint.id() + " responded with status " + head.status())) {
+          return;
+        }
       } else {
         health.recordSuccess(nowMillis, nowMillis - sentMillis);
       }
@@ -146,6 +201,11 @@
 
     @Override
     public void onFailure(TransportFailure cause) {
+      if (isStandby(this)) {
+        recordFailure(health, cause);
+        endStandby(cause.name());
+        return;
+      }
       cancelAttemptTimer();
       endWork(endpoint.id());
       long nowMillis = context.nowMillis();
@@ -163,16 +223,14 @@
       if (exchange.isResponseStarted()) {
         return;
       }
-      boolean canRetry = ledger.canRetry(context.nowMillis());
-      recordSilence(endpoint, context.nowMillis() - sentMillis, canRetry);
-      if (!canRetry) {
-        return;
+      boolean searches = ledger.onFailed(context.nowMillis()) == RetryDecision.AGAIN;
+      recordSilence(endpoint, silentMillis(), searches);
+      if (searches) {
+        recordFailure(health, TransportFailure.SILENT);
+        searchBeside(this);
+      } else {
+        awaitProgress();
       }
-      abortRequest();
-      endWork(endpoint.id());
-      long nowMillis = context.nowMillis();
-      recordFailure(health, TransportFailure.SILENT);
-      proceed(ledger.onFailed(nowMillis), "endpoint " + endpoint.id() + " did not respond in time");
     }
   }
 }
