Answer pipelined requests that were read before a planned stop

Callers that had sent a second request behind the one in progress saw their connection close after the first answer: during a drain, that answer announced the close although further requests had been read, and these got neither an answer nor a refusal.

An answer now announces the close only if nothing of another request has been received, and the end of the answer follows what its head announced. A stream that began before the stop no longer ends with an unannounced close; its connection is closed as idle.

Evidence: CallerConnectionTest.stoppingServerAnswersPipelinedRequests, before: "the condition did not become true in time" while waiting for the second request to be handled; passes now. Ruled out: loss in the socket, since the second request had been decoded and was queued.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
@@ -86,10 +86,7 @@
 
   /** Closes the connection if it is idle; a busy one announces the close in its next response. */
   void closeWhenIdle() {
-    if (current == null
-        && queuedRequests.isEmpty()
-        && partialRequest == null
-        && headStartedMillis < 0) {
+    if (current == null && !hasNextRequest()) {
       close();
     }
   }
@@ -98,6 +95,11 @@
     return current != null || !queuedRequests.isEmpty();
   }
 
+  /** Tells whether another request was received, at least in part. */
+  private boolean hasNextRequest() {
+    return !queuedRequests.isEmpty() || partialRequest != null || headStartedMillis >= 0;
+  }
+
   void close() {
     open = false;
     socket.close();
@@ -271,6 +273,7 @@
     private final QueuedRequest request;
     private final RequestHead head;
     private boolean responseStarted;
+    private boolean closesConnection;
     private boolean ended;
     private Runnable onDisconnect = () -> {};
 
@@ -330,8 +333,6 @@
       HttpResponse response = newFramedResponse(status, headers);
       if (request.head().protocolVersion().equals(HttpVersion.HTTP_1_1)) {
         HttpUtil.setTransferEncodingChunked(response, true);
-      } else {
-        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
       }
       socket.writeMessage(response);
     }
@@ -349,10 +350,6 @@
         return;
       }
       ended = true;
-      boolean keepAlive =
-          request.keepAlive()
-              && !server.isClosing()
-              && request.head().protocolVersion().equals(HttpVersion.HTTP_1_1);
       socket
           .writeMessage(LastHttpContent.EMPTY_LAST_CONTENT)
           .onComplete(
@@ -361,7 +358,7 @@
                   close();
                 }
               });
-      onResponseEnd(keepAlive);
+      onResponseEnd(!closesConnection);
     }
 
     @Override
@@ -394,7 +391,10 @@
 
     private HttpResponse newFramedResponse(int status, List<HeaderField> headers) {
       HttpResponse response = newResponse(status, headers);
-      if (!request.keepAlive() || server.isClosing()) {
+      boolean isReusable =
+          request.keepAlive() && request.head().protocolVersion().equals(HttpVersion.HTTP_1_1);
+      closesConnection = !isReusable || (server.isClosing() && !hasNextRequest());
+      if (closesConnection) {
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
       }
       return response;
