Count connections as busy until their requests and answers have passed

A planned stop regarded a connection as idle as soon as its answer was handed to the socket, or while a request was still arriving. Callers that read slowly lost the end of an answer that was still in the memory of the exiting process, and callers in the middle of sending were cut off although there was time left. An idle timeout could likewise begin while an answer was still being written.

A connection is now busy while a request is received or handled and until its answer is written; the end of the time for a stop still bounds the wait. The idle time begins when the answer is written.

Ruled out: loss by the close itself, which Vert.x queues behind the writes of the connection.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
@@ -56,6 +56,7 @@
   private Exchange current;
   private boolean framingLost;
   private boolean open = true;
+  private int unwrittenResponses;
   private long lastByteMillis;
   private long headStartedMillis = -1;
 
@@ -86,13 +87,14 @@
 
   /** Closes the connection if it is idle; a busy one announces the close in its next response. */
   void closeWhenIdle() {
-    if (current == null && !hasNextRequest()) {
+    if (!isBusy()) {
       close();
     }
   }
 
+  /** Tells whether a request is being received or handled, or its response being written. */
   boolean isBusy() {
-    return current != null || !queuedRequests.isEmpty();
+    return current != null || unwrittenResponses > 0 || hasNextRequest();
   }
 
   /** Tells whether another request was received, at least in part. */
@@ -107,7 +109,7 @@
 
   /** Ends the connection if the caller exceeds the header or idle timeout. */
   void enforceTimeouts(RequestLimits bounds, long nowMillis) {
-    if (current != null || !open) {
+    if (current != null || unwrittenResponses > 0 || !open) {
       return;
     }
     boolean headTimedOut =
@@ -232,6 +234,14 @@
     }
   }
 
+  private void onResponseWritten(boolean isComplete) {
+    unwrittenResponses--;
+    lastByteMillis = server.nowMillis();
+    if (!isComplete) {
+      close();
+    }
+  }
+
   private void onResponseEnd(boolean keepAlive) {
     current = null;
     lastByteMillis = server.nowMillis();
@@ -350,14 +360,10 @@
         return;
       }
       ended = true;
+      unwrittenResponses++;
       socket
           .writeMessage(LastHttpContent.EMPTY_LAST_CONTENT)
-          .onComplete(
-              written -> {
-                if (written.failed()) {
-                  close();
-                }
-              });
+          .onComplete(written -> onResponseWritten(written.succeeded()));
       onResponseEnd(!closesConnection);
     }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerServer.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerServer.java
@@ -87,13 +87,14 @@
     closing = true;
   }
 
-  /** Closes the connections on which no request is being handled. */
+  /** Closes the connections that are not busy. */
   public void closeIdle() {
     Set.copyOf(connections).forEach(CallerConnection::closeWhenIdle);
   }
 
   /**
-   * Returns the number of connections on which a request is being handled.
+   * Returns the number of connections on which a request is being received or handled, or its
+   * response being written.
    *
    * @return the number
    */
