Answer the requests that were read before an unreadable one, then refuse

When bytes that are no valid request followed whole requests on the same connection, the connection closed after the answer in progress: the requests queued behind it got no answer, and the unreadable one no refusal.

The refusal is now kept until the requests before it are answered, and is then sent with the close.

Evidence: CallerConnectionTest.requestsBeforeInvalidBytesAreAnswered, before: "the condition did not become true in time" while waiting for the second request; passes now.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
@@ -28,6 +28,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.OptionalInt;
 import org.knapweedcleat.core.directory.RequestLimits;
 import org.knapweedcleat.router.forward.codec.HeaderField;
 import org.knapweedcleat.router.forward.codec.RequestHead;
@@ -54,7 +55,7 @@
   private boolean partialKeepsAlive;
   private Buffer partialBody;
   private Exchange current;
-  private boolean framingLost;
+  private OptionalInt refusalStatus = OptionalInt.empty();
   private boolean open = true;
   private int unwrittenResponses;
   private long lastByteMillis;
@@ -99,7 +100,10 @@
 
   /** Tells whether another request was received, at least in part. */
   private boolean hasNextRequest() {
-    return !queuedRequests.isEmpty() || partialRequest != null || headStartedMillis >= 0;
+    return !queuedRequests.isEmpty()
+        || partialRequest != null
+        || headStartedMillis >= 0
+        || refusalStatus.isPresent();
   }
 
   void close() {
@@ -126,7 +130,7 @@
 
   private void onMessage(Object message) {
     try {
-      if (framingLost || !open) {
+      if (refusalStatus.isPresent() || !open) {
         return;
       }
       if (message instanceof HttpMessage head && head.decoderResult().isFailure()) {
@@ -201,26 +205,40 @@
     refuse(tooLarge ? HEADER_TOO_LARGE : BAD_REQUEST, "the request is not valid HTTP");
   }
 
-  /** Rejects an unreadable request and closes the connection, since its end is unknown. */
+  /**
+   * Rejects an unreadable request after the requests before it were answered, and closes the
+   * connection, since the end of the request is unknown.
+   */
   private void refuse(int status, String reason) {
-    framingLost = true;
+    refusalStatus = OptionalInt.of(status);
     partialRequest = null;
+    headStartedMillis = -1;
     server.onRejected(status, reason);
-    if (current == null && open) {
-      HttpResponse response = newResponse(status, List.of());
-      response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
-      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-      socket.writeMessage(response);
-      socket.writeMessage(LastHttpContent.EMPTY_LAST_CONTENT).onComplete(done -> close());
-    }
+    handleNext();
+  }
+
+  private void sendRefusal(int status) {
+    HttpResponse response = newResponse(status, List.of());
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    unwrittenResponses++;
+    socket.writeMessage(response);
+    socket
+        .writeMessage(LastHttpContent.EMPTY_LAST_CONTENT)
+        .onComplete(written -> onResponseWritten(written.succeeded()));
+    close();
   }
 
   private void handleNext() {
-    if (current != null || queuedRequests.isEmpty() || !open) {
+    if (current != null || !open) {
       return;
     }
-    current = new Exchange(queuedRequests.poll());
-    server.handle(current);
+    if (!queuedRequests.isEmpty()) {
+      current = new Exchange(queuedRequests.poll());
+      server.handle(current);
+    } else if (refusalStatus.isPresent()) {
+      sendRefusal(refusalStatus.getAsInt());
+    }
   }
 
   private void onDisconnected() {
@@ -245,7 +263,7 @@
   private void onResponseEnd(boolean keepAlive) {
     current = null;
     lastByteMillis = server.nowMillis();
-    if (!keepAlive || framingLost) {
+    if (!keepAlive) {
       close();
       return;
     }
@@ -264,7 +282,9 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
       lastByteMillis = server.nowMillis();
-      if (partialRequest == null && headStartedMillis < 0) {
+      boolean startsRequest =
+          partialRequest == null && headStartedMillis < 0 && refusalStatus.isEmpty();
+      if (startsRequest) {
         headStartedMillis = lastByteMillis;
       }
       context.fireChannelRead(message);
