Stop reading a connection with many pipelined requests instead of closing it

A caller with more than 16 requests queued behind the one in progress lost its connection: all requests that had been read, the one in progress among them, ended without an answer, though it may have been passed on to an endpoint.

The connection is no longer read while the queue is full, so that the caller waits, and is read again when the queue is empty. While it is not read, a caller that leaves is noticed only when an answer is written.

Evidence: CallerConnectionTest.manyPipelinedRequestsAreAllAnswered, before: "connection closed after" at the first answer; passes now.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
@@ -40,7 +40,7 @@
   private static final String ENCODER = "answers";
   private static final String VERTX_HANDLER = "handler";
 
-  /** Maximum number of pipelined requests; more would not make a caller faster. */
+  /** Number of pipelined requests from which on the connection is not read. */
   private static final int MAX_QUEUED_REQUESTS = 16;
 
   private static final int BAD_REQUEST = 400;
@@ -57,6 +57,7 @@
   private Exchange current;
   private OptionalInt refusalStatus = OptionalInt.empty();
   private boolean open = true;
+  private boolean paused;
   private int unwrittenResponses;
   private long lastByteMillis;
   private long headStartedMillis = -1;
@@ -188,14 +189,11 @@
       partialBody.appendBytes(copy);
     }
     if (content instanceof LastHttpContent) {
-      if (queuedRequests.size() >= MAX_QUEUED_REQUESTS) {
-        close();
-        return;
-      }
       queuedRequests.add(new QueuedRequest(partialRequest, partialKeepsAlive, partialBody));
       partialRequest = null;
       partialBody = null;
       handleNext();
+      pauseIfQueueFull();
     }
   }
 
@@ -229,6 +227,20 @@
     close();
   }
 
+  private void pauseIfQueueFull() {
+    if (!paused && queuedRequests.size() >= MAX_QUEUED_REQUESTS) {
+      paused = true;
+      socket.pause();
+    }
+  }
+
+  private void resumeIfQueueEmpty() {
+    if (paused && queuedRequests.isEmpty()) {
+      paused = false;
+      socket.resume();
+    }
+  }
+
   private void handleNext() {
     if (current != null || !open) {
       return;
@@ -236,6 +248,7 @@
     if (!queuedRequests.isEmpty()) {
       current = new Exchange(queuedRequests.poll());
       server.handle(current);
+      resumeIfQueueEmpty();
     } else if (refusalStatus.isPresent()) {
       sendRefusal(refusalStatus.getAsInt());
     }
