Apply a lowered idle limit only to idle time since it was learned

When a configuration lowered the idle limit, every connection that had been idle for longer was closed at the next check, all at once, though its caller could still count on the limit before. Callers reuse connections close to that limit, so that requests crossed these closes.

Each connection now has an IdleTimeout: a lowered limit counts from when the instance learned it, and never extends the limit before; a raised limit applies at once.

Evidence: CallerConnectionTest.loweredIdleLimitLeavesTimeToReuseConnection, before: "the condition did not become true in time" for the request on the reused connection; passes now, with IdleTimeoutTest (new class). Ruled out: dropping requests that were already read; Vert.x closes an idle socket in the same turn, and reads are decoded whole before it.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
@@ -50,6 +50,7 @@
 
   private final NetSocketInternal socket;
   private final CallerServer server;
+  private final IdleTimeout idleTimeout;
   private final Deque<QueuedRequest> queuedRequests = new ArrayDeque<>();
   private HttpRequest partialRequest;
   private boolean partialKeepsAlive;
@@ -68,6 +69,7 @@
     this.socket = socket;
     this.server = server;
     this.lastByteMillis = server.nowMillis();
+    this.idleTimeout = IdleTimeout.of(server.bounds().idleTimeoutMillis());
   }
 
   static CallerConnection accept(NetSocketInternal socket, CallerServer server) {
@@ -121,7 +123,7 @@
         partialRequest == null
             && headStartedMillis >= 0
             && nowMillis - headStartedMillis > bounds.headerTimeoutMillis();
-    boolean idle = nowMillis - lastByteMillis > bounds.idleTimeoutMillis();
+    boolean idle = idleTimeout.hasElapsed(bounds.idleTimeoutMillis(), lastByteMillis, nowMillis);
     if (headTimedOut || (idle && partialRequest != null)) {
       refuse(REQUEST_TIMEOUT, "the request was not received in time");
     } else if (idle) {
