Believe no refusal that may belong to an earlier request on its connection

Callers were told "not run, try again" for requests that an endpoint was running, or such a request ran again, after a faulty endpoint had written an earlier refusal once more on a kept connection.

Cause: a refusal without request id was taken for the current request on any connection, and a connection could carry the same request twice: a call that is refused three times comes back to the connection of its first refusal, whose copy bears the id that is expected.

Ruled out before the change, and kept as a test: copies that bear the earlier request's id, at each of five moments and on all four kinds of route.

Fix: a connection remembers the ids that it carried and takes none twice; the pool passes over it for such a request and keeps it for others, so no connection is closed. After 1,000 requests it is closed, which bounds that memory. A response without id to a run counts only on a connection that carried nothing before; otherwise it is skipped, as one with another id is, and counted as endpoint.responses.skipped. A response that bears an id no longer answers a request without one (orders, state queries, releases). A prefill's response may come without id as before: it promises nothing to the caller.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -32,6 +32,7 @@
 import org.knapweedcleat.router.forward.http.CallerExchange;
 import org.knapweedcleat.router.forward.http.EndpointRequest;
 import org.knapweedcleat.router.forward.http.ResponseListener;
+import org.knapweedcleat.router.forward.http.ResponseMatcher;
 import org.knapweedcleat.router.forward.http.TransportFailure;
 
 /** One admitted call, from its first attempt at an endpoint to the final response. */
@@ -348,7 +349,7 @@
                 endpoint.port(),
                 context.codec().encodeRequest(exchange.head(), dispatch),
                 exchange.body(),
-                head -> context.codec().classify(head, call.requestId()) != ResponseKind.FOREIGN,
+                matcher(dispatch),
                 listener);
     if (!finished) {
       requests.begin(sent);
@@ -357,6 +358,12 @@
     }
   }
 
+  private ResponseMatcher matcher(DispatchAttributes dispatch) {
+    return dispatch.prefillOnly()
+        ? ResponseMatcher.ofOther(Optional.of(call.requestId()), context.codec()::requestId)
+        : ResponseMatcher.ofRun(call.requestId(), context.codec()::requestId);
+  }
+
   /** Pauses reading from the endpoint while the caller reads the response more slowly. */
   protected final void applyBackpressure() {
     if (exchange.isWriteQueueFull()) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
@@ -28,6 +28,7 @@
 import org.knapweedcleat.router.forward.http.BufferedResponseListener;
 import org.knapweedcleat.router.forward.http.CallerExchange;
 import org.knapweedcleat.router.forward.http.ResponseListener;
+import org.knapweedcleat.router.forward.http.ResponseMatcher;
 import org.knapweedcleat.router.forward.http.TransportFailure;
 
 /**
@@ -246,7 +247,7 @@
             Integer.parseInt(handle.address().substring(colon + 1)),
             context.codec().encodeRelease(handle),
             Buffer.buffer(),
-            head -> true,
+            ResponseMatcher.ofOther(Optional.empty(), context.codec()::requestId),
             BufferedResponseListener.ignored());
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/codec/CallCodec.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/codec/CallCodec.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.util.List;
+import java.util.Optional;
 import org.knapweedcleat.core.directory.EndpointEntry;
 import org.knapweedcleat.core.id.InstanceId;
 import org.knapweedcleat.core.stage.StageChange;
@@ -29,6 +30,14 @@
    */
   RequestHead encodeRequest(RequestHead head, DispatchAttributes dispatch);
 
+  /**
+   * Reads which request a response names.
+   *
+   * @param response the response's head
+   * @return the id of the request, empty if the response names none
+   */
+  Optional<String> requestId(ResponseHead response);
+
   /**
    * Classifies the response to a request.
    *
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
@@ -1,5 +1,6 @@
 package org.knapweedcleat.router.forward.http;
 
+import com.codahale.metrics.Counter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -19,7 +20,8 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.internal.buffer.BufferInternal;
 import io.vertx.core.internal.net.NetSocketInternal;
-import java.util.function.Predicate;
+import java.util.HashSet;
+import java.util.Set;
 import org.knapweedcleat.router.forward.codec.HeaderField;
 import org.knapweedcleat.router.forward.codec.RequestHead;
 import org.knapweedcleat.router.forward.codec.ResponseHead;
@@ -39,9 +41,15 @@
 
   private static final long MILLIS_PER_SECOND = 1_000;
 
+  /** Bounds the memory for the ids of the requests that a connection carried. */
+  private static final int MAX_REQUESTS = 1_000;
+
   private final NetSocketInternal socket;
+  private final Counter skippedResponses;
+  private final Set<String> carriedIds = new HashSet<>();
   private ResponseListener listener;
-  private Predicate<ResponseHead> matchesRequest;
+  private int carriedRequests;
+  private ResponseMatcher matcher;
   private Runnable onReusable;
   private boolean headOnly;
   private boolean requestWritten;
@@ -54,17 +62,19 @@
   private boolean open = true;
   private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
 
-  private EndpointConnection(NetSocketInternal socket) {
+  private EndpointConnection(NetSocketInternal socket, Counter skippedResponses) {
     this.socket = socket;
+    this.skippedResponses = skippedResponses;
   }
 
   /**
    * Creates a connection on an open socket.
    *
    * @param socket the socket
+   * @param skippedResponses counts responses that belong to no request
    */
-  static EndpointConnection of(NetSocketInternal socket) {
-    EndpointConnection connection = new EndpointConnection(socket);
+  static EndpointConnection of(NetSocketInternal socket, Counter skippedResponses) {
+    EndpointConnection connection = new EndpointConnection(socket, skippedResponses);
     ChannelPipeline pipeline = socket.channelHandlerContext().pipeline();
     pipeline.addBefore("handler", "answers", connection.new ResponseDecoder());
     pipeline.addBefore("handler", "requests", new HttpRequestEncoder());
@@ -83,23 +93,35 @@
     return idleTimeoutMillis;
   }
 
+  /**
+   * Tells whether the connection may carry a request. It carries no request id twice, since a copy
+   * of the first response could not be told from the second response.
+   *
+   * @param request the matcher of the request's response
+   */
+  boolean canCarry(ResponseMatcher request) {
+    return request.requestId().stream().noneMatch(carriedIds::contains);
+  }
+
   /**
    * Sends a request.
    *
    * @param head the request's head without hop-by-hop headers
    * @param body the request's body
-   * @param matchesRequest tells whether a response belongs to this request
+   * @param matcher tells whether a response belongs to this request
    * @param responseListener receives the response
    * @param onReusable runs when the connection can carry another request
    */
   void send(
       RequestHead head,
       Buffer body,
-      Predicate<ResponseHead> matchesRequest,
+      ResponseMatcher matcher,
       ResponseListener responseListener,
       Runnable onReusable) {
     this.listener = responseListener;
-    this.matchesRequest = matchesRequest;
+    this.matcher = matcher;
+    matcher.requestId().ifPresent(carriedIds::add);
+    carriedRequests++;
     this.onReusable = onReusable;
     this.headOnly = "HEAD".equals(head.method());
     this.requestWritten = false;
@@ -178,9 +200,11 @@
     endsAtClose = !headOnly && hasNoLength(message);
     readKeepAlive(message);
     ResponseHead head = new ResponseHead(status, HttpHeaderMapper.endToEnd(message.headers()));
-    skipping = !matchesRequest.test(head);
+    skipping = !matcher.matches(head, carriedRequests == 1);
     notReusable = notReusable || skipping;
-    if (!skipping) {
+    if (skipping) {
+      skippedResponses.inc();
+    } else {
       listener.onHead(head);
     }
   }
@@ -206,7 +230,13 @@
   private void complete() {
     ResponseListener completed = listener;
     listener = null;
-    if (closesAfterResponse || notReusable || !requestWritten || endsAtClose || !open) {
+    boolean isExhausted = carriedRequests >= MAX_REQUESTS;
+    if (closesAfterResponse
+        || isExhausted
+        || notReusable
+        || !requestWritten
+        || endsAtClose
+        || !open) {
       close();
       completed.onComplete();
     } else {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnectionPool.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnectionPool.java
@@ -7,15 +7,14 @@
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetSocket;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.function.LongSupplier;
-import java.util.function.Predicate;
 import org.knapweedcleat.router.forward.codec.RequestHead;
-import org.knapweedcleat.router.forward.codec.ResponseHead;
 
 /** Pools connections to endpoints, since opening one costs both sides. */
 public final class EndpointConnectionPool {
@@ -64,7 +63,7 @@
    * @param port the endpoint's TCP port
    * @param head the request's head without hop-by-hop headers
    * @param body the request's body
-   * @param matchesRequest tells whether a response belongs to this request
+   * @param matcher tells whether a response belongs to this request
    * @param listener receives the response
    * @return the pending request
    */
@@ -73,14 +72,14 @@
       int port,
       RequestHead head,
       Buffer body,
-      Predicate<ResponseHead> matchesRequest,
+      ResponseMatcher matcher,
       ResponseListener listener) {
     String address = host + ":" + port;
     EndpointRequest request = new EndpointRequest(listener);
-    EndpointConnection pooled = takeIdle(address);
+    EndpointConnection pooled = takeIdle(address, matcher);
     if (pooled != null) {
       request.attach(pooled);
-      pooled.send(head, body, matchesRequest, request, () -> returnToPool(address, pooled));
+      pooled.send(head, body, matcher, request, () -> returnToPool(address, pooled));
       return request;
     }
     metrics.counter("endpoint.connections.opened").inc();
@@ -92,10 +91,10 @@
                 socket.close();
                 return;
               }
-              EndpointConnection connection = EndpointConnection.of((NetSocketInternal) socket);
+              EndpointConnection connection = newConnection(socket);
               request.attach(connection);
               connection.send(
-                  head, body, matchesRequest, request, () -> returnToPool(address, connection));
+                  head, body, matcher, request, () -> returnToPool(address, connection));
             })
         .onFailure(
             failure -> {
@@ -124,7 +123,7 @@
         .map(
             socket -> {
               metrics.counter("endpoint.connections.opened").inc();
-              returnToPool(address, EndpointConnection.of((NetSocketInternal) socket));
+              returnToPool(address, newConnection(socket));
               return null;
             });
   }
@@ -136,18 +135,28 @@
     idleConnections.clear();
   }
 
-  private EndpointConnection takeIdle(String address) {
-    Deque<IdleConnection> queue = idleConnections.get(address);
-    while (queue != null && !queue.isEmpty()) {
-      IdleConnection newest = queue.pollLast();
-      if (newest.connection().isOpen() && clock.getAsLong() < newest.expiresAtMillis()) {
-        return newest.connection();
+  private EndpointConnection takeIdle(String address, ResponseMatcher matcher) {
+    Deque<IdleConnection> queue = idleConnections.getOrDefault(address, new ArrayDeque<>());
+    Iterator<IdleConnection> newestFirst = queue.descendingIterator();
+    while (newestFirst.hasNext()) {
+      IdleConnection entry = newestFirst.next();
+      EndpointConnection connection = entry.connection();
+      if (!connection.isOpen() || clock.getAsLong() >= entry.expiresAtMillis()) {
+        newestFirst.remove();
+        connection.close();
+      } else if (connection.canCarry(matcher)) {
+        newestFirst.remove();
+        return connection;
       }
-      newest.connection().close();
     }
     return null;
   }
 
+  private EndpointConnection newConnection(NetSocket socket) {
+    return EndpointConnection.of(
+        (NetSocketInternal) socket, metrics.counter("endpoint.responses.skipped"));
+  }
+
   private void returnToPool(String address, EndpointConnection connection) {
     long expiresAtMillis = clock.getAsLong() + connection.idleTimeoutMillis();
     idleConnections
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/StageCoordinator.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/StageCoordinator.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
@@ -20,6 +21,7 @@
 import org.knapweedcleat.router.forward.call.ForwardContext;
 import org.knapweedcleat.router.forward.codec.StageChangeRequest;
 import org.knapweedcleat.router.forward.http.BufferedResponseListener;
+import org.knapweedcleat.router.forward.http.ResponseMatcher;
 
 /** Orders engines to change stage while this instance is the one that may send such orders. */
 final class StageCoordinator {
@@ -149,7 +151,7 @@
             engine.port(),
             context.codec().encodeStateQuery(engine),
             Buffer.buffer(),
-            head -> true,
+            ResponseMatcher.ofOther(Optional.empty(), context.codec()::requestId),
             BufferedResponseListener.of(
                 (head, body) -> {
                   reportPending = false;
@@ -179,7 +181,7 @@
             engine.port(),
             order.head(),
             Buffer.buffer(order.body()),
-            head -> true,
+            ResponseMatcher.ofOther(Optional.empty(), context.codec()::requestId),
             BufferedResponseListener.of(
                 (head, body) -> {
                   boolean accepted = head.status() == OK || head.status() == ACCEPTED;
