--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/throttle/EndpointRateLimits.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/throttle/EndpointRateLimits.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.knapweedcleat.core.collection.BoundedMap;
 import org.knapweedcleat.core.directory.EndpointIncarnation;
+import org.knapweedcleat.core.fleet.ObservationSource;
 
 /**
  * The request rates that endpoints currently announce as their limit for the whole fleet, as
@@ -83,7 +84,7 @@
    * @param sources whose observations to return
    * @return the observations
    */
-  public List<LimitObservation> recent(long nowMillis, Set<LimitObservation.Source> sources) {
+  public List<LimitObservation> recent(long nowMillis, Set<ObservationSource> sources) {
     if (latest.isEmpty()) {
       return List.of();
     }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/throttle/LimitObservation.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/throttle/LimitObservation.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalDouble;
 import org.knapweedcleat.core.directory.EndpointIncarnation;
+import org.knapweedcleat.core.fleet.ObservationSource;
 
 /**
  * What an endpoint last announced about its rate limit.
@@ -16,7 +17,7 @@
     EndpointIncarnation endpoint,
     OptionalDouble requestsPerSecond,
     long observedAtMillis,
-    Source source) {
+    ObservationSource source) {
 
   /**
    * A limit ends with a response without one only if none was announced for this long. A single
@@ -24,31 +25,6 @@
    */
   static final long MIN_SILENCE_MILLIS = 1_000;
 
-  /** The instance that observed an announcement. */
-  public enum Source {
-    /** This instance. */
-    LOCAL("its response"),
-    /** Another instance of this instance's failure domain. */
-    OWN_DOMAIN("another instance"),
-    /** An instance of another failure domain. */
-    OTHER_DOMAIN("another instance");
-
-    private final String label;
-
-    Source(String label) {
-      this.label = label;
-    }
-
-    /**
-     * Returns the name to log.
-     *
-     * @return the name
-     */
-    public String label() {
-      return label;
-    }
-  }
-
   /** Tells whether this observation replaces one that was recorded before; a limit wins a tie. */
   boolean supersedes(LimitObservation previous) {
     if (requestsPerSecond.isPresent()) {
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/throttle/EndpointRateLimitsTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/throttle/EndpointRateLimitsTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.knapweedcleat.core.directory.EndpointIncarnation;
+import org.knapweedcleat.core.fleet.ObservationSource;
 import org.knapweedcleat.core.id.EndpointId;
 
 class EndpointRateLimitsTest {
@@ -61,16 +62,16 @@
             new EndpointIncarnation(EndpointId.of("e-2"), 1),
             OptionalDouble.of(1),
             100,
-            LimitObservation.Source.OTHER_DOMAIN);
+            ObservationSource.OTHER_DOMAIN);
     record(4, 200);
     limits.record(remote);
 
     assertThat(
-        limits.recent(300, Set.of(LimitObservation.Source.LOCAL)).stream()
+        limits.recent(300, Set.of(ObservationSource.LOCAL)).stream()
             .map(LimitObservation::endpoint)
             .toList(),
         is(List.of(endpoint)));
-    assertThat(limits.recent(60_000, Set.of(LimitObservation.Source.values())), is(List.of()));
+    assertThat(limits.recent(60_000, Set.of(ObservationSource.values())), is(List.of()));
   }
 
   private boolean record(double requestsPerSecond, long atMillis) {
@@ -82,6 +83,6 @@
   }
 
   private LimitObservation observation(OptionalDouble limit, long atMillis) {
-    return new LimitObservation(endpoint, limit, atMillis, LimitObservation.Source.LOCAL);
+    return new LimitObservation(endpoint, limit, atMillis, ObservationSource.LOCAL);
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -15,6 +15,7 @@
 import org.knapweedcleat.core.directory.EndpointEntry;
 import org.knapweedcleat.core.directory.EndpointIncarnation;
 import org.knapweedcleat.core.directory.ForwardRoute;
+import org.knapweedcleat.core.fleet.ObservationSource;
 import org.knapweedcleat.core.forward.AttemptLedger;
 import org.knapweedcleat.core.forward.RetryDecision;
 import org.knapweedcleat.core.forward.WindowedRetryBudget;
@@ -330,7 +331,7 @@
             EndpointIncarnation.of(endpoint),
             notice.requestsPerSecond(),
             isLimited ? context.nowMillis() : sentMillis,
-            LimitObservation.Source.LOCAL);
+            ObservationSource.LOCAL);
     if ((isLimited || isGenuine) && context.rateLimits().record(observation)) {
       context.log().limitChange(observation);
     }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
@@ -18,6 +18,7 @@
 import org.knapweedcleat.core.config.InetAddressPort;
 import org.knapweedcleat.core.fleet.FleetMember;
 import org.knapweedcleat.core.fleet.FleetMembership;
+import org.knapweedcleat.core.fleet.ObservationSource;
 import org.knapweedcleat.core.id.AccountId;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.IncarnationId;
@@ -26,7 +27,6 @@
 import org.knapweedcleat.core.quota.FleetQuotaLimiter;
 import org.knapweedcleat.core.throttle.EndpointRateLimits;
 import org.knapweedcleat.core.throttle.LimitObservation;
-import org.knapweedcleat.core.throttle.LimitObservation.Source;
 import org.knapweedcleat.router.forward.call.ForwardContext;
 import org.knapweedcleat.router.forward.call.ServiceRetryBudgets;
 import org.knapweedcleat.router.forward.log.DecisionLog;
@@ -180,7 +180,7 @@
     GossipMessage gossip =
         message(false, List.of(ownReport()), members.nextGossipMembers(nowMillis));
     members.directPeers().forEach(member -> send(member, gossip));
-    sendLimits(nowMillis, members.directPeers(), EnumSet.of(Source.LOCAL));
+    sendLimits(nowMillis, members.directPeers(), EnumSet.of(ObservationSource.LOCAL));
     unknownSeeds.forEach(seed -> messenger.send(seedAddress(seed), gossip));
     sendAcrossDomains(nowMillis);
   }
@@ -253,13 +253,17 @@
         reports.latestOf(nowMillis, members.liveMembers(nowMillis, self.domain())));
     GossipMessage gossip = message(false, memberReports, List.of());
     members.crossDomainPeers().forEach(member -> send(member, gossip));
-    sendLimits(nowMillis, members.crossDomainPeers(), EnumSet.of(Source.LOCAL, Source.OWN_DOMAIN));
+    sendLimits(
+        nowMillis,
+        members.crossDomainPeers(),
+        EnumSet.of(ObservationSource.LOCAL, ObservationSource.OWN_DOMAIN));
   }
 
   /**
    * Tells other instances which limits endpoints have announced; sends nothing if there are none.
    */
-  private void sendLimits(long nowMillis, List<FleetMember> recipients, Set<Source> sources) {
+  private void sendLimits(
+      long nowMillis, List<FleetMember> recipients, Set<ObservationSource> sources) {
     List<LimitReport> limits =
         rateLimits.recent(nowMillis, sources).stream()
             .map(observation -> LimitReport.of(nowMillis, observation))
@@ -273,8 +277,10 @@
 
   private void onLimits(LimitNotice notice) {
     long nowMillis = clock.getAsLong();
-    Source source =
-        notice.sender().domain().equals(self.domain()) ? Source.OWN_DOMAIN : Source.OTHER_DOMAIN;
+    ObservationSource source =
+        notice.sender().domain().equals(self.domain())
+            ? ObservationSource.OWN_DOMAIN
+            : ObservationSource.OTHER_DOMAIN;
     for (LimitReport report : notice.reports()) {
       LimitObservation observation = report.toObservation(nowMillis, source);
       if (rateLimits.record(observation)) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/throttle/LimitReport.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/throttle/LimitReport.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalDouble;
 import org.knapweedcleat.core.directory.EndpointIncarnation;
+import org.knapweedcleat.core.fleet.ObservationSource;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.throttle.LimitObservation;
 
@@ -44,7 +45,7 @@
    * @param source who observed it
    * @return the observation
    */
-  public LimitObservation toObservation(long nowMillis, LimitObservation.Source source) {
+  public LimitObservation toObservation(long nowMillis, ObservationSource source) {
     return new LimitObservation(
         new EndpointIncarnation(EndpointId.of(endpoint), startedAtMillis),
         limited ? OptionalDouble.of(requestsPerSecond) : OptionalDouble.empty(),
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/throttle/PermitExchange.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/throttle/PermitExchange.java
@@ -13,6 +13,7 @@
 import org.knapweedcleat.core.directory.EndpointIncarnation;
 import org.knapweedcleat.core.fleet.FleetMember;
 import org.knapweedcleat.core.fleet.FleetMembership;
+import org.knapweedcleat.core.fleet.ObservationSource;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.IncarnationId;
@@ -141,7 +142,7 @@
             endpoint,
             OptionalDouble.of(query.requestsPerSecond()),
             nowMillis - query.limitAgeMillis(),
-            LimitObservation.Source.OTHER_DOMAIN));
+            ObservationSource.OTHER_DOMAIN));
     OptionalDouble limit = limits.requestsPerSecond(endpoint);
     if (limit.isEmpty()) {
       return SendPermitReply.of(PermitDecision.IMMEDIATE);
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/FleetRateLimitTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/FleetRateLimitTest.java
@@ -18,6 +18,7 @@
 import org.knapweedcleat.core.directory.EndpointEntry;
 import org.knapweedcleat.core.directory.EndpointIncarnation;
 import org.knapweedcleat.core.directory.EndpointStage;
+import org.knapweedcleat.core.fleet.ObservationSource;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.IncarnationId;
@@ -118,7 +119,7 @@
     fleet.run(2_000);
     observer.rateLimits.record(
         new LimitObservation(
-            INCARNATION, OptionalDouble.empty(), fleet.nowMillis(), LimitObservation.Source.LOCAL));
+            INCARNATION, OptionalDouble.empty(), fleet.nowMillis(), ObservationSource.LOCAL));
     fleet.run(3_000);
 
     for (Node node : fleet.running()) {
@@ -190,7 +191,7 @@
           if (atMillis <= nowMillis) {
             node.rateLimits.record(
                 new LimitObservation(
-                    INCARNATION, OptionalDouble.of(rate), atMillis, LimitObservation.Source.LOCAL));
+                    INCARNATION, OptionalDouble.of(rate), atMillis, ObservationSource.LOCAL));
           }
           return atMillis;
         });
