Do not time empty lines between requests as the start of a request

Some callers send an empty line after a body. It was taken as the start of a request head, so that after the header timeout an idle connection got a 408 that no request was waiting for, and closed. A caller that sent its next request at that moment could take the 408 as its answer.

Empty lines before a request, which the decoder skips, no longer start the header timeout.

Evidence: CallerConnectionTest.emptyLinesBetweenRequestsAreNotTimed, before: "the condition did not become true in time" for the next request on the connection; passes now.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ByteProcessor;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.internal.buffer.BufferInternal;
@@ -298,12 +299,20 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
       lastByteMillis = server.nowMillis();
       boolean startsRequest =
-          partialRequest == null && headStartedMillis < 0 && refusalStatus.isEmpty();
+          partialRequest == null
+              && headStartedMillis < 0
+              && refusalStatus.isEmpty()
+              && !isEmptyLines((ByteBuf) message);
       if (startsRequest) {
         headStartedMillis = lastByteMillis;
       }
       context.fireChannelRead(message);
     }
+
+    /** Tells whether the bytes are empty lines, which the decoder skips before a request. */
+    private static boolean isEmptyLines(ByteBuf bytes) {
+      return bytes.forEachByte(ByteProcessor.FIND_NON_CRLF) < 0;
+    }
   }
 
   /** Encodes responses; those to HEAD requests have a length and no body. */
