Deliver what arrived before the end of an endpoint's connection while reading was paused

Callers that read slowly got cut answers of more than 256 KiB, and cut streams, from endpoints that had sent all of it and then closed their connection.

Cause: while reading is paused Vert.x queues messages, and it goes on reading until eight are queued. If the endpoint's close is read in that time, the close handler runs before the queued messages are delivered, and the pending response was failed there. Besides, Netty throws if Vert.x stops reading on a connection that is closed already; that error was taken for a reset, which ended an answer without length as broken off.

Fix: the end of the connection is deferred until reading is resumed and the queue is empty, and only an IOException counts as a reset. An aborted request lets go of what is queued.

Ruled out: answers without length or chunks are otherwise handled as the users ask.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
@@ -20,6 +20,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.internal.buffer.BufferInternal;
 import io.vertx.core.internal.net.NetSocketInternal;
+import java.io.IOException;
 import java.util.HashSet;
 import java.util.Set;
 import org.knapweedcleat.router.forward.codec.HeaderField;
@@ -59,6 +60,8 @@
   private boolean notReusable;
   private boolean endsAtClose;
   private boolean socketFailed;
+  private boolean paused;
+  private boolean disconnected;
   private boolean open = true;
   private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
 
@@ -79,7 +82,7 @@
     pipeline.addBefore("handler", "answers", connection.new ResponseDecoder());
     pipeline.addBefore("handler", "requests", new HttpRequestEncoder());
     socket.messageHandler(connection::onMessage);
-    socket.exceptionHandler(failure -> connection.socketFailed = true);
+    socket.exceptionHandler(connection::onException);
     socket.closeHandler(ignored -> connection.onDisconnected());
     return connection;
   }
@@ -146,17 +149,24 @@
 
   /** Pauses reading while the caller does not keep up. */
   void pause() {
+    paused = true;
     socket.pause();
   }
 
+  /** Resumes reading; delivers what arrived in the meantime, and then the end of the connection. */
   void resume() {
+    paused = false;
     socket.resume();
+    if (disconnected && !paused) {
+      failPending();
+    }
   }
 
-  /** Aborts the request by closing the connection. */
+  /** Aborts the request by closing the connection; releases what arrived while paused. */
   void abort() {
     listener = null;
     close();
+    resume();
   }
 
   void close() {
@@ -255,8 +265,24 @@
     }
   }
 
+  /**
+   * Records that the connection was reset. Failures of another type do not concern what was
+   * received: Vert.x reports one if it stops reading on a connection that is closed already.
+   */
+  private void onException(Throwable failure) {
+    socketFailed = socketFailed || failure instanceof IOException;
+  }
+
+  /** Handles the end of the connection, which Vert.x reports before messages that it queues. */
   private void onDisconnected() {
     open = false;
+    disconnected = true;
+    if (!paused) {
+      failPending();
+    }
+  }
+
+  private void failPending() {
     ResponseListener pending = listener;
     listener = null;
     if (pending != null) {
