Refuse requests with a part of a prompt under which engines crash

Other streams on these engines broke off or started anew.

Cause: nobody related a crash to what had been sent. A loss counted against the engine only, so that the next request with the part went to the next engine. The class of fault: a failure that comes with the request is recorded as one of the endpoint. No code read the list of parts.

Ruled out: repeats of one request (one send each), and instances that learn but do not tell (none learns).

Fix: a connection lost under a decode that had no event yet, or its first within 300 ms, blames the parts of the call but the last; a response that lasts a second or completes acquits them. Three engines lost under two or more requests with a part that none survives since put it in quarantine. The strongest suspect explains its crashes, so that calls that were on the same engines are not blamed. A call is refused, as not run if that is true, if it has the part and all parts that its crashing requests had in common; this is looked up at admission and before each send, also of the prompt alone. Instances report losses and acquittals within 100 ms.

Why it works: the crash is deterministic, so that one success is proof, and what the crashing requests share with sound ones is acquitted all the time.

An instance of the former build closes the connection on the new message; it is sent only while engines are lost.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/AdmissionHandler.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/AdmissionHandler.java
@@ -7,6 +7,7 @@
 import org.knapweedcleat.core.directory.ForwardRoute;
 import org.knapweedcleat.core.directory.RoutingConfig;
 import org.knapweedcleat.core.drain.ShutdownAdmission;
+import org.knapweedcleat.core.quarantine.QuarantinedPart;
 import org.knapweedcleat.router.forward.codec.DecodeError;
 import org.knapweedcleat.router.forward.codec.InboundCall;
 import org.knapweedcleat.router.forward.codec.TokenUsage;
@@ -98,6 +99,17 @@
           exchange, call, RouterResponse.UNKNOWN_KEY, "the API key is missing or unknown");
       return;
     }
+    Optional<QuarantinedPart> quarantined = context.quarantine().find(call.sharedParts());
+    if (quarantined.isPresent()) {
+      context.metrics().counter("calls.quarantined").inc();
+      refuse(
+          exchange,
+          call.requestId(),
+          RouterResponse.NOT_RUN,
+          quarantined.get().describe(),
+          Optional.of(context.quarantine().remainingMillis(quarantined.get())));
+      return;
+    }
     long units = account.map(quota -> quotaUnits(call, quota)).orElse(0L);
     long waitMillis =
         account.map(quota -> context.quota().acquire(context.nowMillis(), quota, units)).orElse(0L);
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardContext.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardContext.java
@@ -14,6 +14,7 @@
 import org.knapweedcleat.router.forward.codec.CallCodec;
 import org.knapweedcleat.router.forward.http.EndpointConnectionPool;
 import org.knapweedcleat.router.forward.log.DecisionLog;
+import org.knapweedcleat.router.forward.quarantine.QuarantineExchange;
 import org.knapweedcleat.router.forward.room.PlacementExchange;
 import org.knapweedcleat.router.forward.store.DirectoryCache;
 import org.knapweedcleat.router.forward.throttle.PermitExchange;
@@ -32,6 +33,7 @@
  * @param notices which endpoints have announced that they are leaving or want a pause
  * @param rateLimits the request rates that endpoints announced as their limit
  * @param permits asks whether a request may be sent to an endpoint with a rate limit
+ * @param quarantine under which parts of prompts engines crash
  * @param placements asks the regions' coordinators to place streams
  * @param quota the client accounts' quotas
  * @param retryBudgets the retry budget of each service
@@ -52,6 +54,7 @@
     EndpointAvailability notices,
     EndpointRateLimits rateLimits,
     PermitExchange permits,
+    QuarantineExchange quarantine,
     PlacementExchange placements,
     FleetQuotaLimiter quota,
     ServiceRetryBudgets retryBudgets,
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -21,6 +21,7 @@
 import org.knapweedcleat.core.forward.WindowedRetryBudget;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.ServiceId;
+import org.knapweedcleat.core.quarantine.QuarantinedPart;
 import org.knapweedcleat.core.throttle.LimitObservation;
 import org.knapweedcleat.router.forward.codec.AvailabilityNotice;
 import org.knapweedcleat.router.forward.codec.DispatchAttributes;
@@ -499,6 +500,33 @@
     finishWith(RouterResponse.NOT_RUN, reason, Optional.of(retryAfterMillis));
   }
 
+  /**
+   * Ends the call if engines crash under a part of its prompt; to be called before each send.
+   *
+   * @return true if the call has ended
+   */
+  protected final boolean refuseIfQuarantined() {
+    Optional<QuarantinedPart> part = context.quarantine().find(call.sharedParts());
+    part.ifPresent(
+        quarantined -> {
+          context.metrics().counter("calls.quarantined").inc();
+          refuse(quarantined.describe(), context.quarantine().remainingMillis(quarantined));
+        });
+    return part.isPresent();
+  }
+
+  /** Records that an endpoint was lost before its response, or when that had just begun. */
+  protected final void recordEngineLoss(EndpointEntry endpoint, TransportFailure cause) {
+    if (cause == TransportFailure.CONNECTION_LOST && !call.sharedParts().isEmpty()) {
+      context.quarantine().recordLoss(endpoint, call.requestId(), call.sharedParts());
+    }
+  }
+
+  /** Records that an endpoint survived the call. */
+  protected final void recordServed() {
+    context.quarantine().recordServed(call.sharedParts());
+  }
+
   /** Responds that the call failed and may have run, unless a silent endpoint still has it. */
   protected final void fail(String reason) {
     if (!returnToStandby(reason)) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
@@ -83,6 +83,12 @@
   /** The fraction of a KV cache's lifetime during which it is offered to decode engines. */
   private static final double KV_HANDLE_USE_FRACTION = 0.7;
 
+  /** An engine that writes events for this long does not crash under the prompt. */
+  private static final long SURVIVED_AFTER_MILLIS = 1_000;
+
+  /** An engine that is lost within this time after its first event may have crashed under it. */
+  private static final long JUST_BEGUN_MILLIS = 300;
+
   private static final int FIRST_SERVER_ERROR = 500;
 
   private static final TokenUsage UNKNOWN_USAGE = new TokenUsage(1, 1);
@@ -127,6 +133,9 @@
 
   @Override
   protected void place() {
+    if (refuseIfQuarantined()) {
+      return;
+    }
     List<EndpointEntry> candidates = candidates();
     if (candidates.isEmpty() && !exchange.isResponseStarted()) {
       refuseWithoutCandidates();
@@ -252,6 +261,9 @@
   }
 
   private void startPrefill(EndpointEntry engine, StreamPlacement placement) {
+    if (refuseIfQuarantined()) {
+      return;
+    }
     if (!ledger.tryReservePrefill(context.nowMillis())) {
       splitRuledOut = true;
       place();
@@ -287,6 +299,9 @@
 
   private void sendDecode(
       EndpointEntry engine, Optional<KvHandle> fetchedHandle, long expectedMillis) {
+    if (refuseIfQuarantined()) {
+      return;
+    }
     if (!ledger.tryReserveRun(context.nowMillis())) {
       endWork(engine.id());
       proceed(ledger.giveUp(), "no retry left after a failed prefill");
@@ -427,6 +442,8 @@
     private Buffer errorBody = Buffer.buffer();
     private boolean receivedEvent;
     private long progressMillis = sentMillis;
+    private long firstEventAtMillis;
+    private boolean survived;
     private long producedTokens;
 
     DecodeAttempt(EndpointEntry engine, boolean fetchesKvCache) {
@@ -513,16 +530,25 @@
     private void forward(byte[] event) {
       trackMemory();
       progressMillis = context.nowMillis();
+      if (!survived && millisSinceFirstEvent() >= SURVIVED_AFTER_MILLIS) {
+        survived = true;
+        recordServed();
+      }
       timeline.recordEvent(context.nowMillis());
       exchange.startResponse(head.status(), context.codec().callerHeaders(head));
       exchange.write(Buffer.buffer(event));
       applyBackpressure();
     }
 
+    private long millisSinceFirstEvent() {
+      return context.nowMillis() - firstEventAtMillis;
+    }
+
     /** Tracks the engine memory that the stream occupies, which grows with the response. */
     private void trackMemory() {
       if (!receivedEvent) {
         receivedEvent = true;
+        firstEventAtMillis = context.nowMillis();
         endWork(engine.id());
         beginWork(engine.id(), new EndpointWorkload(1, 0, usage.initialMemoryTokens()));
       }
@@ -630,6 +656,7 @@
         return;
       }
       health.recordSuccess(nowMillis, nowMillis - sentMillis);
+      recordServed();
       exchange.end();
       complete(head.status(), engine.id(), timeline.firstEventMillis());
     }
@@ -678,6 +705,9 @@
     }
 
     private void onInterrupted(TransportFailure cause) {
+      if (!receivedEvent || millisSinceFirstEvent() < JUST_BEGUN_MILLIS) {
+        recordEngineLoss(engine, cause);
+      }
       if (isStandby(this)) {
         recordFailure(health, cause);
         endStandby(cause.name());
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/UnaryCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/UnaryCall.java
@@ -56,6 +56,9 @@
   }
 
   private void send(EndpointEntry endpoint) {
+    if (refuseIfQuarantined()) {
+      return;
+    }
     beginWork(endpoint.id(), ONE_CALL);
     ledger.recordSend(endpoint.id());
     DispatchAttributes dispatch = dispatch(endpoint, false, Optional.empty(), call.resumeAfter());
@@ -190,6 +193,9 @@
         }
       } else {
         health.recordSuccess(nowMillis, nowMillis - sentMillis);
+        if (head.isSuccess()) {
+          recordServed();
+        }
       }
       if (exchange.isResponseStarted()) {
         exchange.end();
@@ -201,6 +207,7 @@
 
     @Override
     public void onFailure(TransportFailure cause) {
+      recordEngineLoss(endpoint, cause);
       if (isStandby(this)) {
         recordFailure(health, cause);
         endStandby(cause.name());
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
@@ -30,6 +31,8 @@
 import org.knapweedcleat.router.forward.call.ForwardContext;
 import org.knapweedcleat.router.forward.call.ServiceRetryBudgets;
 import org.knapweedcleat.router.forward.log.DecisionLog;
+import org.knapweedcleat.router.forward.quarantine.QuarantineExchange;
+import org.knapweedcleat.router.forward.quarantine.QuarantineNotice;
 import org.knapweedcleat.router.forward.room.EngineFaultNotice;
 import org.knapweedcleat.router.forward.room.PlacementExchange;
 import org.knapweedcleat.router.forward.room.StreamEndedNotice;
@@ -57,6 +60,12 @@
   /** Minimum time between messages, when a published change is sent before the interval ends. */
   private static final long MIN_SEND_INTERVAL_MILLIS = 100;
 
+  /** Interval between messages on the same losses of engines, of which some may get lost. */
+  private static final long QUARANTINE_REPEAT_MILLIS = 500;
+
+  /** Interval between messages on what is in quarantine, for instances that have just started. */
+  private static final long FULL_QUARANTINE_INTERVAL_MILLIS = 2_000;
+
   /** How often to reconsider whether to read the store; short compared to membership changes. */
   private static final long READER_CHECK_INTERVAL_MILLIS = 200;
 
@@ -73,6 +82,7 @@
   private final PlacementExchange rooms;
   private final EndpointRateLimits rateLimits;
   private final PermitExchange permits;
+  private final QuarantineExchange quarantine;
   private final LongSupplier clock;
   private final DecisionLog log;
   private final DirectorySynchronizer synchronizer;
@@ -84,6 +94,8 @@
   private long sentAcrossDomainsAtMillis = NEVER_MILLIS;
   private long sentConfigVersion = -1;
   private int sentEndpointsHash;
+  private long quarantineSentAtMillis = NEVER_MILLIS;
+  private long fullQuarantineSentAtMillis = NEVER_MILLIS;
   private long reportNumber;
   private int lastLiveCount = -1;
   private long readerCheckedAtMillis = NEVER_MILLIS;
@@ -102,6 +114,7 @@
     this.rooms = context.placements();
     this.rateLimits = context.rateLimits();
     this.permits = context.permits();
+    this.quarantine = context.quarantine();
     this.clock = context.clock();
     this.log = context.log();
     this.synchronizer = new DirectorySynchronizer(directory, log);
@@ -165,6 +178,7 @@
   /** Sends a gossip message when one is due; call several times per gossip interval. */
   public void tick() {
     long nowMillis = clock.getAsLong();
+    sendQuarantine(nowMillis);
     long elapsedMillis = nowMillis - sentAtMillis;
     boolean sendEarly =
         elapsedMillis >= MIN_SEND_INTERVAL_MILLIS && !members.isSmall() && hasUnsentStoreChanges();
@@ -201,6 +215,8 @@
       rooms.onFault(fault);
     } else if (message instanceof LimitNotice limits) {
       onLimits(limits);
+    } else if (message instanceof QuarantineNotice notice) {
+      quarantine.onNotice(notice);
     }
   }
 
@@ -275,6 +291,43 @@
     }
   }
 
+  /** Tells other instances under which prompts engines were lost; sends nothing if none were. */
+  private void sendQuarantine(long nowMillis) {
+    long elapsedMillis = nowMillis - quarantineSentAtMillis;
+    boolean due = elapsedMillis >= QUARANTINE_REPEAT_MILLIS;
+    if (elapsedMillis < MIN_SEND_INTERVAL_MILLIS || !(due || quarantine.hasNews())) {
+      return;
+    }
+    quarantineSentAtMillis = nowMillis;
+    quarantine.markSent();
+    boolean full = nowMillis - fullQuarantineSentAtMillis >= FULL_QUARANTINE_INTERVAL_MILLIS;
+    if (full) {
+      fullQuarantineSentAtMillis = nowMillis;
+    }
+    boolean isRepresentative = members.isRepresentative(nowMillis);
+    Optional<QuarantineNotice> fullNotice =
+        full && isRepresentative ? quarantine.fullNotice() : Optional.empty();
+    sendQuarantine(
+        fullNotice.or(
+            () -> quarantine.recentNotice(EnumSet.of(ObservationSource.LOCAL), isRepresentative)),
+        members.directPeers());
+    if (isRepresentative) {
+      sendQuarantine(
+          fullNotice.or(
+              () ->
+                  quarantine.recentNotice(
+                      EnumSet.of(ObservationSource.LOCAL, ObservationSource.OWN_DOMAIN), true)),
+          members.crossDomainPeers());
+    }
+  }
+
+  private void sendQuarantine(Optional<QuarantineNotice> notice, List<FleetMember> recipients) {
+    notice.ifPresent(
+        message ->
+            recipients.forEach(
+                member -> messenger.send(PeerAddress.of(member), member.incarnation(), message)));
+  }
+
   private void onLimits(LimitNotice notice) {
     long nowMillis = clock.getAsLong();
     ObservationSource source =
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -36,6 +36,7 @@
 import org.knapweedcleat.router.forward.http.CallerServer;
 import org.knapweedcleat.router.forward.http.EndpointConnectionPool;
 import org.knapweedcleat.router.forward.log.DecisionLog;
+import org.knapweedcleat.router.forward.quarantine.QuarantineExchange;
 import org.knapweedcleat.router.forward.room.PlacementExchange;
 import org.knapweedcleat.router.forward.store.DirectoryCache;
 import org.knapweedcleat.router.forward.store.PublishedKind;
@@ -142,6 +143,7 @@
             rateLimits,
             PermitExchange.of(
                 self, members, settings.regions(), rateLimits, ForwarderNode::nowMillis, log),
+            QuarantineExchange.of(self, ForwarderNode::nowMillis, log, metrics),
             rooms,
             quota,
             budgets,
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerMessageType.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerMessageType.java
@@ -15,6 +15,7 @@
 import org.knapweedcleat.router.forward.fleet.DirectoryRequest;
 import org.knapweedcleat.router.forward.fleet.DirectoryResponse;
 import org.knapweedcleat.router.forward.fleet.GossipMessage;
+import org.knapweedcleat.router.forward.quarantine.QuarantineNotice;
 import org.knapweedcleat.router.forward.room.EngineFaultNotice;
 import org.knapweedcleat.router.forward.room.StreamEndedNotice;
 import org.knapweedcleat.router.forward.room.StreamPlacementQuery;
@@ -98,7 +99,9 @@
   /** Grants or denies a permit. */
   PERMIT_ANSWER(108, SendPermitReply.class),
   /** Reports the rate limits that endpoints have announced. */
-  LIMIT_NEWS(109, LimitNotice.class);
+  LIMIT_NEWS(109, LimitNotice.class),
+  /** Reports under which prompts engines were lost. */
+  QUARANTINE_NEWS(110, QuarantineNotice.class);
 
   private static final Map<Short, PeerMessageType> BY_CODE = new HashMap<>();
   private static final Map<Class<?>, PeerMessageType> BY_CLASS = new HashMap<>();
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
@@ -31,6 +31,7 @@
 import org.knapweedcleat.router.forward.call.ForwardContext;
 import org.knapweedcleat.router.forward.call.ServiceRetryBudgets;
 import org.knapweedcleat.router.forward.log.DecisionLog;
+import org.knapweedcleat.router.forward.quarantine.QuarantineExchange;
 import org.knapweedcleat.router.forward.room.PlacementExchange;
 import org.knapweedcleat.router.forward.store.DirectoryCache;
 import org.knapweedcleat.router.forward.store.PublishedKind;
@@ -80,6 +81,7 @@
     final ServiceRetryBudgets budgets;
     final EndpointRateLimits rateLimits = EndpointRateLimits.create();
     final PermitExchange permits;
+    final QuarantineExchange quarantine;
     final PlacementExchange rooms;
     final FleetGossip gossip;
 
@@ -107,6 +109,7 @@
               log);
       this.permits =
           PermitExchange.of(self, members, fleet.regions, rateLimits, () -> fleet.nowMillis, log);
+      this.quarantine = QuarantineExchange.of(self, () -> fleet.nowMillis, log, metrics);
       ForwardContext context =
           new ForwardContext(
               null,
@@ -120,6 +123,7 @@
               notices,
               rateLimits,
               permits,
+              quarantine,
               rooms,
               quota,
               budgets,
