Go on with a broken stream only by events of the same kind

Callers whose stream had broken off found text of the next engine in it, or the stream ended as if it were complete.

Cause: any success with proof of origin went on with the stream, whatever its media type, so blank lines in its text made events of it; and a success without any event ended the stream.

Evidence: ErrorAfterBrokenStreamTest, 5 of 18 tests failed before: successThatIsNoEventStream and successWithoutContentType (the text was in the stream, which ended with its last chunk), emptyStreamWithProperEnd, emptyStreamOfLengthZero and noContent (the stream ended with its last chunk after one event). Ruled out, and kept as tests: 500, 404 and 302 with a body, an error framed as event stream, in chunks, without length or in many packets, a success without proof of origin, refusals with a body, bytes that are no response, and a close inside the head.

Fix: an answer of another media type than the stream that began counts as unproved, and a run that added no event does not end a stream. An engine that has nothing to add cannot be told from one that failed; the caller then gets a broken stream, which it may resume itself.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
@@ -20,6 +20,7 @@
 import org.knapweedcleat.core.forward.StreamTimeline;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.room.CapacityWaitPolicy;
+import org.knapweedcleat.router.forward.codec.HeaderField;
 import org.knapweedcleat.router.forward.codec.InboundCall;
 import org.knapweedcleat.router.forward.codec.KvHandle;
 import org.knapweedcleat.router.forward.codec.ResponseHead;
@@ -107,6 +108,7 @@
   private final Set<EndpointId> failedPrefillEngines = new HashSet<>();
   private int refusedFetches;
   private boolean splitRuledOut;
+  private Optional<String> mediaType = Optional.empty();
   private long interruptedAtMillis = NEVER_MILLIS;
 
   StreamingCall(
@@ -459,6 +461,9 @@
       head = response;
       kind = context.codec().classify(response, call.requestId());
       recordNotice(engine, response, kind, kind == ResponseKind.GENUINE, sentMillis);
+      if (isStream() && exchange.isResponseStarted() && !mediaType(response).equals(mediaType)) {
+        kind = ResponseKind.UNPROVED;
+      }
       if (isStream() && isStandby(this)) {
         standbyKvHandle = Optional.empty();
       } else if (isStream()) {
@@ -527,7 +532,15 @@
       startAttemptTimer(NEXT_EVENT_TIMEOUT_MILLIS, this::onTimeout);
     }
 
+    private static Optional<String> mediaType(ResponseHead response) {
+      return HeaderField.firstValue(response.headers(), "Content-Type")
+          .map(value -> value.replaceFirst(";.*", "").trim().toLowerCase(Locale.ROOT));
+    }
+
     private void forward(byte[] event) {
+      if (!exchange.isResponseStarted()) {
+        mediaType = mediaType(head);
+      }
       trackMemory();
       progressMillis = context.nowMillis();
       if (!survived && millisSinceFirstEvent() >= SURVIVED_AFTER_MILLIS) {
@@ -587,7 +600,9 @@
         health.recordFailure(nowMillis);
         proceed(
             ledger.onFailed(nowMillis),
-            "engine " + engine.id() + " sent a response without proof of its origin");
+            "engine "
+                + engine.id()
+                + " sent a response without proof of its origin or of another type");
       }
     }
 
@@ -602,7 +617,7 @@
         return false;
       }
       return isStream()
-          ? splitter.isAtEventBoundary() && exchange.isResponseStarted()
+          ? splitter.isAtEventBoundary() && receivedEvent
           : head.status() < FIRST_SERVER_ERROR && !exchange.isResponseStarted();
     }
 
@@ -651,7 +666,7 @@
     }
 
     private void onStreamEnd(long nowMillis) {
-      if (!splitter.isAtEventBoundary() || !exchange.isResponseStarted()) {
+      if (!splitter.isAtEventBoundary() || !receivedEvent) {
         onInterrupted(TransportFailure.CONNECTION_LOST);
         return;
       }
