Time the head of a pipelined request from the end of the response before

A caller that had sent part of its next request while the response before was in progress got a 408 right after that response, since the header timeout had run during a time in which the rest was not awaited.

The timeout of a head that has begun starts again when a response ends and when it is written.

Evidence: CallerConnectionTest.nextRequestHeadIsTimedFromEndOfResponse, before: "the condition did not become true in time" for the second request; passes now.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
@@ -270,15 +270,22 @@
 
   private void onResponseWritten(boolean isComplete) {
     unwrittenResponses--;
-    lastByteMillis = server.nowMillis();
+    restartTimeouts();
     if (!isComplete) {
       close();
     }
   }
 
+  private void restartTimeouts() {
+    lastByteMillis = server.nowMillis();
+    if (headStartedMillis >= 0) {
+      headStartedMillis = lastByteMillis;
+    }
+  }
+
   private void onResponseEnd(boolean keepAlive) {
     current = null;
-    lastByteMillis = server.nowMillis();
+    restartTimeouts();
     if (!keepAlive) {
       close();
       return;
