Let callers read the last response before their connection is closed

A caller that was still sending when it was refused, for instance a body over the limit, got a reset instead of the refusal: closing a socket that has unread bytes resets the connection, which also discards the part of a response that is still to be transmitted. The same could destroy the end of an answer that announces its close when the caller had sent more in the meantime.

After the last response the sending side is ended, and what arrives is discarded until the caller closes or a second has passed.

Evidence: CallerConnectionTest.refusalReachesCallerThatIsStillSending, before: "Socket Broken pipe"; passes now, as do UnaryCallsTest and StreamCallsTest.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -44,6 +45,9 @@
   /** Number of pipelined requests from which on the connection is not read. */
   private static final int MAX_QUEUED_REQUESTS = 16;
 
+  /** Time after the last response for the caller to read it and close the connection. */
+  private static final long LINGER_MILLIS = 1_000;
+
   private static final int BAD_REQUEST = 400;
   private static final int REQUEST_TIMEOUT = 408;
   private static final int TOO_LARGE = 413;
@@ -59,6 +63,7 @@
   private Exchange current;
   private OptionalInt refusalStatus = OptionalInt.empty();
   private boolean open = true;
+  private boolean closesAfterResponse;
   private boolean paused;
   private int unwrittenResponses;
   private long lastByteMillis;
@@ -104,10 +109,11 @@
 
   /** Tells whether another request was received, at least in part. */
   private boolean hasNextRequest() {
-    return !queuedRequests.isEmpty()
-        || partialRequest != null
-        || headStartedMillis >= 0
-        || refusalStatus.isPresent();
+    return open
+        && (!queuedRequests.isEmpty()
+            || partialRequest != null
+            || headStartedMillis >= 0
+            || refusalStatus.isPresent());
   }
 
   void close() {
@@ -227,7 +233,7 @@
     socket
         .writeMessage(LastHttpContent.EMPTY_LAST_CONTENT)
         .onComplete(written -> onResponseWritten(written.succeeded()));
-    close();
+    closeAfterResponse();
   }
 
   private void pauseIfQueueFull() {
@@ -273,9 +279,30 @@
     restartTimeouts();
     if (!isComplete) {
       close();
+    } else if (closesAfterResponse && unwrittenResponses == 0) {
+      linger();
+    }
+  }
+
+  private void closeAfterResponse() {
+    open = false;
+    closesAfterResponse = true;
+    if (unwrittenResponses == 0) {
+      linger();
     }
   }
 
+  /**
+   * Ends the sending side and discards what the caller still sends, since closing a socket with
+   * unread bytes resets the connection and may destroy the end of the response.
+   */
+  private void linger() {
+    if (socket.channelHandlerContext().channel() instanceof DuplexChannel channel) {
+      channel.shutdownOutput();
+    }
+    server.schedule(LINGER_MILLIS, socket::close);
+  }
+
   private void restartTimeouts() {
     lastByteMillis = server.nowMillis();
     if (headStartedMillis >= 0) {
@@ -287,7 +314,7 @@
     current = null;
     restartTimeouts();
     if (!keepAlive) {
-      close();
+      closeAfterResponse();
       return;
     }
     handleNext();
@@ -309,6 +336,7 @@
           partialRequest == null
               && headStartedMillis < 0
               && refusalStatus.isEmpty()
+              && open
               && !isEmptyLines((ByteBuf) message);
       if (startsRequest) {
         headStartedMillis = lastByteMillis;
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerServer.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerServer.java
@@ -125,6 +125,10 @@
     return clock.getAsLong();
   }
 
+  void schedule(long millis, Runnable action) {
+    vertx.setTimer(millis, timer -> action.run());
+  }
+
   void handle(CallerExchange exchange) {
     handler.handle(exchange);
   }
