Answer a request with 500 when handling it fails unexpectedly

An exception while a request was handled was only reported by Vert.x. The caller got no answer, no timeout applied to its connection, since a request counted as in progress, and a planned stop waited for it to the end and then cut it off.

The caller server now reports the exception, which is logged as call.faulted and counted in calls.faulted, and answers with 500, or breaks off a response that has begun. Status 500 does not say that the request has not run, since it may have been passed on. Exceptions in later events of a call still end it at its deadline with 504.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerServer.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerServer.java
@@ -2,12 +2,15 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.knapweedcleat.core.config.InetAddressPort;
@@ -21,11 +24,15 @@
   /** Large enough for a burst of new callers. */
   private static final int ACCEPT_BACKLOG = 1_024;
 
+  /** Says nothing of whether the request has run, since it may have been passed on. */
+  private static final int INTERNAL_ERROR = 500;
+
   private final Vertx vertx;
   private final LongSupplier clock;
   private final Supplier<RequestLimits> bounds;
   private final CallerHandler handler;
   private final BiConsumer<Integer, String> onRejection;
+  private final Consumer<RuntimeException> onFault;
   private final Set<CallerConnection> connections = new HashSet<>();
   private NetServer server;
   private boolean closing;
@@ -36,12 +43,14 @@
       LongSupplier clock,
       Supplier<RequestLimits> bounds,
       CallerHandler handler,
-      BiConsumer<Integer, String> onRejection) {
+      BiConsumer<Integer, String> onRejection,
+      Consumer<RuntimeException> onFault) {
     this.vertx = vertx;
     this.clock = clock;
     this.bounds = bounds;
     this.handler = handler;
     this.onRejection = onRejection;
+    this.onFault = onFault;
   }
 
   /**
@@ -52,6 +61,7 @@
    * @param bounds supplies the current limits for requests
    * @param handler handles requests
    * @param onRejection receives status and reason of requests that could not be read
+   * @param onFault receives what the handler throws; the request is answered with status 500
    * @return the server
    */
   public static CallerServer create(
@@ -59,8 +69,9 @@
       LongSupplier clock,
       Supplier<RequestLimits> bounds,
       CallerHandler handler,
-      BiConsumer<Integer, String> onRejection) {
-    return new CallerServer(vertx, clock, bounds, handler, onRejection);
+      BiConsumer<Integer, String> onRejection,
+      Consumer<RuntimeException> onFault) {
+    return new CallerServer(vertx, clock, bounds, handler, onRejection, onFault);
   }
 
   /**
@@ -130,7 +141,16 @@
   }
 
   void handle(CallerExchange exchange) {
-    handler.handle(exchange);
+    try {
+      handler.handle(exchange);
+    } catch (RuntimeException e) {
+      onFault.accept(e);
+      if (exchange.isResponseStarted()) {
+        exchange.abort();
+      } else {
+        exchange.respond(INTERNAL_ERROR, List.of(), Buffer.buffer());
+      }
+    }
   }
 
   void onRejected(int status, String reason) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -159,7 +159,8 @@
             () ->
                 directory.config().map(RoutingConfig::requestLimits).orElse(RequestLimits.INITIAL),
             desk,
-            this::onRejected);
+            this::onRejected,
+            this::onFault);
     this.gossip = FleetGossip.of(self, members, domains, context);
     this.reach = ReconnectProbe.of(context);
     this.stageCoordinator =
@@ -279,6 +280,11 @@
     log.failure("call.unreadable", "status", status, "why", reason);
   }
 
+  private void onFault(RuntimeException fault) {
+    metrics.counter("calls.faulted").inc();
+    log.failure("call.faulted", "why", fault, "at", List.of(fault.getStackTrace()));
+  }
+
   private void beginDrain() {
     if (draining) {
       return;
