Send 100 Continue after the responses in progress, not between their parts

A caller that pipelined a request with "Expect: 100-continue" got the interim response at once, before or in the middle of the response to its earlier request.

The interim response is now sent when the requests before are answered, and left out if the body has arrived by then.

Evidence: CallerConnectionTest.continueIsSentAfterResponsesInProgress failed before (the interim response came first) and passes. bodyIsKeptBeforePipelinedHeadRequest passed before as well: it rules out that the encoder takes a response for that of a later HEAD request, since Vert.x encodes writes of the event loop at once.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
@@ -60,6 +60,7 @@
   private HttpRequest partialRequest;
   private boolean partialKeepsAlive;
   private Buffer partialBody;
+  private boolean continueExpected;
   private Exchange current;
   private OptionalInt refusalStatus = OptionalInt.empty();
   private boolean open = true;
@@ -171,12 +172,16 @@
     partialRequest = head;
     partialKeepsAlive = HttpUtil.isKeepAlive(head);
     partialBody = Buffer.buffer();
-    if (HttpUtil.is100ContinueExpected(head)) {
-      HttpResponse proceed =
-          new DefaultFullHttpResponse(
-              HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER);
-      socket.writeMessage(proceed);
-    }
+    continueExpected = HttpUtil.is100ContinueExpected(head);
+    handleNext();
+  }
+
+  private void sendContinue() {
+    continueExpected = false;
+    HttpResponse proceed =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER);
+    socket.writeMessage(proceed);
   }
 
   private void onContent(HttpContent content) {
@@ -201,6 +206,7 @@
       queuedRequests.add(new QueuedRequest(partialRequest, partialKeepsAlive, partialBody));
       partialRequest = null;
       partialBody = null;
+      continueExpected = false;
       handleNext();
       pauseIfQueueFull();
     }
@@ -260,6 +266,8 @@
       resumeIfQueueEmpty();
     } else if (refusalStatus.isPresent()) {
       sendRefusal(refusalStatus.getAsInt());
+    } else if (continueExpected) {
+      sendContinue();
     }
   }
 
