Leave requests that cross the announced close of a connection unread

After the last response of a connection its socket was read on for up to a second, and what came was discarded. A request that a caller had sent before it saw the announcement was thus read and got neither an answer nor a refusal; a caller may repeat a request that may not run twice only if it was not read. Found in review.

Now only what follows an unreadable request is read and discarded; otherwise reading stops with the last response. Its end still reaches the caller before the socket is closed (CallerConnectionTest).

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
@@ -295,14 +295,23 @@
   private void closeAfterResponse() {
     open = false;
     closesAfterResponse = true;
+    if (refusalStatus.isEmpty()) {
+      stopReading();
+    }
     if (unwrittenResponses == 0) {
       linger();
     }
   }
 
+  /** Leaves a request that crosses the close unread, so that its caller may repeat it. */
+  private void stopReading() {
+    socket.channelHandlerContext().channel().config().setAutoRead(false);
+  }
+
   /**
-   * Ends the sending side and discards what the caller still sends, since closing a socket with
-   * unread bytes resets the connection and may destroy the end of the response.
+   * Ends the sending side and gives the caller time to read the response, since closing a socket
+   * with unread bytes resets the connection and may destroy the end of the response. What follows
+   * an unreadable request is discarded meanwhile.
    */
   private void linger() {
     if (socket.channelHandlerContext().channel() instanceof DuplexChannel channel) {
