Serve calls only in the regions that their route and client account allow

Fix: both lists are read; where both a route and an account restrict, a region must be allowed by both. The endpoints of other regions are no candidates for a call, neither to read its prompt nor to run it, and coordinators of other regions are not asked. A call for which no allowed region has an endpoint is refused at once.

--- a/knapweedcleat-bench/src/test/java/org/knapweedcleat/bench/pattern/AccountOverQuotaTest.java
+++ b/knapweedcleat-bench/src/test/java/org/knapweedcleat/bench/pattern/AccountOverQuotaTest.java
@@ -93,6 +93,7 @@
         AccountQuota.ROUTE_PRIORITY,
         RATE_UNITS_PER_SECOND,
         BURST_UNITS,
-        CALL_UNITS);
+        CALL_UNITS,
+        Set.of());
   }
 }
--- a/knapweedcleat-bench/src/test/java/org/knapweedcleat/bench/pattern/StreamSimulation.java
+++ b/knapweedcleat-bench/src/test/java/org/knapweedcleat/bench/pattern/StreamSimulation.java
@@ -70,7 +70,8 @@
           300,
           2,
           1,
-          List.of(new ServiceShare(ServiceId.of("notes"), 1)));
+          List.of(new ServiceShare(ServiceId.of("notes"), 1)),
+          Set.of());
   private final BiFunction<Boolean, ForwardRoute, CapacityWaitPolicy> policy;
   private final long gossipIntervalMillis;
   private final EngineProfile profile;
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/DomainTopology.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/DomainTopology.java
@@ -1,6 +1,7 @@
 package org.knapweedcleat.core.balance;
 
 import java.util.Map;
+import java.util.Optional;
 import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.RegionId;
 
@@ -26,6 +27,16 @@
     return new DomainTopology(local, regions);
   }
 
+  /**
+   * Returns the region of a failure domain.
+   *
+   * @param domain the failure domain
+   * @return its region; empty if the failure domain is unknown
+   */
+  public Optional<RegionId> region(FailureDomainId domain) {
+    return Optional.ofNullable(regionsByDomain.get(domain));
+  }
+
   /**
    * Returns the distance of a failure domain to the local one.
    *
@@ -47,8 +58,8 @@
     if (first.equals(second)) {
       return NetworkDistance.SAME_DOMAIN;
     }
-    RegionId region = regionsByDomain.get(first);
-    boolean sameRegion = region != null && region.equals(regionsByDomain.get(second));
+    Optional<RegionId> region = region(first);
+    boolean sameRegion = region.isPresent() && region.equals(region(second));
     return sameRegion ? NetworkDistance.SAME_REGION : NetworkDistance.OTHER_REGION;
   }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/directory/AccountQuota.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/directory/AccountQuota.java
@@ -3,6 +3,7 @@
 import java.util.Set;
 import org.knapweedcleat.core.account.KeyDigest;
 import org.knapweedcleat.core.id.AccountId;
+import org.knapweedcleat.core.id.RegionId;
 
 /**
  * A client account with its keys and its fleet-wide quota.
@@ -14,6 +15,7 @@
  * @param ratePerSecond the units it may spend per second; 0 for no limit
  * @param burst the units that can accumulate
  * @param defaultCallUnits the units charged for a call that does not state its token usage
+ * @param allowedRegions the regions in which its calls may be served; empty for any
  */
 public record AccountQuota(
     AccountId account,
@@ -21,14 +23,16 @@
     int priority,
     double ratePerSecond,
     double burst,
-    long defaultCallUnits) {
+    long defaultCallUnits,
+    Set<RegionId> allowedRegions) {
 
   /** The priority of an account whose calls have the priority of their route. */
   public static final int ROUTE_PRIORITY = -1;
 
-  /** Copies the keys. */
+  /** Copies the collections. */
   public AccountQuota {
     keys = Set.copyOf(keys);
+    allowedRegions = Set.copyOf(allowedRegions);
   }
 
   /**
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/directory/ForwardRoute.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/directory/ForwardRoute.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Set;
+import org.knapweedcleat.core.id.RegionId;
 import org.knapweedcleat.core.id.ServiceId;
 
 /**
@@ -20,6 +22,7 @@
  * @param maxRuns the number of endpoints that may run one call, at least 1
  * @param priority the priority of its calls; 0 is the most urgent
  * @param shares the services with their weights, at least one
+ * @param allowedRegions the regions in which its calls may be served; empty for any
  */
 public record ForwardRoute(
     String name,
@@ -33,14 +36,16 @@
     long maxGapMillis,
     int maxRuns,
     int priority,
-    List<ServiceShare> shares) {
+    List<ServiceShare> shares,
+    Set<RegionId> allowedRegions) {
 
-  /** Copies the list. */
+  /** Copies the collections. */
   public ForwardRoute {
     if (shares.isEmpty()) {
       throw new IllegalArgumentException("route " + name + " has no service");
     }
     shares = List.copyOf(shares);
+    allowedRegions = Set.copyOf(allowedRegions);
   }
 
   /**
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/directory/RoutingConfigTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/directory/RoutingConfigTest.java
@@ -31,7 +31,8 @@
                       AccountQuota.ROUTE_PRIORITY,
                       10,
                       20,
-                      1)),
+                      1,
+                      Set.of())),
               RequestLimits.INITIAL));
 
   @Test
@@ -94,6 +95,7 @@
         0,
         2,
         1,
-        List.of(shares));
+        List.of(shares),
+        Set.of());
   }
 }
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/forward/AttemptLedgerTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/forward/AttemptLedgerTest.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.knapweedcleat.core.directory.CallKind;
 import org.knapweedcleat.core.directory.ForwardRoute;
@@ -212,6 +213,7 @@
         0,
         maxRuns,
         1,
-        List.of(new ServiceShare(ServiceId.of("s"), 1)));
+        List.of(new ServiceShare(ServiceId.of("s"), 1)),
+        Set.of());
   }
 }
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/quota/FleetQuotaLimiterTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/quota/FleetQuotaLimiterTest.java
@@ -32,7 +32,13 @@
 
   private final AccountQuota quota =
       new AccountQuota(
-          AccountId.of("large"), Set.of(), AccountQuota.ROUTE_PRIORITY, RATE, BURST, CALL_UNITS);
+          AccountId.of("large"),
+          Set.of(),
+          AccountQuota.ROUTE_PRIORITY,
+          RATE,
+          BURST,
+          CALL_UNITS,
+          Set.of());
 
   @Test
   void burstIsAvailableInitially() {
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/room/CapacityWaitPolicyTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/room/CapacityWaitPolicyTest.java
@@ -9,6 +9,7 @@
 
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.knapweedcleat.core.directory.CallKind;
 import org.knapweedcleat.core.directory.ForwardRoute;
@@ -30,7 +31,8 @@
           300,
           2,
           1,
-          List.of(new ServiceShare(ServiceId.of("s"), 1)));
+          List.of(new ServiceShare(ServiceId.of("s"), 1)),
+          Set.of());
 
   @Test
   void callWithShorterDeadlineThanUsualIsLate() {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardContext.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardContext.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Vertx;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
+import org.knapweedcleat.core.balance.DomainTopology;
 import org.knapweedcleat.core.balance.EndpointAvailability;
 import org.knapweedcleat.core.balance.EndpointHealthRegistry;
 import org.knapweedcleat.core.balance.EndpointSelector;
@@ -27,6 +28,7 @@
  * @param random supplies numbers from 0 (inclusive) to 1 (exclusive)
  * @param codec translates between the router and the platform's HTTP headers and bodies
  * @param directory the published configuration and endpoints
+ * @param domains the regions and distances of failure domains
  * @param chooser selects endpoints
  * @param work the known load of each endpoint
  * @param health the health of each endpoint
@@ -48,6 +50,7 @@
     DoubleSupplier random,
     CallCodec codec,
     DirectoryCache directory,
+    DomainTopology domains,
     EndpointSelector chooser,
     WorkloadTracker work,
     EndpointHealthRegistry health,
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -15,11 +15,13 @@
 import org.knapweedcleat.core.directory.EndpointEntry;
 import org.knapweedcleat.core.directory.EndpointIncarnation;
 import org.knapweedcleat.core.directory.ForwardRoute;
+import org.knapweedcleat.core.directory.RegionRestriction;
 import org.knapweedcleat.core.fleet.ObservationSource;
 import org.knapweedcleat.core.forward.AttemptLedger;
 import org.knapweedcleat.core.forward.RetryDecision;
 import org.knapweedcleat.core.forward.WindowedRetryBudget;
 import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.RegionId;
 import org.knapweedcleat.core.id.ServiceId;
 import org.knapweedcleat.core.quarantine.QuarantinedPart;
 import org.knapweedcleat.core.throttle.LimitObservation;
@@ -57,6 +59,7 @@
   protected final SendPermits permits;
   protected final long startedMillis;
   private final Optional<AccountQuota> account;
+  private final RegionRestriction restriction;
   private final long quotaUnits;
   private final long expiresAtMillis;
   private final WindowedRetryBudget retryBudget;
@@ -81,6 +84,7 @@
     this.route = route;
     this.service = route.selectService(context.random().getAsDouble());
     this.account = account;
+    this.restriction = RegionRestriction.of(route, account);
     this.quotaUnits = units;
     this.retryBudget = context.retryBudgets().budget(service);
     this.ledger = AttemptLedger.of(route, retryBudget);
@@ -152,9 +156,7 @@
    */
   protected final List<EndpointEntry> candidates() {
     List<EndpointEntry> available =
-        context
-            .notices()
-            .available(context.nowMillis(), context.directory().endpoints().available(service));
+        context.notices().available(context.nowMillis(), permittedEndpoints());
     return standby.isEmpty()
         ? available
         : available.stream()
@@ -162,6 +164,18 @@
             .toList();
   }
 
+  /** Lists the published endpoints of the service in the regions that may serve the call. */
+  private List<EndpointEntry> permittedEndpoints() {
+    return context.directory().endpoints().available(service).stream()
+        .filter(endpoint -> restriction.allows(context.domains().region(endpoint.domain())))
+        .toList();
+  }
+
+  /** Returns whether a region may serve the call. */
+  protected final boolean mayBeServedIn(RegionId region) {
+    return restriction.allows(Optional.of(region));
+  }
+
   protected final boolean hasStandby() {
     return standby.isPresent();
   }
@@ -280,10 +294,7 @@
    */
   protected final void refuseWithoutCandidates() {
     OptionalLong opensInMillis =
-        context
-            .notices()
-            .millisUntilAvailable(
-                context.nowMillis(), context.directory().endpoints().available(service));
+        context.notices().millisUntilAvailable(context.nowMillis(), permittedEndpoints());
     if (opensInMillis.isPresent()) {
       long spreadMillis =
           permits.wasDenied()
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamPlacer.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamPlacer.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.knapweedcleat.core.balance.EngineFault;
 import org.knapweedcleat.core.balance.StreamPlacement;
 import org.knapweedcleat.core.balance.StreamRequirements;
@@ -35,6 +36,7 @@
   private final ForwardContext context;
   private final ServiceId service;
   private final String requestId;
+  private final Predicate<RegionId> allowedRegions;
   private final BooleanSupplier isFinished;
   private Optional<FleetMember> coordinator = Optional.empty();
 
@@ -57,13 +59,19 @@
    * @param context the state that all calls share
    * @param service the stream's service
    * @param requestId the id of its request
+   * @param allowedRegions tells which regions may serve the stream
    * @param isFinished tells whether the stream has finished, after which no placement is delivered
    */
   StreamPlacer(
-      ForwardContext context, ServiceId service, String requestId, BooleanSupplier isFinished) {
+      ForwardContext context,
+      ServiceId service,
+      String requestId,
+      Predicate<RegionId> allowedRegions,
+      BooleanSupplier isFinished) {
     this.context = context;
     this.service = service;
     this.requestId = requestId;
+    this.allowedRegions = allowedRegions;
     this.isFinished = isFinished;
   }
 
@@ -72,15 +80,17 @@
     if (requirements.need().ignoresCapacity()) {
       placeLocally(requirements, onPlacement);
     } else {
-      askCoordinators(requirements, context.placements().queryRegions(), onPlacement);
+      askCoordinators(requirements, queryRegions(), onPlacement);
     }
   }
 
   /** Returns how long a stream that was not placed waits before the next attempt. */
   long retryDelayMillis() {
-    return context.placements().queryRegions().isEmpty()
-        ? LOCAL_RETRY_MILLIS
-        : COORDINATOR_RETRY_MILLIS;
+    return queryRegions().isEmpty() ? LOCAL_RETRY_MILLIS : COORDINATOR_RETRY_MILLIS;
+  }
+
+  private List<RegionId> queryRegions() {
+    return context.placements().queryRegions().stream().filter(allowedRegions).toList();
   }
 
   /** Reports to the coordinator that placed the stream how an engine failed it. */
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
@@ -120,7 +120,8 @@
       long units) {
     super(context, exchange, call, route, account, units);
     this.timeline = StreamTimeline.startedAt(startedMillis);
-    this.placer = new StreamPlacer(context, service, call.requestId(), this::isFinished);
+    this.placer =
+        new StreamPlacer(context, service, call.requestId(), this::mayBeServedIn, this::isFinished);
     this.usage = call.usage().orElse(UNKNOWN_USAGE);
     this.capacityPolicy =
         CapacityWaitPolicy.of(context.latenessDetector().isLate(route, call.deadlineMillis()));
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -136,6 +136,7 @@
             random::nextDouble,
             adapter.callCodec(),
             directory,
+            domains,
             chooser,
             work,
             health,
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/FleetRetryBudgetTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/FleetRetryBudgetTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.knapweedcleat.core.directory.CallKind;
 import org.knapweedcleat.core.directory.ForwardRoute;
@@ -156,6 +157,7 @@
         0,
         2,
         1,
-        List.of(new ServiceShare(SERVICE, 1)));
+        List.of(new ServiceShare(SERVICE, 1)),
+        Set.of());
   }
 }
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
@@ -94,9 +94,8 @@
       this.budgets = ServiceRetryBudgets.of(BOUNDS, fleet.nowMillis);
       EndpointAvailability notices = EndpointAvailability.create();
       EndpointHealthRegistry health = EndpointHealthRegistry.create();
-      EndpointSelector chooser =
-          EndpointSelector.of(
-              DomainTopology.of(self.domain(), fleet.regions), work, health, () -> 0.5);
+      DomainTopology domains = DomainTopology.of(self.domain(), fleet.regions);
+      EndpointSelector chooser = EndpointSelector.of(domains, work, health, () -> 0.5);
       this.rooms =
           PlacementExchange.of(
               self,
@@ -117,6 +116,7 @@
               () -> 0.5,
               null,
               directory,
+              domains,
               null,
               work,
               health,
@@ -131,8 +131,7 @@
               null,
               log,
               metrics);
-      this.gossip =
-          FleetGossip.of(self, members, DomainTopology.of(self.domain(), fleet.regions), context);
+      this.gossip = FleetGossip.of(self, members, domains, context);
       gossip.seeds(seeds);
       gossip.messenger(fleet.new SimulatedMessenger(self));
     }
