Do not take an engine for silent while its stream is paused because the caller does not read

A caller that did not read for over a second had its stream sent to a second engine: the request is paused while the caller's write queue is full, and the missing events were taken for the engine's silence. The second run drew on the retry budget, and a slow caller could lose its stream with it.

The timeout now starts again while the write queue is full.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
@@ -706,6 +706,11 @@
     }
 
     void onTimeout() {
+      if (exchange.isWriteQueueFull()) {
+        // The response is paused because the caller does not read.
+        awaitProgress();
+        return;
+      }
       boolean searches = ledger.onFailed(context.nowMillis()) == RetryDecision.AGAIN;
       recordSilence(engine, silentMillis(), searches);
       if (!searches) {
