Count an engine that is lost inside the head of its response as lost, not as sending no HTTP

Callers' requests went on crashing engines where an engine still sent part of a head before it ended: its connection was closed inside the head, which counted as bytes that are no response, and these blame no part of the prompt. Nor was such an engine suspected and probed, as others are whose connection is lost.

Evidence: CrashingPromptTest.allInstancesRefuseCrashingPartAsNotRun with a part of a head before the crash, before: "the condition did not become true in time"; passes now, as does TruncatedResponseTest.

The decoder reports the close as PrematureChannelClosureException, which now is CONNECTION_LOST.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Counter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -185,7 +186,7 @@
         return;
       }
       if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
-        fail(TransportFailure.NOT_HTTP);
+        fail(failureOf(part));
         return;
       }
       if (message instanceof HttpResponse head) {
@@ -256,6 +257,13 @@
     }
   }
 
+  /** Tells a response that its connection cut off inside the head from bytes that are none. */
+  private static TransportFailure failureOf(HttpObject unreadable) {
+    return unreadable.decoderResult().cause() instanceof PrematureChannelClosureException
+        ? TransportFailure.CONNECTION_LOST
+        : TransportFailure.NOT_HTTP;
+  }
+
   private void fail(TransportFailure cause) {
     ResponseListener pending = listener;
     listener = null;
