Answer requests of a planned stop that were read together

A caller that sent several requests in one packet during a planned stop got an answer to the first only: where it is answered while it is handled, as a refusal is, nothing of the second had been decoded yet, and the answer announced the close. The same held for requests that waited while the connection was not read.

Requests are now handled after all that was read with them has been decoded, and a connection that is not being read counts as having a next request.

Evidence: CallerConnectionTest.stoppingServerAnswersRequestsReadTogether, before: expected 2 answers, was 1.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
@@ -66,6 +66,7 @@
   private boolean open = true;
   private boolean closesAfterResponse;
   private boolean paused;
+  private boolean decoding;
   private int unwrittenResponses;
   private long lastByteMillis;
   private long headStartedMillis = -1;
@@ -111,7 +112,8 @@
   /** Tells whether another request was received, at least in part. */
   private boolean hasNextRequest() {
     return open
-        && (!queuedRequests.isEmpty()
+        && (paused
+            || !queuedRequests.isEmpty()
             || partialRequest != null
             || headStartedMillis >= 0
             || refusalStatus.isPresent());
@@ -257,7 +259,7 @@
   }
 
   private void handleNext() {
-    if (current != null || !open) {
+    if (current != null || !open || decoding) {
       return;
     }
     if (!queuedRequests.isEmpty()) {
@@ -358,7 +360,14 @@
       if (startsRequest) {
         headStartedMillis = lastByteMillis;
       }
-      context.fireChannelRead(message);
+      // A response may announce the close only if no request was read behind its own.
+      decoding = true;
+      try {
+        context.fireChannelRead(message);
+      } finally {
+        decoding = false;
+      }
+      handleNext();
     }
 
     /** Tells whether the bytes are empty lines, which the decoder skips before a request. */
