Pass on the answer of a silent endpoint whose head had come before the silence

Callers of safe routes saw 504 or 502, though their endpoint had answered: it sent the head and a part of the body, was silent for 1.5 times the target of the route, and went on.

Cause: the standby took the call back with its head only. If the head had come before the silence, the rest of the body did not end the search, and the complete answer was taken for one that cannot be passed on: it was dropped, and its endpoint counted as failed.

Now a part of the body, or the end, of a genuine response other than a server error takes the call back as the head does. The endpoint is awaited again afterwards, so that one that is silent once more is left as before; after a head this was missing too (by reading, without a test: the routes of the tests allow two runs).

Evidence: SilentEngineTest.silentEndpointAnswersAfterItsHeadWhileAnotherHasTheCall, before: "a string starting with "HTTP/1.1 200" was "HTTP/1.1 504 Gateway Timeout". Holds now, with the rest of SilentEngineTest and UnaryCallsTest.

Ruled out: streams. There a whole event or a final response takes the call back whenever the head came.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/UnaryCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/UnaryCall.java
@@ -89,16 +89,26 @@
       head = response;
       kind = context.codec().classify(response, call.requestId());
       recordNotice(endpoint, response, kind, kind == ResponseKind.GENUINE, sentMillis);
-      if (!hasStandby() || kind != ResponseKind.GENUINE || head.status() >= FIRST_SERVER_ERROR) {
-        return;
-      }
       if (isStandby(this)) {
-        cancelSearch("the endpoint responds");
-      } else {
+        goOn();
+      } else if (isFinalResponse()) {
         replaceStandby(endpoint);
       }
     }
 
+    /** Returns whether the response, once complete, is passed on as the call's response. */
+    private boolean isFinalResponse() {
+      return kind == ResponseKind.GENUINE && head.status() < FIRST_SERVER_ERROR;
+    }
+
+    /** Ends the search if this attempt is the standby and its response can be passed on. */
+    private void goOn() {
+      if (isStandby(this) && isFinalResponse()) {
+        cancelSearch("the endpoint responds");
+        awaitProgress();
+      }
+    }
+
     @Override
     public EndpointEntry endpoint() {
       return endpoint;
@@ -126,6 +136,7 @@
 
     @Override
     public void onBody(Buffer bytes) {
+      goOn();
       if (exchange.isResponseStarted()) {
         exchange.write(bytes);
         applyBackpressure();
@@ -142,6 +153,7 @@
 
     @Override
     public void onComplete() {
+      goOn();
       if (isStandby(this)) {
         onStandbyEnded();
         return;
