End a stream whose engine broke off between its last event and its end

Callers got a broken stream although all of its events had arrived: the engine broke off after its last event, the next one had nothing to add and ended its run properly, and a run that added no event did not end a stream since.

An empty run ends a stream only if its end is explicit, and only if no earlier run broke off inside an event: then more is to come, and the cases of ErrorAfterBrokenStreamTest still end as broken off.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
@@ -100,6 +100,7 @@
   private final StreamTimeline timeline;
   private final StreamPlacer placer;
   private Optional<String> lastEventId = Optional.empty();
+  private boolean brokeOffInsideEvent;
   private Optional<KvHandle> kvHandle = Optional.empty();
   private Optional<KvHandle> standbyKvHandle = Optional.empty();
   private long kvHandleSinceMillis;
@@ -539,6 +540,7 @@
     }
 
     private void forward(byte[] event) {
+      brokeOffInsideEvent = false;
       if (!exchange.isResponseStarted()) {
         mediaType = mediaType(head);
       }
@@ -609,6 +611,7 @@
 
     @Override
     public void onLeft() {
+      recordPartialEvent();
       placer.reportFault(engine.id(), EngineFault.LOST);
     }
 
@@ -618,7 +621,7 @@
         return false;
       }
       return isStream()
-          ? splitter.isAtEventBoundary() && receivedEvent
+          ? isCompleteStream()
           : head.status() < FIRST_SERVER_ERROR && !exchange.isResponseStarted();
     }
 
@@ -666,8 +669,17 @@
           });
     }
 
+    /**
+     * Tells whether the stream has ended whole. The engine before may have broken off after its
+     * last event; a run that adds nothing then ends the stream if its own end is explicit.
+     */
+    private boolean isCompleteStream() {
+      boolean mayLackOnlyEnd = exchange.isResponseStarted() && !brokeOffInsideEvent;
+      return splitter.isAtEventBoundary() && (receivedEvent || (mayLackOnlyEnd && head.chunked()));
+    }
+
     private void onStreamEnd(long nowMillis) {
-      if (!splitter.isAtEventBoundary() || !receivedEvent) {
+      if (!isCompleteStream()) {
         onInterrupted(TransportFailure.CONNECTION_LOST);
         return;
       }
@@ -725,7 +737,13 @@
       }
     }
 
+    /** Records that more events are to come if the run ended or was left in the middle of one. */
+    private void recordPartialEvent() {
+      brokeOffInsideEvent = brokeOffInsideEvent || !splitter.isAtEventBoundary();
+    }
+
     private void onInterrupted(TransportFailure cause) {
+      recordPartialEvent();
       if (!receivedEvent || millisSinceFirstEvent() < JUST_BEGUN_MILLIS) {
         recordEngineLoss(engine, cause);
       }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/codec/ResponseHead.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/codec/ResponseHead.java
@@ -7,8 +7,9 @@
  *
  * @param status the status
  * @param headers the headers in order
+ * @param chunked whether the body comes in chunks, so that its end is explicit
  */
-public record ResponseHead(int status, List<HeaderField> headers) {
+public record ResponseHead(int status, List<HeaderField> headers, boolean chunked) {
 
   private static final int FIRST_SUCCESS_STATUS = 200;
   private static final int FIRST_REDIRECTION_STATUS = 300;
@@ -18,6 +19,16 @@
     headers = List.copyOf(headers);
   }
 
+  /**
+   * Creates the head of a response whose body does not come in chunks.
+   *
+   * @param status the status
+   * @param headers the headers in order
+   */
+  public ResponseHead(int status, List<HeaderField> headers) {
+    this(status, headers, false);
+  }
+
   /**
    * Tells whether the status indicates success.
    *
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
@@ -210,7 +210,11 @@
     closesAfterResponse = !HttpUtil.isKeepAlive(message);
     endsAtClose = !headOnly && hasNoLength(message);
     readKeepAlive(message);
-    ResponseHead head = new ResponseHead(status, HttpHeaderMapper.endToEnd(message.headers()));
+    ResponseHead head =
+        new ResponseHead(
+            status,
+            HttpHeaderMapper.endToEnd(message.headers()),
+            HttpUtil.isTransferEncodingChunked(message));
     skipping = !matcher.matches(head, carriedRequests == 1);
     notReusable = notReusable || skipping;
     if (skipping) {
