--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -66,7 +66,7 @@
   private final Map<EndpointId, EndpointWorkload> activeWork = new HashMap<>();
   private final OpenRequests requests = new OpenRequests();
   private Optional<StandbyAttempt> standby = Optional.empty();
-  private long searches;
+  private long searchNumber;
   private boolean finished;
   private long deadlineTimer;
   private long attemptTimer = -1;
@@ -186,11 +186,11 @@
 
   /** Returns the number of the current search; actions of an earlier search are void. */
   protected final long currentSearch() {
-    return searches;
+    return searchNumber;
   }
 
   protected final boolean isCurrentSearch(long number) {
-    return !finished && number == searches;
+    return !finished && number == searchNumber;
   }
 
   /** Keeps a silent attempt open and looks for another endpoint meanwhile. */
@@ -236,7 +236,7 @@
     context.metrics().counter("attempts.continued").inc();
     logStandby("attempt.continued", silent, reason);
     standby = Optional.empty();
-    searches++;
+    searchNumber++;
     cancelAttemptTimer();
     requests.returnToStandby();
     activeWork.keySet().stream()
