Log the age of the configuration with each refused request

An instance counts any answer of the store as contact, so the logs of a refused request could not tell a current configuration from one whose watch hangs while that of the endpoints is answered. The contact is kept for each kind of item now, and call.no_route, call.unknown_key and the other refusals at admission carry configAgeMillis. No decision changes.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/AdmissionHandler.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/AdmissionHandler.java
@@ -13,6 +13,7 @@
 import org.knapweedcleat.router.forward.codec.TokenUsage;
 import org.knapweedcleat.router.forward.http.CallerExchange;
 import org.knapweedcleat.router.forward.http.CallerHandler;
+import org.knapweedcleat.router.forward.store.PublishedKind;
 
 /**
  * Admits calls: looks up the route and the client account, charges the quota and starts the call.
@@ -167,6 +168,8 @@
             retryAfterMillis.orElse(0L),
             "configVersion",
             context.directory().config().map(RoutingConfig::version).orElse(0L),
+            "configAgeMillis",
+            context.directory().ageMillis(PublishedKind.CONFIG),
             "storeAgeMillis",
             context.directory().storeAgeMillis());
     ForwardedCall.respond(context, exchange, requestId, response, retryAfterMillis);
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/DirectoryCache.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/DirectoryCache.java
@@ -1,6 +1,8 @@
 package org.knapweedcleat.router.forward.store;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,15 +29,17 @@
   /** No entry expires in a store outage shorter than this. */
   private static final long MIN_OUTAGE_MILLIS = 1_000;
 
+  private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
+
   private final EndpointDirectory endpoints = EndpointDirectory.create();
   private final Map<EndpointId, Long> pendingRemovals = new HashMap<>();
+  private final Map<PublishedKind, Long> contactAtMillis = neverContacted();
   private final LongSupplier clock;
   private final DecisionLog log;
   private Optional<RoutingConfig> config = Optional.empty();
   private boolean endpointsLoaded;
   private long unavailableSinceMillis = -1;
-  private long directContactAtMillis = Long.MIN_VALUE / 2;
-  private long contactAtMillis = Long.MIN_VALUE / 2;
+  private long directContactAtMillis = NEVER_MILLIS;
   private long graceEndMillis = Long.MIN_VALUE;
 
   private DirectoryCache(LongSupplier clock, DecisionLog log) {
@@ -91,22 +95,33 @@
   }
 
   /**
-   * Returns the time since the store last responded to this instance, or to a peer that has no
-   * newer entries.
+   * Returns the time since the items of a kind were known to be current: since the store last
+   * answered a request for them, of this instance or of a peer that has no newer ones.
    *
+   * @param kind the kind of items
    * @return the age in milliseconds
    */
+  public long ageMillis(PublishedKind kind) {
+    return clock.getAsLong() - contactAtMillis.get(kind);
+  }
+
+  /**
+   * Returns the time since items of any kind were known to be current.
+   *
+   * @return the lowest age of a kind in milliseconds
+   */
   public long storeAgeMillis() {
-    return clock.getAsLong() - contactAtMillis;
+    return clock.getAsLong() - Collections.max(contactAtMillis.values());
   }
 
   /**
-   * Records a store contact reported by another instance.
+   * Records that another instance, which has no newer items, has contact with the store.
    *
-   * @param ageMillis the time since that contact
+   * @param ageMillis the time since all items were known to be current there
    */
   public void recordPeerContact(long ageMillis) {
-    contactAtMillis = Math.max(contactAtMillis, clock.getAsLong() - ageMillis);
+    long peerContactAtMillis = clock.getAsLong() - ageMillis;
+    contactAtMillis.replaceAll((kind, atMillis) -> Math.max(atMillis, peerContactAtMillis));
   }
 
   /** Removes endpoints that did not renew their entries within the grace period. */
@@ -183,7 +198,7 @@
 
   private void recordContact(PublishedKind kind) {
     long nowMillis = clock.getAsLong();
-    contactAtMillis = nowMillis;
+    contactAtMillis.put(kind, nowMillis);
     directContactAtMillis = nowMillis;
     if (unavailableSinceMillis >= 0) {
       long outageMillis = nowMillis - unavailableSinceMillis;
@@ -195,6 +210,14 @@
     }
   }
 
+  private static Map<PublishedKind, Long> neverContacted() {
+    Map<PublishedKind, Long> contacts = new EnumMap<>(PublishedKind.class);
+    for (PublishedKind kind : PublishedKind.values()) {
+      contacts.put(kind, NEVER_MILLIS);
+    }
+    return contacts;
+  }
+
   private void apply(PublishedItem item) {
     if (item instanceof PublishedItem.Config newConfig) {
       applyConfig(newConfig.content(), "store");
