Refuse unknown routes and keys for good only while the configuration is known to be current

Callers saw: a request on a route that had been added was refused with 404 long after the change had been confirmed (CONFIG, "refused with 404 as an older version says").

Cause: the age of the configuration was the time since any answer of the store. While the watch of the configuration hangs (a connection gone silent, a lost answer) and that of the endpoints is answered, the age stays below its bound for as long as that lasts, and a peer in the same state confirms it. The bound itself, 5 s, is above the 3 s in which a version has to be in force. Class: one age for two things that are learnt apart.

Change: contact is kept by kind everywhere, gossip tells the age of the older kind, the refusal is final only within configApplyMillis (a setting, from the platform's bound) less the transit of an answer; else it is 503 with Retry-After, as before. The readers' timeout, the orders to engines and the fallback to peers use the age of what they need too. The simulated store of LargeFleetTest answers requests for both kinds, as the real one does; it answered for one only.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingKeys.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingKeys.java
@@ -117,6 +117,15 @@
           "the fraction of a service's engines that prefill for others; the default suits"
               + " prompts of 3,000 tokens with answers of 900 tokens");
 
+  static final SettingKey<Integer> CONFIG_APPLY =
+      SettingKey.optional(
+          SectionKind.BOUNDS,
+          "configApplyMillis",
+          wholePart(500, 3_600_000),
+          MILLIS,
+          "3000",
+          "the time within which a published configuration has to be in force");
+
   static final SettingKey<RegionId> REGION =
       SettingKey.required(
           SectionKind.FORWARDER_DOMAIN,
@@ -143,6 +152,7 @@
           QUOTA_OVERAGE,
           QUOTA_SLACK,
           PREFILL_PART,
+          CONFIG_APPLY,
           REGION);
 
   private ForwarderSettingKeys() {}
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettings.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettings.java
@@ -50,6 +50,7 @@
    * @param quotaOverage the fraction by which the fleet may exceed a quota's rate and burst
    * @param quotaSlackUnits the units of a quota that the fleet may spend on top of that
    * @param prefillPart the fraction of a service's engines that prefill for others
+   * @param configApplyMillis the time within which a published configuration has to be in force
    */
   public record Bounds(
       int stopMillis,
@@ -58,5 +59,6 @@
       int repeatSlack,
       double quotaOverage,
       int quotaSlackUnits,
-      double prefillPart) {}
+      double prefillPart,
+      int configApplyMillis) {}
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingsParser.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingsParser.java
@@ -110,6 +110,7 @@
         section.get(ForwarderSettingKeys.REPEAT_SLACK),
         section.get(ForwarderSettingKeys.QUOTA_OVERAGE),
         section.get(ForwarderSettingKeys.QUOTA_SLACK),
-        section.get(ForwarderSettingKeys.PREFILL_PART));
+        section.get(ForwarderSettingKeys.PREFILL_PART),
+        section.get(ForwarderSettingKeys.CONFIG_APPLY));
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/AdmissionHandler.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/AdmissionHandler.java
@@ -23,27 +23,30 @@
   /** Retry-After while the configuration is unknown or may be out of date. */
   private static final long CONFIG_RETRY_MILLIS = 500;
 
-  /** A store that has not answered for longer may hold a newer configuration. */
-  private static final long STALE_CONFIG_MILLIS = 5_000;
+  /** How long ago the store may have sent an answer that has just arrived. */
+  private static final long TRANSIT_MILLIS = 300;
 
   /** Retry-After from a draining instance, after which the caller may try another one. */
   private static final long DRAIN_RETRY_MILLIS = 50;
 
   private final ForwardContext context;
+  private final long maxConfigAgeMillis;
   private Optional<ShutdownAdmission> drainWindow = Optional.empty();
 
-  private AdmissionHandler(ForwardContext context) {
+  private AdmissionHandler(ForwardContext context, long maxConfigAgeMillis) {
     this.context = context;
+    this.maxConfigAgeMillis = maxConfigAgeMillis;
   }
 
   /**
    * Returns a handler.
    *
    * @param context the state that its calls share
+   * @param configApplyMillis the time within which a published configuration has to be in force
    * @return the handler
    */
-  public static AdmissionHandler of(ForwardContext context) {
-    return new AdmissionHandler(context);
+  public static AdmissionHandler of(ForwardContext context, long configApplyMillis) {
+    return new AdmissionHandler(context, configApplyMillis - TRANSIT_MILLIS);
   }
 
   /**
@@ -132,12 +135,12 @@
   }
 
   /**
-   * Refuses a call whose route or key is unknown; the refusal is retryable if the store may hold a
-   * newer configuration.
+   * Refuses a call whose route or key is unknown. The refusal is retryable if a newer configuration
+   * may have to be in force already.
    */
   private void refuseUnknown(
       CallerExchange exchange, InboundCall call, RouterResponse response, String reason) {
-    if (context.directory().storeAgeMillis() > STALE_CONFIG_MILLIS) {
+    if (context.directory().ageMillis(PublishedKind.CONFIG) > maxConfigAgeMillis) {
       refuse(
           exchange,
           call.requestId(),
@@ -171,7 +174,7 @@
             "configAgeMillis",
             context.directory().ageMillis(PublishedKind.CONFIG),
             "storeAgeMillis",
-            context.directory().storeAgeMillis());
+            context.directory().ageMillis());
     ForwardedCall.respond(context, exchange, requestId, response, retryAfterMillis);
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -663,7 +663,7 @@
             "configVersion",
             context.directory().config().map(config -> config.version()).orElse(0L),
             "storeAgeMillis",
-            context.directory().storeAgeMillis());
+            context.directory().ageMillis());
   }
 
   private String retriesLeft() {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/DirectorySynchronizer.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/DirectorySynchronizer.java
@@ -13,6 +13,7 @@
 import org.knapweedcleat.core.message.PeerMessage;
 import org.knapweedcleat.router.forward.log.DecisionLog;
 import org.knapweedcleat.router.forward.store.DirectoryCache;
+import org.knapweedcleat.router.forward.store.PublishedKind;
 import org.knapweedcleat.router.forward.store.StoreWatcher;
 import org.knapweedcleat.router.peer.PeerAddress;
 import org.knapweedcleat.router.peer.PeerMessenger;
@@ -124,7 +125,7 @@
     long timeoutMillis =
         STORE_TIMEOUT_MILLIS + (directory.isLoaded() ? StoreWatcher.LONG_POLL_MILLIS : 0);
     return gossip.endpointsRevision() > endpointsRevision()
-        && directory.directStoreAgeMillis() > timeoutMillis;
+        && directory.directAgeMillis(PublishedKind.ENDPOINTS) > timeoutMillis;
   }
 
   private boolean isStale(GossipMessage gossip) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
@@ -172,7 +172,7 @@
   private boolean mustRead(long nowMillis) {
     return !directory.isLoaded()
         || members.isRepresentative(nowMillis)
-        || directory.storeAgeMillis() > READER_TIMEOUT_MILLIS;
+        || directory.ageMillis() > READER_TIMEOUT_MILLIS;
   }
 
   /** Sends a gossip message when one is due; call several times per gossip interval. */
@@ -445,7 +445,7 @@
         synchronizer.configVersion(),
         synchronizer.endpointsRevision(),
         synchronizer.endpointsHash(),
-        directory.storeAgeMillis(),
+        directory.ageMillis(),
         health.locallyUnreachable().stream().map(EndpointId::value).toList(),
         budgets.fleetSize());
   }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/GossipMessage.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/GossipMessage.java
@@ -14,7 +14,8 @@
  * @param configVersion the sender's configuration version, -1 for none
  * @param endpointsRevision the revision of the sender's endpoint list, -1 for none
  * @param endpointsHash the hash of the sender's endpoint list
- * @param storeAgeMillis the time since the store last responded to the sender or to a peer of it
+ * @param storeAgeMillis the time since the sender's configuration and endpoints were known to be
+ *     current
  * @param unreachableEndpoints the endpoints that the sender cannot reach
  * @param fleetSize the sender's estimate of the number of instances, 0 while unknown
  */
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -152,7 +152,7 @@
             pool,
             log,
             metrics);
-    this.desk = AdmissionHandler.of(context);
+    this.desk = AdmissionHandler.of(context, settings.bounds().configApplyMillis());
     this.callers =
         CallerServer.create(
             vertx,
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/StageCoordinator.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/StageCoordinator.java
@@ -22,6 +22,7 @@
 import org.knapweedcleat.router.forward.codec.StageChangeRequest;
 import org.knapweedcleat.router.forward.http.BufferedResponseListener;
 import org.knapweedcleat.router.forward.http.ResponseMatcher;
+import org.knapweedcleat.router.forward.store.PublishedKind;
 
 /** Orders engines to change stage while this instance is the one that may send such orders. */
 final class StageCoordinator {
@@ -109,7 +110,7 @@
     boolean beforeFirstCall = context.metrics().counter("calls.received").getCount() == 0;
     boolean stable =
         nowMillis - enginesSinceMillis >= (beforeFirstCall ? INITIAL_STABLE_MILLIS : STABLE_MILLIS);
-    boolean fresh = context.directory().storeAgeMillis() < MAX_STORE_AGE_MILLIS;
+    boolean fresh = context.directory().ageMillis(PublishedKind.ENDPOINTS) < MAX_STORE_AGE_MILLIS;
     if (stable
         && fresh
         && !reportPending
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/DirectoryCache.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/DirectoryCache.java
@@ -33,13 +33,13 @@
 
   private final EndpointDirectory endpoints = EndpointDirectory.create();
   private final Map<EndpointId, Long> pendingRemovals = new HashMap<>();
+  private final Map<PublishedKind, Long> directContactAtMillis = neverContacted();
   private final Map<PublishedKind, Long> contactAtMillis = neverContacted();
   private final LongSupplier clock;
   private final DecisionLog log;
   private Optional<RoutingConfig> config = Optional.empty();
   private boolean endpointsLoaded;
   private long unavailableSinceMillis = -1;
-  private long directContactAtMillis = NEVER_MILLIS;
   private long graceEndMillis = Long.MIN_VALUE;
 
   private DirectoryCache(LongSupplier clock, DecisionLog log) {
@@ -86,12 +86,13 @@
   }
 
   /**
-   * Returns the time since the store last responded to this instance.
+   * Returns the time since the store last answered a request of this instance for items of a kind.
    *
+   * @param kind the kind of items
    * @return the age in milliseconds
    */
-  public long directStoreAgeMillis() {
-    return clock.getAsLong() - directContactAtMillis;
+  public long directAgeMillis(PublishedKind kind) {
+    return clock.getAsLong() - directContactAtMillis.get(kind);
   }
 
   /**
@@ -106,12 +107,12 @@
   }
 
   /**
-   * Returns the time since items of any kind were known to be current.
+   * Returns the time since all items were known to be current.
    *
-   * @return the lowest age of a kind in milliseconds
+   * @return the highest age of a kind in milliseconds
    */
-  public long storeAgeMillis() {
-    return clock.getAsLong() - Collections.max(contactAtMillis.values());
+  public long ageMillis() {
+    return clock.getAsLong() - Collections.min(contactAtMillis.values());
   }
 
   /**
@@ -199,7 +200,7 @@
   private void recordContact(PublishedKind kind) {
     long nowMillis = clock.getAsLong();
     contactAtMillis.put(kind, nowMillis);
-    directContactAtMillis = nowMillis;
+    directContactAtMillis.put(kind, nowMillis);
     if (unavailableSinceMillis >= 0) {
       long outageMillis = nowMillis - unavailableSinceMillis;
       log.stateChange("store.regained", "kind", kind, "awayMillis", outageMillis);
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
@@ -45,7 +45,7 @@
 
   /** Fleet-wide bounds; retries are limited to a fifth of the calls plus 100 per ten seconds. */
   static final ForwarderSettings.Bounds BOUNDS =
-      new ForwarderSettings.Bounds(8_000, 0.2, 10_000, 100, 0, 0, 0.27);
+      new ForwarderSettings.Bounds(8_000, 0.2, 10_000, 100, 0, 0, 0.27, 4_000);
 
   private static final long TICK_MILLIS = 20;
   private static final int LOCAL_LATENCY_MILLIS = 1;
@@ -300,7 +300,9 @@
       return;
     }
     if (node.gossip.readsStore() && !disconnectedFromStore.contains(node.self.domain())) {
-      node.directory.onChanged(PublishedKind.CONFIG, List.of(), 0);
+      for (PublishedKind kind : PublishedKind.values()) {
+        node.directory.onChanged(kind, List.of(), 0);
+      }
     }
     node.gossip.tick();
   }
