Read the store in time when the readers of a failure domain are cut off from it

In a large fleet two instances of each failure domain read the store for the others. When both live but cannot reach it, the others waited 6 s before they read it themselves, above the 4 and 5 s in which a confirmed version has to be in force on the deployments of 75 and 95 instances (CONFIG, and the same for endpoints that leave). Two such readers are hit at once by cuts of a share of the instances, by a store that turns some instances away, or one after the other. Class: a timeout that does not follow from the time in which its outcome is due.

Change: the timeout is four fifths of configApplyMillis. A reader's items are at most 2.0 s old in calm and gossip adds 0.4 s, so that nobody reads needlessly.

Failing before: LargeFleetTest.domainLearnsOfChangesInTimeAlthoughItsReadersHaveNoStore. Passes now, with the other fleet tests. Small fleets, of which every instance reads, were not concerned.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
@@ -54,8 +54,11 @@
  */
 public final class FleetGossip implements PeerMessageHandler {
 
-  /** An instance starts to read the store after no reader has reported on it for this long. */
-  private static final long READER_TIMEOUT_MILLIS = 6_000;
+  /**
+   * Part of the time in which a configuration has to be in force after which an instance reads the
+   * store itself, if no reader has reported on it; the rest is for the reading.
+   */
+  private static final double READER_TIMEOUT_RATIO = 0.8;
 
   /** Minimum time between messages, when a published change is sent before the interval ends. */
   private static final long MIN_SEND_INTERVAL_MILLIS = 100;
@@ -88,6 +91,7 @@
   private final DirectorySynchronizer synchronizer;
   private final MemberReportCache reports = new MemberReportCache();
   private final UnreachableReportTracker unreachableReports = UnreachableReportTracker.create();
+  private final long readerTimeoutMillis;
   private List<InetAddressPort> seeds = List.of();
   private PeerMessenger messenger;
   private long sentAtMillis = NEVER_MILLIS;
@@ -102,7 +106,11 @@
   private boolean readsStore;
 
   private FleetGossip(
-      FleetMember self, FleetMembership members, DomainTopology domains, ForwardContext context) {
+      FleetMember self,
+      FleetMembership members,
+      DomainTopology domains,
+      ForwardContext context,
+      long configApplyMillis) {
     this.self = self;
     this.members = members;
     this.domains = domains;
@@ -117,6 +125,7 @@
     this.quarantine = context.quarantine();
     this.clock = context.clock();
     this.log = context.log();
+    this.readerTimeoutMillis = Math.round(configApplyMillis * READER_TIMEOUT_RATIO);
     this.synchronizer = new DirectorySynchronizer(directory, log);
   }
 
@@ -127,11 +136,16 @@
    * @param members tracks the other instances
    * @param domains the failure domains and their distances
    * @param context the state that is sent to others and updated from their messages
+   * @param configApplyMillis the time within which a published configuration has to be in force
    * @return the gossip exchange
    */
   public static FleetGossip of(
-      FleetMember self, FleetMembership members, DomainTopology domains, ForwardContext context) {
-    return new FleetGossip(self, members, domains, context);
+      FleetMember self,
+      FleetMembership members,
+      DomainTopology domains,
+      ForwardContext context,
+      long configApplyMillis) {
+    return new FleetGossip(self, members, domains, context, configApplyMillis);
   }
 
   /**
@@ -172,7 +186,7 @@
   private boolean mustRead(long nowMillis) {
     return !directory.isLoaded()
         || members.isRepresentative(nowMillis)
-        || directory.ageMillis() > READER_TIMEOUT_MILLIS;
+        || directory.ageMillis() > readerTimeoutMillis;
   }
 
   /** Sends a gossip message when one is due; call several times per gossip interval. */
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -162,7 +162,8 @@
             desk,
             this::onRejected,
             this::onFault);
-    this.gossip = FleetGossip.of(self, members, domains, context);
+    this.gossip =
+        FleetGossip.of(self, members, domains, context, settings.bounds().configApplyMillis());
     this.reach = ReconnectProbe.of(context);
     this.stageCoordinator =
         StageCoordinator.of(
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/LargeFleetTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/LargeFleetTest.java
@@ -114,6 +114,21 @@
     }
   }
 
+  /** Guards against a domain that waits for readers which live but are cut off from the store. */
+  @Test
+  void domainLearnsOfChangesInTimeAlthoughItsReadersHaveNoStore() {
+    FailureDomainId domain = FailureDomainId.of("f");
+    readers().stream()
+        .filter(node -> node.self.domain().equals(domain))
+        .forEach(fleet::disconnectFromStore);
+    fleet.publish(item("i-2", 9));
+    fleet.run(SimulatedFleet.BOUNDS.configApplyMillis());
+
+    for (Node node : fleet.running()) {
+      assertThat(node.directory.endpoints().find(EndpointId.of("i-2")).isPresent(), is(true));
+    }
+  }
+
   @Test
   void otherInstancesReadTheStoreAfterAllReadersAreKilled() {
     readers().forEach(fleet::kill);
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
@@ -34,6 +34,7 @@
 import org.knapweedcleat.router.forward.quarantine.QuarantineExchange;
 import org.knapweedcleat.router.forward.room.PlacementExchange;
 import org.knapweedcleat.router.forward.store.DirectoryCache;
+import org.knapweedcleat.router.forward.store.PublishedItem;
 import org.knapweedcleat.router.forward.store.PublishedKind;
 import org.knapweedcleat.router.forward.throttle.PermitExchange;
 import org.knapweedcleat.router.peer.PeerAddress;
@@ -58,7 +59,8 @@
   private final Map<InstanceId, Node> nodes = new LinkedHashMap<>();
   private final Set<InstanceId> killed = new HashSet<>();
   private final Map<InstanceId, List<Runnable>> paused = new HashMap<>();
-  private final Set<FailureDomainId> disconnectedFromStore = new HashSet<>();
+  private final Set<InstanceId> disconnectedFromStore = new HashSet<>();
+  private final List<PublishedItem> published = new ArrayList<>();
   private final Set<FailureDomainId> partitioned = new HashSet<>();
   private final Map<String, Long> lostUntilMillis = new HashMap<>();
   private final List<InetAddressPort> seeds = new ArrayList<>();
@@ -68,6 +70,8 @@
   private long nowMillis = 1_000_000;
   private long messages;
   private long bytesBetweenRegions;
+  private long storeRevision;
+  private long storeAnswers;
 
   private record Delivery(long atMillis, Runnable action) {}
 
@@ -131,7 +135,7 @@
               null,
               log,
               metrics);
-      this.gossip = FleetGossip.of(self, members, domains, context);
+      this.gossip = FleetGossip.of(self, members, domains, context, BOUNDS.configApplyMillis());
       gossip.seeds(seeds);
       gossip.messenger(fleet.new SimulatedMessenger(self));
     }
@@ -277,7 +281,24 @@
   }
 
   void disconnectFromStore(FailureDomainId domain) {
-    disconnectedFromStore.add(domain);
+    nodes.values().stream()
+        .filter(node -> node.self.domain().equals(domain))
+        .forEach(this::disconnectFromStore);
+  }
+
+  void disconnectFromStore(Node node) {
+    disconnectedFromStore.add(node.self.incarnation().instance());
+  }
+
+  /** Publishes a change of the endpoints in the store. */
+  void publish(PublishedItem item) {
+    published.add(item);
+    storeRevision = item.revision();
+  }
+
+  /** Returns how many requests of instances the store has answered. */
+  long storeAnswers() {
+    return storeAnswers;
   }
 
   void run(long millis) {
@@ -299,10 +320,11 @@
     if (paused.containsKey(node.self.incarnation().instance())) {
       return;
     }
-    if (node.gossip.readsStore() && !disconnectedFromStore.contains(node.self.domain())) {
-      for (PublishedKind kind : PublishedKind.values()) {
-        node.directory.onChanged(kind, List.of(), 0);
-      }
+    if (node.gossip.readsStore()
+        && !disconnectedFromStore.contains(node.self.incarnation().instance())) {
+      storeAnswers++;
+      node.directory.onChanged(PublishedKind.CONFIG, List.of(), storeRevision);
+      node.directory.onChanged(PublishedKind.ENDPOINTS, published, storeRevision);
     }
     node.gossip.tick();
   }
