Count the word of a reader that has the same endpoints as contact with the store

In a large fleet any change of the configuration raises the store's revision and with it that of the readers' endpoint lists. The other instances have the same endpoints, so they ask for nothing and their revision stays behind; they took the readers' word for contact with the store only up to their own revision.

Change: equal lists, which gossip compares by their hash, are as good as a revision that is not behind.

Failing before: LargeFleetTest.onlyReadersReadTheStoreAfterOtherItemsHaveChanged, every instance read. Passes now, with the other tests of that class.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/DirectorySynchronizer.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/DirectorySynchronizer.java
@@ -58,6 +58,14 @@
     return directory.endpoints().contentHash();
   }
 
+  /** Returns whether the sender of a gossip message has nothing that this instance lacks. */
+  boolean isAsNewAs(GossipMessage gossip) {
+    boolean endpointsAsNew =
+        gossip.endpointsRevision() <= endpointsRevision()
+            || gossip.endpointsHash() == endpointsHash();
+    return gossip.configVersion() <= configVersion() && endpointsAsNew;
+  }
+
   /**
    * Requests newer entries from the sender of a gossip message, if it has any.
    *
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
@@ -369,8 +369,7 @@
     budgets.learnFleetSize(nowMillis, gossip.fleetSize());
     gossip.reports().forEach(report -> applyReport(nowMillis, report));
     members.recordMessage(nowMillis, gossip.sender(), gossip.knownMembers());
-    if (gossip.configVersion() <= synchronizer.configVersion()
-        && gossip.endpointsRevision() <= synchronizer.endpointsRevision()) {
+    if (synchronizer.isAsNewAs(gossip)) {
       directory.recordPeerContact(gossip.storeAgeMillis());
     }
     applyUnreachable(nowMillis, from, gossip);
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/LargeFleetTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/LargeFleetTest.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.knapweedcleat.core.balance.EndpointWorkload;
@@ -16,6 +17,7 @@
 import org.knapweedcleat.core.directory.RoutingContent;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.InstanceId;
 import org.knapweedcleat.core.id.ServiceId;
 import org.knapweedcleat.router.forward.fleet.SimulatedFleet.Node;
 import org.knapweedcleat.router.forward.store.PublishedItem;
@@ -129,6 +131,17 @@
     }
   }
 
+  /** Guards against a new revision without a change of the endpoints, at which all read. */
+  @Test
+  void onlyReadersReadTheStoreAfterOtherItemsHaveChanged() {
+    fleet.publish(item("i-1", 5));
+    Set<InstanceId> readers = fleet.runAndCollectStoreReaders(1_000);
+
+    fleet.changeOtherItems();
+
+    assertThat(fleet.runAndCollectStoreReaders(5_000), is(readers));
+  }
+
   @Test
   void otherInstancesReadTheStoreAfterAllReadersAreKilled() {
     readers().forEach(fleet::kill);
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
@@ -61,6 +61,7 @@
   private final Map<InstanceId, List<Runnable>> paused = new HashMap<>();
   private final Set<InstanceId> disconnectedFromStore = new HashSet<>();
   private final List<PublishedItem> published = new ArrayList<>();
+  private final Set<InstanceId> storeReaders = new HashSet<>();
   private final Set<FailureDomainId> partitioned = new HashSet<>();
   private final Map<String, Long> lostUntilMillis = new HashMap<>();
   private final List<InetAddressPort> seeds = new ArrayList<>();
@@ -71,7 +72,6 @@
   private long messages;
   private long bytesBetweenRegions;
   private long storeRevision;
-  private long storeAnswers;
 
   private record Delivery(long atMillis, Runnable action) {}
 
@@ -296,9 +296,16 @@
     storeRevision = item.revision();
   }
 
-  /** Returns how many requests of instances the store has answered. */
-  long storeAnswers() {
-    return storeAnswers;
+  /** Raises the store's revision by a change of other items than the endpoints. */
+  void changeOtherItems() {
+    storeRevision++;
+  }
+
+  /** Runs the fleet and returns the instances to which the store responded meanwhile. */
+  Set<InstanceId> runAndCollectStoreReaders(long millis) {
+    storeReaders.clear();
+    run(millis);
+    return Set.copyOf(storeReaders);
   }
 
   void run(long millis) {
@@ -322,7 +329,7 @@
     }
     if (node.gossip.readsStore()
         && !disconnectedFromStore.contains(node.self.incarnation().instance())) {
-      storeAnswers++;
+      storeReaders.add(node.self.incarnation().instance());
       node.directory.onChanged(PublishedKind.CONFIG, List.of(), storeRevision);
       node.directory.onChanged(PublishedKind.ENDPOINTS, published, storeRevision);
     }
