Let readers without the store learn of removals that others deferred

After an outage or a restoration of the store removals are deferred, and are carried out later at the position of the list they came from.

Change: such a reader asks when a peer of no earlier position has other endpoints, as the instances that do not read do; the hash of the list tells. An instance that has not loaded its list never takes an equal hash for having it.

Failing before: LargeFleetTest.readerWithoutStoreLearnsOfDeferredRemoval (i-1 still known 4 s later). Passes now with the others of that class, FleetDiscoveryTest and RestoredStoreTest.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/DirectorySynchronizer.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/DirectorySynchronizer.java
@@ -61,8 +61,7 @@
 
   /** Returns whether the sender of a gossip message has nothing that this instance lacks. */
   boolean isAsNewAs(GossipMessage gossip) {
-    boolean endpointsAsNew =
-        gossip.endpointsHash() == endpointsHash() || isNotAfter(position(gossip));
+    boolean endpointsAsNew = hasEndpointsOf(gossip) || isNotAfter(position(gossip));
     return gossip.configVersion() <= configVersion() && endpointsAsNew;
   }
 
@@ -82,7 +81,7 @@
       PeerAddress address,
       PeerMessenger messenger) {
     boolean configBehind = gossip.configVersion() > configVersion();
-    boolean endpointsBehind = readsStore ? isBehindWithoutStore(gossip) : isStale(gossip);
+    boolean endpointsBehind = isStale(gossip) && !(readsStore && hasStoreContact());
     if ((!configBehind && !endpointsBehind)
         || requestPending
         || nowMillis - requestedAtMillis < MIN_REQUEST_INTERVAL_MILLIS) {
@@ -109,6 +108,10 @@
             });
   }
 
+  private boolean hasEndpointsOf(GossipMessage gossip) {
+    return directory.isLoaded() && gossip.endpointsHash() == endpointsHash();
+  }
+
   /** Returns whether a position is known to be no later than that of this instance's endpoints. */
   private boolean isNotAfter(StorePosition other) {
     return other.hasEra() == endpointsPosition().hasEra()
@@ -143,16 +146,15 @@
     return new DirectoryResponse(config, changed, ids, format.write(own));
   }
 
-  private boolean isBehindWithoutStore(GossipMessage gossip) {
+  private boolean hasStoreContact() {
     long timeoutMillis =
         STORE_TIMEOUT_MILLIS + (directory.isLoaded() ? StoreWatcher.MAX_LONG_POLL_MILLIS : 0);
-    return position(gossip).compareTo(endpointsPosition()) > 0
-        && directory.directAgeMillis(PublishedKind.ENDPOINTS) > timeoutMillis;
+    return directory.directAgeMillis(PublishedKind.ENDPOINTS) <= timeoutMillis;
   }
 
+  /** Returns whether the sender has other endpoints, of no earlier position. */
   private boolean isStale(GossipMessage gossip) {
-    return position(gossip).compareTo(endpointsPosition()) >= 0
-        && gossip.endpointsHash() != endpointsHash();
+    return position(gossip).compareTo(endpointsPosition()) >= 0 && !hasEndpointsOf(gossip);
   }
 
   private void merge(PeerMessage message) {
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/LargeFleetTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/LargeFleetTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -172,6 +173,22 @@
     }
   }
 
+  /** Guards against a removal that others carry out later, without a new position. */
+  @Test
+  void readerWithoutStoreLearnsOfDeferredRemoval() {
+    Node reader = fleet.running().get(0);
+    fleet.disconnectFromStore(reader);
+    fleet.run(5_000);
+    fleet.restoreStore(StorePosition.of(2, 4), item("i-3", StorePosition.of(2, 4)));
+    fleet.run(1_000);
+    assertThat(reader.directory.endpoints().ids(), hasItem(EndpointId.of("i-3")));
+
+    fleet.run(4_000);
+
+    assertThat(reader.gossip.readsStore(), is(true));
+    assertThat(reader.directory.endpoints().ids(), contains(EndpointId.of("i-3")));
+  }
+
   /** Guards against positions that an older build takes for revisions, or the other way round. */
   @Test
   void instancesOfAnOlderBuildAndOfThisOneLearnOfChangesInTime() {
