Refuse unknown routes and keys for good only after a comparison with peers

An instance that starts after the store was restored, and before the operator has written again, loads a configuration that is older than the confirmed one. Until gossip brought the newer one from its peers it refused keys and routes of the confirmed version with 401 and 404. The store's answer is new, so that the age of the configuration does not show it.

Change: such a refusal is final only once a peer without a newer configuration was heard, or none was heard for 2 s; until then it is 503 with Retry-After. Instances without seeds have no peers to wait for.

Failing before, twice of twice: RestoredStoreTest.startingInstanceRefusesNothingThatItsPeersAllow (statuses 200, 401). Passes now with the others of that class, FleetDiscoveryTest and OutdatedConfigurationTest.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/AdmissionHandler.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/AdmissionHandler.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.knapweedcleat.core.account.KeyDigest;
 import org.knapweedcleat.core.directory.AccountQuota;
 import org.knapweedcleat.core.directory.ForwardRoute;
@@ -30,11 +31,14 @@
   private static final long DRAIN_RETRY_MILLIS = 50;
 
   private final ForwardContext context;
+  private final BooleanSupplier comparedWithPeers;
   private final long maxConfigAgeMillis;
   private Optional<ShutdownAdmission> drainWindow = Optional.empty();
 
-  private AdmissionHandler(ForwardContext context, long maxConfigAgeMillis) {
+  private AdmissionHandler(
+      ForwardContext context, BooleanSupplier comparedWithPeers, long maxConfigAgeMillis) {
     this.context = context;
+    this.comparedWithPeers = comparedWithPeers;
     this.maxConfigAgeMillis = maxConfigAgeMillis;
   }
 
@@ -42,11 +46,13 @@
    * Returns a handler.
    *
    * @param context the state that its calls share
+   * @param comparedWithPeers whether no peer is expected to have a newer configuration
    * @param configApplyMillis the time within which a published configuration has to be in force
    * @return the handler
    */
-  public static AdmissionHandler of(ForwardContext context, long configApplyMillis) {
-    return new AdmissionHandler(context, configApplyMillis - TRANSIT_MILLIS);
+  public static AdmissionHandler of(
+      ForwardContext context, BooleanSupplier comparedWithPeers, long configApplyMillis) {
+    return new AdmissionHandler(context, comparedWithPeers, configApplyMillis - TRANSIT_MILLIS);
   }
 
   /**
@@ -140,7 +146,7 @@
    */
   private void refuseUnknown(
       CallerExchange exchange, InboundCall call, RouterResponse response, String reason) {
-    if (context.directory().ageMillis(PublishedKind.CONFIG) > maxConfigAgeMillis) {
+    if (!isConfigCurrent()) {
       refuse(
           exchange,
           call.requestId(),
@@ -152,6 +158,12 @@
     refuse(exchange, call.requestId(), response, reason, Optional.empty());
   }
 
+  /** Returns whether no newer configuration has to be in force. */
+  private boolean isConfigCurrent() {
+    return comparedWithPeers.getAsBoolean()
+        && context.directory().ageMillis(PublishedKind.CONFIG) <= maxConfigAgeMillis;
+  }
+
   private void refuse(
       CallerExchange exchange,
       String requestId,
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/DirectorySynchronizer.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/DirectorySynchronizer.java
@@ -62,7 +62,12 @@
   /** Returns whether the sender of a gossip message has nothing that this instance lacks. */
   boolean isAsNewAs(GossipMessage gossip) {
     boolean endpointsAsNew = hasEndpointsOf(gossip) || isNotAfter(position(gossip));
-    return gossip.configVersion() <= configVersion() && endpointsAsNew;
+    return hasConfigOf(gossip) && endpointsAsNew;
+  }
+
+  /** Returns whether the sender of a gossip message has no newer configuration. */
+  boolean hasConfigOf(GossipMessage gossip) {
+    return gossip.configVersion() <= configVersion();
   }
 
   /**
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
@@ -60,6 +60,9 @@
    */
   private static final double READER_TIMEOUT_RATIO = 0.8;
 
+  /** A live peer has answered a new instance within this time. */
+  private static final long FIRST_CONTACT_MILLIS = 2_000;
+
   /** Minimum time between messages, when a published change is sent before the interval ends. */
   private static final long MIN_SEND_INTERVAL_MILLIS = 100;
 
@@ -92,6 +95,7 @@
   private final MemberReportCache reports = new MemberReportCache();
   private final UnreachableReportTracker unreachableReports = UnreachableReportTracker.create();
   private final long readerTimeoutMillis;
+  private final long createdAtMillis;
   private List<InetAddressPort> seeds = List.of();
   private PeerMessenger messenger;
   private long sentAtMillis = NEVER_MILLIS;
@@ -104,6 +108,7 @@
   private int lastLiveCount = -1;
   private long readerCheckedAtMillis = NEVER_MILLIS;
   private boolean readsStore;
+  private boolean confirmedByPeer;
 
   private FleetGossip(
       FleetMember self,
@@ -125,6 +130,7 @@
     this.quarantine = context.quarantine();
     this.clock = context.clock();
     this.log = context.log();
+    this.createdAtMillis = clock.getAsLong();
     this.readerTimeoutMillis = Math.round(configApplyMillis * READER_TIMEOUT_RATIO);
     this.synchronizer = new DirectorySynchronizer(directory, log);
   }
@@ -168,6 +174,19 @@
     seeds = List.copyOf(addresses);
   }
 
+  /**
+   * Returns whether no peer is expected to have a newer configuration. A store that was restored
+   * from a copy may have lost the one that is in force; peers still know it.
+   *
+   * @return true once a peer without a newer one was heard, or no peer was heard in the first
+   *     seconds
+   */
+  public boolean isComparedWithPeers() {
+    return confirmedByPeer
+        || seeds.isEmpty()
+        || clock.getAsLong() - createdAtMillis >= FIRST_CONTACT_MILLIS;
+  }
+
   /**
    * Returns whether this instance reads the store.
    *
@@ -369,6 +388,7 @@
     budgets.learnFleetSize(nowMillis, gossip.fleetSize());
     gossip.reports().forEach(report -> applyReport(nowMillis, report));
     members.recordMessage(nowMillis, gossip.sender(), gossip.knownMembers());
+    confirmedByPeer |= gossip.configVersion() >= 0 && synchronizer.hasConfigOf(gossip);
     if (synchronizer.isAsNewAs(gossip)) {
       directory.recordPeerContact(gossip.storeAgeMillis());
     }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -152,7 +152,11 @@
             pool,
             log,
             metrics);
-    this.desk = AdmissionHandler.of(context, settings.bounds().configApplyMillis());
+    this.gossip =
+        FleetGossip.of(self, members, domains, context, settings.bounds().configApplyMillis());
+    this.desk =
+        AdmissionHandler.of(
+            context, gossip::isComparedWithPeers, settings.bounds().configApplyMillis());
     this.callers =
         CallerServer.create(
             vertx,
@@ -162,8 +166,6 @@
             desk,
             this::onRejected,
             this::onFault);
-    this.gossip =
-        FleetGossip.of(self, members, domains, context, settings.bounds().configApplyMillis());
     this.reach = ReconnectProbe.of(context);
     this.stageCoordinator =
         StageCoordinator.of(
