Pause between watches that fail because the store keeps no history

A 410 was followed by a list and the next watch at once. While a store drops its history each time, an instance sent 225 watches a second and as many lists, against the rate that all instances share; the rest then gets 429.

Each list brings the current items, so that nothing is learnt later than that.

Failing before: StoreWatcherTest.waitsBetweenWatchesThatFailForMissingHistory, 2,249 watches in 10 s of simulated time. Passes now with the others of that class.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/StoreWatcher.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/StoreWatcher.java
@@ -35,6 +35,7 @@
   private StorePosition position = StorePosition.NONE;
   private StorePosition newest = StorePosition.NONE;
   private long retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
+  private boolean historyGone;
   private boolean closed;
   private boolean paused;
   private boolean pollDeferred;
@@ -105,13 +106,7 @@
       return;
     }
     Future<Void> result = position.equals(StorePosition.NONE) ? listAll() : watchOnce();
-    result
-        .onSuccess(
-            ignored -> {
-              retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
-              poll();
-            })
-        .onFailure(this::onFailure);
+    result.onSuccess(ignored -> poll()).onFailure(this::onFailure);
   }
 
   private Future<Void> listAll() {
@@ -137,6 +132,9 @@
                 return listFrom(items, page.nextPageAfter(), Optional.of(earliest));
               }
               position = earliest;
+              if (!historyGone) {
+                retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
+              }
               listener.onListed(kind, items, earliest);
               return Future.succeededFuture();
             });
@@ -151,6 +149,8 @@
                 return Future.failedFuture(outdated(page.position()));
               }
               newest = newest.max(page.position());
+              historyGone = false;
+              retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
               if (page.position().isOfLaterEra(position)) {
                 position = StorePosition.NONE;
                 return Future.succeededFuture();
@@ -173,10 +173,14 @@
             : new StoreException(StoreException.Reason.UNREACHABLE, String.valueOf(failure));
     if (cause.reason() == StoreException.Reason.HISTORY_GONE) {
       position = StorePosition.NONE;
-      poll();
-      return;
+      if (!historyGone) {
+        historyGone = true;
+        poll();
+        return;
+      }
+    } else {
+      listener.onUnavailable(kind, cause);
     }
-    listener.onUnavailable(kind, cause);
     tasks.schedule(retryDelayMillis, this::poll);
     retryDelayMillis = Math.min(MAX_RETRY_DELAY_MILLIS, retryDelayMillis * 2);
   }
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/store/SimulatedStore.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/store/SimulatedStore.java
@@ -25,6 +25,8 @@
   private long nowMillis;
   private StorePosition position = StorePosition.of(1, 0);
   private boolean silent;
+  private boolean forgetful;
+  private int requests;
   private Optional<StorePage> nextPage = Optional.empty();
 
   private record Task(long atMillis, Runnable action) {}
@@ -54,6 +56,16 @@
     silent = lost;
   }
 
+  /** Keeps no history, so that all watches fail. */
+  void setForgetful(boolean keepsNoHistory) {
+    forgetful = keepsNoHistory;
+  }
+
+  /** Returns the number of watch requests. */
+  int watchRequests() {
+    return requests;
+  }
+
   /** Responds to the next request with a page that was made earlier. */
   void respondOnceWith(StorePage page) {
     nextPage = Optional.of(page);
@@ -111,7 +123,8 @@
     if (silent) {
       return result.future();
     }
-    if (after.revision() > position.revision()) {
+    requests++;
+    if (forgetful || after.revision() > position.revision()) {
       result.fail(new StoreException(StoreException.Reason.HISTORY_GONE, "status 410"));
       return result.future();
     }
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/store/StoreWatcherTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/store/StoreWatcherTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
 
 import java.util.ArrayList;
@@ -20,6 +21,7 @@
   /** Within this time after a failure of the store all instances have to know what it holds. */
   private static final long CATCH_UP_MILLIS = 4_000;
 
+  private static final int MIN_PAUSE_MILLIS = 100;
   private static final long CONFIG_APPLY_MILLIS = 3_000;
   private static final long MAX_SILENCE_MILLIS = 15_000;
   private static final long SILENCE_STEP_MILLIS = 100;
@@ -133,6 +135,24 @@
     assertThat(received, hasItem(removal("e-3", StorePosition.of(2, 3))));
   }
 
+  /** Guards against a store that is asked without pause since it has no history. */
+  @Test
+  void waitsBetweenWatchesThatFailForMissingHistory() {
+    watcher.start();
+    store.run(1_000);
+    store.setForgetful(true);
+    int before = store.watchRequests();
+    store.run(10_000);
+
+    assertThat(store.watchRequests() - before, lessThan(10_000 / MIN_PAUSE_MILLIS));
+
+    store.setForgetful(false);
+    publishRemovals("e-1");
+    store.run(CATCH_UP_MILLIS);
+
+    assertThat(received, hasItem(removal("e-1", StorePosition.of(1, 1))));
+  }
+
   private void publishRemovals(String... ids) {
     for (String id : ids) {
       store.publish(id, removal(id, store.next()));
