Balance the stages of engines beside one whose failure domain is unknown

An engine whose published failure domain is in no region of the settings ended the choice of engines to change with an exception, twenty times a second on the instance that gives orders, and nothing behind it in the same timer ran: engines that were out of reach were not probed again.

Change: the region of an engine may be unknown; such engines count as a region of their own.

Failing before, on a copy: StageBalancerTest.changesEnginesBesideOneOfUnknownRegion (NullPointerException, element cannot be mapped to a null key).

--- a/knapweedcleat-bench/src/test/java/org/knapweedcleat/bench/pattern/DecodeMemoryPressureTest.java
+++ b/knapweedcleat-bench/src/test/java/org/knapweedcleat/bench/pattern/DecodeMemoryPressureTest.java
@@ -52,7 +52,7 @@
   }
 
   private static List<SimulatedEngine> balanceStages(List<SimulatedEngine> engines) {
-    StageBalancer balancer = StageBalancer.of(0.27, entry -> RegionId.of("r"));
+    StageBalancer balancer = StageBalancer.of(0.27, entry -> Optional.of(RegionId.of("r")));
     Optional<StageChange> change = balancer.nextChange(entries(engines));
     while (change.isPresent()) {
       EndpointEntry engine = change.get().engine();
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/stage/StageBalancer.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/stage/StageBalancer.java
@@ -18,9 +18,10 @@
 public final class StageBalancer {
 
   private final double prefillFraction;
-  private final Function<EndpointEntry, RegionId> regionOf;
+  private final Function<EndpointEntry, Optional<RegionId>> regionOf;
 
-  private StageBalancer(double prefillFraction, Function<EndpointEntry, RegionId> regionOf) {
+  private StageBalancer(
+      double prefillFraction, Function<EndpointEntry, Optional<RegionId>> regionOf) {
     this.prefillFraction = prefillFraction;
     this.regionOf = regionOf;
   }
@@ -29,11 +30,11 @@
    * Returns a balancer.
    *
    * @param prefillFraction the target fraction of prefill engines, above 0 and below 1
-   * @param regionOf returns the region of an engine
+   * @param regionOf returns the region of an engine, empty if it is unknown
    * @return the balancer
    */
   public static StageBalancer of(
-      double prefillFraction, Function<EndpointEntry, RegionId> regionOf) {
+      double prefillFraction, Function<EndpointEntry, Optional<RegionId>> regionOf) {
     if (!(prefillFraction > 0 && prefillFraction < 1)) {
       throw new IllegalArgumentException(
           "prefill fraction is not between 0 and 1: " + prefillFraction);
@@ -58,7 +59,7 @@
     }
     EndpointStage from = prefillEngines > target ? EndpointStage.PREFILL : EndpointStage.DECODE;
     EndpointStage to = prefillEngines > target ? EndpointStage.DECODE : EndpointStage.PREFILL;
-    Map<RegionId, Double> excess = excess(engines, from);
+    Map<Optional<RegionId>, Double> excess = excess(engines, from);
     return engines.stream()
         .filter(engine -> engine.stage() == from)
         .max(
@@ -68,9 +69,9 @@
   }
 
   /** Returns by how many engines of a stage each region exceeds its target. */
-  private Map<RegionId, Double> excess(List<EndpointEntry> engines, EndpointStage stage) {
+  private Map<Optional<RegionId>, Double> excess(List<EndpointEntry> engines, EndpointStage stage) {
     double fraction = stage == EndpointStage.PREFILL ? prefillFraction : 1 - prefillFraction;
-    Map<RegionId, Double> excess = new HashMap<>();
+    Map<Optional<RegionId>, Double> excess = new HashMap<>();
     engines.stream()
         .collect(Collectors.groupingBy(regionOf))
         .forEach(
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/stage/StageBalancerTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/stage/StageBalancerTest.java
@@ -17,8 +17,9 @@
 
 class StageBalancerTest {
 
-  private final StageBalancer balancer =
-      StageBalancer.of(0.27, engine -> RegionId.of(engine.domain().value().substring(0, 1)));
+  private static final String UNKNOWN_REGION = "unknown";
+
+  private final StageBalancer balancer = StageBalancer.of(0.27, StageBalancerTest::region);
 
   @Test
   void changesPrefillEngineInRegionWithMost() {
@@ -67,7 +68,27 @@
 
   @Test
   void rejectsFractionOutOfRange() {
-    assertThrows(IllegalArgumentException.class, () -> StageBalancer.of(1, engine -> null));
+    assertThrows(
+        IllegalArgumentException.class, () -> StageBalancer.of(1, engine -> Optional.empty()));
+  }
+
+  /** Guards against an engine whose failure domain is in no region, which stopped all changes. */
+  @Test
+  void changesEnginesBesideOneOfUnknownRegion() {
+    List<EndpointEntry> engines = new ArrayList<>();
+    for (int i = 1; i <= 4; i++) {
+      engines.add(engine("a-" + i, EndpointStage.DECODE));
+    }
+    engines.add(engine(UNKNOWN_REGION + "-1", EndpointStage.DECODE));
+
+    assertThat(balancer.nextChange(engines).isPresent(), is(true));
+  }
+
+  private static Optional<RegionId> region(EndpointEntry engine) {
+    String domain = engine.domain().value();
+    return domain.startsWith(UNKNOWN_REGION)
+        ? Optional.empty()
+        : Optional.of(RegionId.of(domain.substring(0, 1)));
   }
 
   private static EndpointEntry engine(String id, EndpointStage stage) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -174,7 +174,7 @@
             members,
             OrderLeaderElection.of(settings.id(), ORDER_HANDOVER_MILLIS),
             StageBalancer.of(
-                settings.bounds().prefillPart(), entry -> settings.regions().get(entry.domain())),
+                settings.bounds().prefillPart(), entry -> domains.region(entry.domain())),
             System::currentTimeMillis);
     gossip.seeds(settings.discovery().seeds());
     this.peers =
