Begin no call that may not be repeated unless it can end before a planned stop

Reported by other operators: in a planned stop, requests that came late were taken, and cut at the end of the grace with no answer, among them some that may not be repeated. Here calls were admitted for 2.6 s whatever their time limit, since the balancer notices a stop only after two checks; later ones only if they end in time.

Change: a call with a side effect is admitted only if it ends, with 0.1 s for its answer, before the stop does; it is refused with 503 otherwise, and the caller asks another instance. Other calls are admitted for at most half of the stop. Long streams stay admitted in the first 2.6 s of a stop of 8 s: nearly all end in time, and refusing them all would be worse for callers.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/drain/ShutdownAdmission.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/drain/ShutdownAdmission.java
@@ -3,6 +3,9 @@
 /** Decides which calls an instance still admits after its shutdown was requested. */
 public final class ShutdownAdmission {
 
+  /** The time for writing the last responses; calls may end until then at the latest. */
+  private static final long RESPONSE_MARGIN_MILLIS = 100;
+
   private final long admitsAllUntilMillis;
   private final long stopAtMillis;
 
@@ -14,8 +17,8 @@
   /**
    * Returns the admission rule of a planned shutdown.
    *
-   * @param admitsAllUntilMillis the time until which all calls are admitted, since callers cannot
-   *     know of the shutdown yet
+   * @param admitsAllUntilMillis the time until which also calls are admitted that may outlast the
+   *     shutdown but rarely do, since callers cannot know of it yet
    * @param stopAtMillis the time at which the instance stops
    * @return the rule
    */
@@ -28,9 +31,11 @@
    *
    * @param nowMillis the current time
    * @param maxDurationMillis the longest time that the call may take
+   * @param mustComplete whether a call that is aborted cannot be made again
    * @return false if the shutdown could abort the call, so that another instance should take it
    */
-  public boolean admits(long nowMillis, long maxDurationMillis) {
-    return nowMillis <= admitsAllUntilMillis || nowMillis + maxDurationMillis <= stopAtMillis;
+  public boolean admits(long nowMillis, long maxDurationMillis, boolean mustComplete) {
+    boolean completes = nowMillis + maxDurationMillis + RESPONSE_MARGIN_MILLIS <= stopAtMillis;
+    return completes || (!mustComplete && nowMillis <= admitsAllUntilMillis);
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/AdmissionHandler.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/AdmissionHandler.java
@@ -5,6 +5,7 @@
 import java.util.function.BooleanSupplier;
 import org.knapweedcleat.core.account.KeyDigest;
 import org.knapweedcleat.core.directory.AccountQuota;
+import org.knapweedcleat.core.directory.CallKind;
 import org.knapweedcleat.core.directory.ForwardRoute;
 import org.knapweedcleat.core.directory.RoutingConfig;
 import org.knapweedcleat.core.drain.ShutdownAdmission;
@@ -93,7 +94,10 @@
       return;
     }
     long longestMillis = route.get().effectiveTimeoutMillis(call.deadlineMillis());
-    if (drainWindow.isPresent() && !drainWindow.get().admits(context.nowMillis(), longestMillis)) {
+    boolean mustComplete = route.get().kind() == CallKind.UNSAFE;
+    if (drainWindow
+        .filter(window -> !window.admits(context.nowMillis(), longestMillis, mustComplete))
+        .isPresent()) {
       String reason = "the instance is draining and the call may outlast it";
       refuse(
           exchange,
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -302,10 +302,11 @@
     draining = true;
     long nowMillis = nowMillis();
     long endMillis = nowMillis + settings.bounds().stopMillis() - EXIT_MARGIN_MILLIS;
-    desk.beginDrain(ShutdownAdmission.of(nowMillis + DEREGISTRATION_MILLIS, endMillis));
+    long deregistrationMillis = Math.min(DEREGISTRATION_MILLIS, (endMillis - nowMillis) / 2);
+    desk.beginDrain(ShutdownAdmission.of(nowMillis + deregistrationMillis, endMillis));
     log.stateChange("instance.leaving", "busy", callers.busyConnections());
     callers.beginClose();
-    vertx.setTimer(DEREGISTRATION_MILLIS, timer -> closeWhenIdle(endMillis));
+    vertx.setTimer(Math.max(1, deregistrationMillis), timer -> closeWhenIdle(endMillis));
   }
 
   private void closeWhenIdle(long endMillis) {
