Answer the calls that a planned stop leaves instead of closing their connections

At the end of a planned stop the connections of calls that had not ended were closed with no answer, so that their callers could not tell a call that had run from one that had not.

Change: 0.1 s before the end, open calls get their final answer: 503 if no endpoint can have run them, 502 if one may have. Streams that have begun are broken off, as before.

Failing before: DrainUnderLoadTest.callThatOutlastsTheStopGetsFinalResponse (connection closed, no byte). Passes now, with the others of that class, UnaryCallsTest and StreamCallsTest.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/drain/ShutdownAdmission.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/drain/ShutdownAdmission.java
@@ -3,8 +3,8 @@
 /** Decides which calls an instance still admits after its shutdown was requested. */
 public final class ShutdownAdmission {
 
-  /** The time for writing the last responses; calls may end until then at the latest. */
-  private static final long RESPONSE_MARGIN_MILLIS = 100;
+  /** The time before the stop in which the last responses are written. */
+  public static final long RESPONSE_MARGIN_MILLIS = 100;
 
   private final long admitsAllUntilMillis;
   private final long stopAtMillis;
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/AdmissionHandler.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/AdmissionHandler.java
@@ -1,7 +1,9 @@
 package org.knapweedcleat.router.forward.call;
 
 import io.vavr.control.Either;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.knapweedcleat.core.account.KeyDigest;
 import org.knapweedcleat.core.directory.AccountQuota;
@@ -28,12 +30,10 @@
   /** How long ago the store may have sent an answer that has just arrived. */
   private static final long TRANSIT_MILLIS = 300;
 
-  /** Retry-After from a draining instance, after which the caller may try another one. */
-  private static final long DRAIN_RETRY_MILLIS = 50;
-
   private final ForwardContext context;
   private final BooleanSupplier comparedWithPeers;
   private final long maxConfigAgeMillis;
+  private final Set<ForwardedCall> openCalls = new HashSet<>();
   private Optional<ShutdownAdmission> drainWindow = Optional.empty();
 
   private AdmissionHandler(
@@ -65,6 +65,11 @@
     drainWindow = Optional.of(window);
   }
 
+  /** Ends all calls with a final response; called when the time of a planned stop is over. */
+  public void stopCalls() {
+    Set.copyOf(openCalls).forEach(ForwardedCall::stop);
+  }
+
   @Override
   public void handle(CallerExchange exchange) {
     context.metrics().counter("calls.received").inc();
@@ -104,7 +109,7 @@
           call.requestId(),
           RouterResponse.NOT_RUN,
           reason,
-          Optional.of(DRAIN_RETRY_MILLIS));
+          Optional.of(ForwardedCall.STOP_RETRY_MILLIS));
       return;
     }
     Optional<AccountQuota> account = call.key().map(KeyDigest::ofKey).flatMap(config::findAccount);
@@ -137,7 +142,8 @@
         route.get().kind().isStreamed()
             ? new StreamingCall(context, exchange, call, route.get(), account, units)
             : new UnaryCall(context, exchange, call, route.get(), account, units);
-    forwarded.start();
+    openCalls.add(forwarded);
+    forwarded.start(() -> openCalls.remove(forwarded));
   }
 
   private static long quotaUnits(InboundCall call, AccountQuota quota) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -42,6 +42,9 @@
 /** One admitted call, from its first attempt at an endpoint to the final response. */
 abstract class ForwardedCall {
 
+  /** Retry-After from a stopping instance, after which the caller may try another one. */
+  static final long STOP_RETRY_MILLIS = 50;
+
   private static final double MILLIS_PER_SECOND = 1_000;
 
   /** Base Retry-After of a refused call: about as long as a place at an endpoint stays occupied. */
@@ -68,6 +71,7 @@
   private Optional<StandbyAttempt> standby = Optional.empty();
   private long searchNumber;
   private boolean finished;
+  private Runnable endHandler = () -> {};
   private long deadlineTimer;
   private long attemptTimer = -1;
 
@@ -93,8 +97,13 @@
     this.expiresAtMillis = startedMillis + route.effectiveTimeoutMillis(call.deadlineMillis());
   }
 
-  /** Starts the deadline timer and the first attempt. */
-  final void start() {
+  /**
+   * Starts the deadline timer and the first attempt.
+   *
+   * @param onEnd called when the call has ended
+   */
+  final void start(Runnable onEnd) {
+    endHandler = onEnd;
     retryBudget.recordCall(startedMillis);
     exchange.onCallerDisconnected(this::onCallerDisconnected);
     long millis = Math.max(1, remainingMillis());
@@ -630,6 +639,16 @@
     exchange.respond(response.status(), headers, Buffer.buffer());
   }
 
+  /** Ends the call since the instance stops; the response says whether it may have run. */
+  final void stop() {
+    String reason = "the instance stops";
+    if (ledger.mayHaveRun()) {
+      finishWith(RouterResponse.FAILED, reason, Optional.empty());
+    } else {
+      refuse(reason, STOP_RETRY_MILLIS);
+    }
+  }
+
   private void onDeadline() {
     finishWith(RouterResponse.TIMED_OUT, "deadline exceeded", Optional.empty());
   }
@@ -683,6 +702,7 @@
     onFinished();
     ledger.refundUnused();
     List.copyOf(activeWork.keySet()).forEach(this::endWork);
+    endHandler.run();
     return true;
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -311,6 +311,9 @@
 
   private void closeWhenIdle(long endMillis) {
     callers.closeIdle();
+    if (nowMillis() >= endMillis - ShutdownAdmission.RESPONSE_MARGIN_MILLIS) {
+      desk.stopCalls();
+    }
     if (callers.busyConnections() > 0 && nowMillis() < endMillis) {
       vertx.setTimer(DRAIN_CHECK_INTERVAL_MILLIS, timer -> closeWhenIdle(endMillis));
       return;
