Let a late entry cancel neither a deferred removal nor a held entry

An entry that arrived late, and was not applied since a later change was known, still cancelled the deferred removal of its endpoint, or dropped the entry that was held back for it. The endpoint then stayed in use although it had left, or unused although it lived, until its next change.

Change: only an entry of the same or a later position does so.

Failing before: DirectoryCacheTest.lateEntryNeitherCancelsRemovalNorDropsHeldEntry (e-2 still known). Passes now, with LargeFleetTest and RestoredStoreTest. Found by reading the change.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/DirectoryCache.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/DirectoryCache.java
@@ -301,8 +301,10 @@
   }
 
   private void putNow(EndpointEntry entry, StorePosition position) {
-    pendingRemovals.remove(entry.id());
-    heldEntries.remove(entry.id());
+    pendingRemovals.computeIfPresent(
+        entry.id(), (id, removal) -> removal.compareTo(position) <= 0 ? null : removal);
+    heldEntries.computeIfPresent(
+        entry.id(), (id, held) -> held.position().compareTo(position) <= 0 ? null : held);
     if (endpoints.put(entry, position)) {
       log.stateChange(
           entry.draining() ? "endpoint.draining" : "endpoint.known",
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/store/DirectoryCacheTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/store/DirectoryCacheTest.java
@@ -115,6 +115,20 @@
     assertThat(available(), contains(EndpointId.of("e-2")));
   }
 
+  /** Guards against a late entry that is not applied but cancels what was decided after it. */
+  @Test
+  void lateEntryNeitherCancelsRemovalNorDropsHeldEntry() {
+    list(at(1, 20), entry("e-1", at(1, 20)), entry("e-2", at(1, 19)));
+    change(at(1, 41), new PublishedItem.Removed(ID, at(1, 41)));
+    list(at(2, 30), entry("e-1", at(2, 20)));
+    change(at(2, 31), entry("e-1", at(1, 38)));
+    change(at(2, 32), entry("e-2", at(1, 39)));
+
+    pass(2 * EXPIRY_MILLIS);
+
+    assertThat(available(), contains(ID));
+  }
+
   /** The configuration has versions of its own, which a restoration does not take back. */
   @Test
   void configurationOfRestoredStoreReplacesOnlyOlderVersions() {
