Compare the configuration with that of peers again after a restoration of the store

After a restoration the store's answers are new and its configuration may be old. Only an instance that had just started took account of that; one that had not yet read the lost version when the store was restored, and whose peers had, refused its routes and keys for good until gossip brought it.

Failing before: LargeFleetTest.configurationIsComparedWithPeersAgainInNewEra. Passes now, with the others of that class, DirectoryCacheTest, RestoredStoreTest, OutdatedConfigurationTest and FleetDiscoveryTest.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
@@ -60,7 +60,7 @@
    */
   private static final double READER_TIMEOUT_RATIO = 0.8;
 
-  /** A live peer has answered a new instance within this time. */
+  /** Live peers have sent messages to each instance within this time. */
   private static final long FIRST_CONTACT_MILLIS = 2_000;
 
   /** Minimum time between messages, when a published change is sent before the interval ends. */
@@ -95,7 +95,6 @@
   private final MemberReportCache reports = new MemberReportCache();
   private final UnreachableReportTracker unreachableReports = UnreachableReportTracker.create();
   private final long readerTimeoutMillis;
-  private final long createdAtMillis;
   private List<InetAddressPort> seeds = List.of();
   private PeerMessenger messenger;
   private long sentAtMillis = NEVER_MILLIS;
@@ -108,7 +107,7 @@
   private int lastLiveCount = -1;
   private long readerCheckedAtMillis = NEVER_MILLIS;
   private boolean readsStore;
-  private boolean confirmedByPeer;
+  private long configConfirmedAtMillis = NEVER_MILLIS;
 
   private FleetGossip(
       FleetMember self,
@@ -130,7 +129,6 @@
     this.quarantine = context.quarantine();
     this.clock = context.clock();
     this.log = context.log();
-    this.createdAtMillis = clock.getAsLong();
     this.readerTimeoutMillis = Math.round(configApplyMillis * READER_TIMEOUT_RATIO);
     this.synchronizer = new DirectorySynchronizer(directory, log);
   }
@@ -178,13 +176,14 @@
    * Returns whether no peer is expected to have a newer configuration. A store that was restored
    * from a copy may have lost the one that is in force; peers still know it.
    *
-   * @return true once a peer without a newer one was heard, or no peer was heard in the first
-   *     seconds
+   * @return true once a peer without a newer one was heard since the start and the last restoration
+   *     of the store, or none has been heard for some seconds
    */
   public boolean isComparedWithPeers() {
-    return confirmedByPeer
-        || seeds.isEmpty()
-        || clock.getAsLong() - createdAtMillis >= FIRST_CONTACT_MILLIS;
+    long eraAgeMillis = directory.eraAgeMillis();
+    return seeds.isEmpty()
+        || eraAgeMillis >= FIRST_CONTACT_MILLIS
+        || clock.getAsLong() - configConfirmedAtMillis < eraAgeMillis;
   }
 
   /**
@@ -388,7 +387,9 @@
     budgets.learnFleetSize(nowMillis, gossip.fleetSize());
     gossip.reports().forEach(report -> applyReport(nowMillis, report));
     members.recordMessage(nowMillis, gossip.sender(), gossip.knownMembers());
-    confirmedByPeer |= gossip.configVersion() >= 0 && synchronizer.hasConfigOf(gossip);
+    if (gossip.configVersion() >= 0 && synchronizer.hasConfigOf(gossip)) {
+      configConfirmedAtMillis = nowMillis;
+    }
     if (synchronizer.isAsNewAs(gossip)) {
       directory.recordPeerContact(gossip.storeAgeMillis());
     }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/DirectoryCache.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/DirectoryCache.java
@@ -49,6 +49,7 @@
   private long unavailableSinceMillis = -1;
   private long graceEndMillis = Long.MIN_VALUE;
   private StorePosition newest = StorePosition.NONE;
+  private long eraNoticedAtMillis;
 
   /** An entry that may be older than the endpoint's removal. */
   private record HeldEntry(EndpointEntry entry, StorePosition position, long untilMillis) {}
@@ -56,6 +57,7 @@
   private DirectoryCache(LongSupplier clock, DecisionLog log) {
     this.clock = clock;
     this.log = log;
+    this.eraNoticedAtMillis = clock.getAsLong();
   }
 
   /**
@@ -126,6 +128,15 @@
     return clock.getAsLong() - Collections.min(contactAtMillis.values());
   }
 
+  /**
+   * Returns the time since this instance noticed that the store was restored.
+   *
+   * @return the time in milliseconds; that since its start if it has noticed no restoration
+   */
+  public long eraAgeMillis() {
+    return clock.getAsLong() - eraNoticedAtMillis;
+  }
+
   /**
    * Records that another instance, which has no newer items, has contact with the store.
    *
@@ -217,7 +228,8 @@
   /** Begins a grace period at the first position of a later era, which a restored store starts. */
   private void recordPosition(StorePosition position) {
     if (newest.hasEra() && position.isOfLaterEra(newest)) {
-      graceEndMillis = clock.getAsLong() + REREGISTRATION_GRACE_MILLIS;
+      eraNoticedAtMillis = clock.getAsLong();
+      graceEndMillis = eraNoticedAtMillis + REREGISTRATION_GRACE_MILLIS;
       log.stateChange("store.restored", "position", position, "previous", newest);
     }
     newest = newest.max(position);
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/LargeFleetTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/LargeFleetTest.java
@@ -152,6 +152,27 @@
     }
   }
 
+  /** Guards against a refusal by what a restored store holds before peers were asked. */
+  @Test
+  void configurationIsComparedWithPeersAgainInNewEra() {
+    fleet.publish(item("i-1", at(5)));
+    fleet.run(2_000);
+    Node reader = fleet.running().get(0);
+    assertThat(reader.gossip.isComparedWithPeers(), is(true));
+
+    StorePosition restored = StorePosition.of(2, 5);
+    replaceItems(reader, List.of(item("i-1", restored)), restored);
+
+    assertThat(reader.gossip.isComparedWithPeers(), is(false));
+
+    fleet.restoreStore(restored, item("i-1", restored));
+    fleet.run(1_000);
+
+    for (Node node : fleet.running()) {
+      assertThat(node.gossip.isComparedWithPeers(), is(true));
+    }
+  }
+
   /** An instance without the store hears of both eras, of the earlier one last. */
   @Test
   void instanceWithoutStoreKeepsLaterEraThatItHasHeardOf() {
