Check the era of pages of lists and watches in one place

The same check and update stood in both; the position of a watcher is always of the newest era it has seen, so that one comparison serves. A method of the simulated store that nothing called is gone.

StoreWatcherTest, StoreClientTest, RestoredStoreTest and OddEntryTest pass; format and style hold.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/StoreWatcher.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/StoreWatcher.java
@@ -117,12 +117,9 @@
       List<PublishedItem> items, Optional<String> after, Optional<StorePosition> start) {
     return store
         .list(kind, after, RESPONSE_TIMEOUT_MILLIS)
+        .compose(this::rejectOutdated)
         .compose(
             page -> {
-              if (newest.isOfLaterEra(page.position())) {
-                return Future.failedFuture(outdated(page.position()));
-              }
-              newest = newest.max(page.position());
               StorePosition earliest = page.position().min(start.orElse(page.position()));
               if (page.position().isOfLaterEra(earliest)) {
                 return listAll();
@@ -143,12 +140,9 @@
   private Future<Void> watchOnce() {
     return store
         .watch(kind, position, longPollMillis, longPollMillis + RESPONSE_TIMEOUT_MILLIS)
+        .compose(this::rejectOutdated)
         .compose(
             page -> {
-              if (position.isOfLaterEra(page.position())) {
-                return Future.failedFuture(outdated(page.position()));
-              }
-              newest = newest.max(page.position());
               historyGone = false;
               retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
               if (page.position().isOfLaterEra(position)) {
@@ -161,9 +155,16 @@
             });
   }
 
-  private StoreException outdated(StorePosition received) {
-    return new StoreException(
-        StoreException.Reason.OUTDATED, "response at " + received + " after one at " + newest);
+  /** Fails for a page of an earlier era than one that was received before. */
+  private Future<StorePage> rejectOutdated(StorePage page) {
+    if (newest.isOfLaterEra(page.position())) {
+      return Future.failedFuture(
+          new StoreException(
+              StoreException.Reason.OUTDATED,
+              "response at " + page.position() + " after one at " + newest));
+    }
+    newest = newest.max(page.position());
+    return Future.succeededFuture(page);
   }
 
   private void onFailure(Throwable failure) {
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/store/SimulatedStore.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/store/SimulatedStore.java
@@ -31,10 +31,6 @@
 
   private record Task(long atMillis, Runnable action) {}
 
-  long nowMillis() {
-    return nowMillis;
-  }
-
   @Override
   public void schedule(long delayMillis, Runnable action) {
     tasks.add(new Task(nowMillis + delayMillis, action));
