--- a/review/standins/HeaderLimit.java
+++ b/review/standins/HeaderLimit.java
@@ -36,11 +36,12 @@
         }
       }
       result = play(fronts, store, trouble, record);
-    } catch (IOException | IllegalStateException e) {
+    } catch (Exception e) {
       record.end("could not run: " + e);
     } finally {
       fronts.forEach(Front::end);
       record.write(folder);
+      Net.deleteAll(temporary);
     }
     System.out.println(record.result());
     Runtime.getRuntime().halt(result);
--- a/review/standins/LargeBodies.java
+++ b/review/standins/LargeBodies.java
@@ -47,11 +47,12 @@
         throw new IllegalStateException("the instance did not become ready");
       }
       result = play(front, trouble, record);
-    } catch (IOException | IllegalStateException e) {
+    } catch (Exception e) {
       record.end("could not run: " + e);
     } finally {
       front.end();
       record.write(folder);
+      Net.deleteAll(temporary);
     }
     System.out.println(record.result());
     Runtime.getRuntime().halt(result);
--- a/review/standins/Net.java
+++ b/review/standins/Net.java
@@ -1,5 +1,7 @@
 import java.io.*;
 import java.net.*;
+import java.nio.file.*;
+import java.util.stream.Stream;
 
 /** Threads and sockets on loopback addresses. */
 final class Net {
@@ -56,6 +58,16 @@
     }
   }
 
+  /** Deletes a folder without subfolders. */
+  static void deleteAll(Path folder) throws IOException {
+    try (Stream<Path> files = Files.list(folder)) {
+      for (Path file : files.toList()) {
+        Files.delete(file);
+      }
+    }
+    Files.delete(folder);
+  }
+
   static void sleep(long millis) {
     try {
       Thread.sleep(Math.max(0, millis));
