--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
@@ -1,6 +1,8 @@
 package org.knapweedcleat.router.forward.http;
 
-import com.codahale.metrics.Counter;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -47,7 +49,7 @@
   private static final int MAX_REQUESTS = 1_000;
 
   private final NetSocketInternal socket;
-  private final Counter skippedResponses;
+  private final EndpointConnectionLog log;
   private final Set<String> carriedIds = new HashSet<>();
   private ResponseListener listener;
   private int carriedRequests;
@@ -66,20 +68,21 @@
   private boolean open = true;
   private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
 
-  private EndpointConnection(NetSocketInternal socket, Counter skippedResponses) {
+  private EndpointConnection(NetSocketInternal socket, EndpointConnectionLog log) {
     this.socket = socket;
-    this.skippedResponses = skippedResponses;
+    this.log = log;
   }
 
   /**
    * Creates a connection on an open socket.
    *
    * @param socket the socket
-   * @param skippedResponses counts responses that belong to no request
+   * @param log records what is no response to the connection's request
    */
-  static EndpointConnection of(NetSocketInternal socket, Counter skippedResponses) {
-    EndpointConnection connection = new EndpointConnection(socket, skippedResponses);
+  static EndpointConnection of(NetSocketInternal socket, EndpointConnectionLog log) {
+    EndpointConnection connection = new EndpointConnection(socket, log);
     ChannelPipeline pipeline = socket.channelHandlerContext().pipeline();
+    pipeline.addBefore("handler", "arrivals", connection.new ArrivalMonitor());
     pipeline.addBefore("handler", "answers", connection.new ResponseDecoder());
     pipeline.addBefore("handler", "requests", new HttpRequestEncoder());
     socket.messageHandler(connection::onMessage);
@@ -186,7 +189,7 @@
         return;
       }
       if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
-        fail(failureOf(part));
+        onUnreadable(part);
         return;
       }
       if (message instanceof HttpResponse head) {
@@ -218,7 +221,7 @@
     skipping = !matcher.matches(head, carriedRequests == 1);
     notReusable = notReusable || skipping;
     if (skipping) {
-      skippedResponses.inc();
+      log.skipped(matcher.requestId(), matcher.responseId(head), status, carriedRequests);
     } else {
       listener.onHead(head);
     }
@@ -262,10 +265,14 @@
   }
 
   /** Tells a response that its connection cut off inside the head from bytes that are none. */
-  private static TransportFailure failureOf(HttpObject unreadable) {
-    return unreadable.decoderResult().cause() instanceof PrematureChannelClosureException
-        ? TransportFailure.CONNECTION_LOST
-        : TransportFailure.NOT_HTTP;
+  private void onUnreadable(HttpObject part) {
+    Throwable cause = part.decoderResult().cause();
+    if (cause instanceof PrematureChannelClosureException) {
+      fail(TransportFailure.CONNECTION_LOST);
+    } else {
+      log.unreadable(matcher.requestId(), String.valueOf(cause.getMessage()), carriedRequests);
+      fail(TransportFailure.NOT_HTTP);
+    }
   }
 
   private void fail(TransportFailure cause) {
@@ -317,6 +324,17 @@
     return !HttpUtil.isTransferEncodingChunked(message) && !HttpUtil.isContentLengthSet(message);
   }
 
+  /** Records bytes that arrive without a request, also those that do not make up a message. */
+  private final class ArrivalMonitor extends ChannelInboundHandlerAdapter {
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      if (listener == null && open) {
+        log.unsolicited(((ByteBuf) message).readableBytes(), carriedRequests);
+      }
+      context.fireChannelRead(message);
+    }
+  }
+
   private final class ResponseDecoder extends HttpResponseDecoder {
     ResponseDecoder() {
       super(
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnectionPool.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnectionPool.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.function.LongSupplier;
 import org.knapweedcleat.router.forward.codec.RequestHead;
+import org.knapweedcleat.router.forward.log.DecisionLog;
 
 /** Pools connections to endpoints, since opening one costs both sides. */
 public final class EndpointConnectionPool {
@@ -28,15 +29,19 @@
   private final NetClient client;
   private final LongSupplier clock;
   private final MetricRegistry metrics;
+  private final DecisionLog log;
   private final Map<String, Deque<IdleConnection>> idleConnections = new HashMap<>();
   private final long evictionTimer;
+  private long createdConnections;
 
   private record IdleConnection(EndpointConnection connection, long expiresAtMillis) {}
 
-  private EndpointConnectionPool(Vertx vertx, LongSupplier clock, MetricRegistry metrics) {
+  private EndpointConnectionPool(
+      Vertx vertx, LongSupplier clock, MetricRegistry metrics, DecisionLog log) {
     this.vertx = vertx;
     this.clock = clock;
     this.metrics = metrics;
+    this.log = log;
     this.client =
         vertx.createNetClient(
             new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS).setTcpNoDelay(true));
@@ -49,11 +54,12 @@
    * @param vertx runs it
    * @param clock supplies the time in milliseconds
    * @param metrics counts connections
+   * @param log records what connections receive that is no response to their request
    * @return the pool
    */
   public static EndpointConnectionPool create(
-      Vertx vertx, LongSupplier clock, MetricRegistry metrics) {
-    return new EndpointConnectionPool(vertx, clock, metrics);
+      Vertx vertx, LongSupplier clock, MetricRegistry metrics, DecisionLog log) {
+    return new EndpointConnectionPool(vertx, clock, metrics, log);
   }
 
   /**
@@ -91,7 +97,7 @@
                 socket.close();
                 return;
               }
-              EndpointConnection connection = newConnection(socket);
+              EndpointConnection connection = newConnection(address, socket);
               request.attach(connection);
               connection.send(
                   head, body, matcher, request, () -> returnToPool(address, connection));
@@ -123,7 +129,7 @@
         .map(
             socket -> {
               metrics.counter("endpoint.connections.opened").inc();
-              returnToPool(address, newConnection(socket));
+              returnToPool(address, newConnection(address, socket));
               return null;
             });
   }
@@ -152,9 +158,11 @@
     return null;
   }
 
-  private EndpointConnection newConnection(NetSocket socket) {
+  private EndpointConnection newConnection(String address, NetSocket socket) {
+    createdConnections++;
     return EndpointConnection.of(
-        (NetSocketInternal) socket, metrics.counter("endpoint.responses.skipped"));
+        (NetSocketInternal) socket,
+        new EndpointConnectionLog(address, createdConnections, log, metrics));
   }
 
   private void returnToPool(String address, EndpointConnection connection) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/ResponseMatcher.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/ResponseMatcher.java
@@ -53,6 +53,10 @@
     return requestId;
   }
 
+  Optional<String> responseId(ResponseHead response) {
+    return responseId.apply(response);
+  }
+
   /**
    * Tells whether a response belongs to the request.
    *
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -107,7 +107,7 @@
     Random random = new Random(incarnation.hashCode());
     DomainTopology domains = DomainTopology.of(settings.domain(), settings.regions());
     EndpointConnectionPool pool =
-        EndpointConnectionPool.create(vertx, ForwarderNode::nowMillis, metrics);
+        EndpointConnectionPool.create(vertx, ForwarderNode::nowMillis, metrics, log);
     closer.add(pool::close);
     FleetMember self =
         new FleetMember(
