--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
@@ -23,6 +23,7 @@
 import org.knapweedcleat.router.forward.codec.HeaderField;
 import org.knapweedcleat.router.forward.codec.RequestHead;
 import org.knapweedcleat.router.forward.codec.ResponseHead;
+import org.knapweedcleat.router.http.ResponseRecipient;
 import org.knapweedcleat.router.http.StrictHttpClientCodec;
 
 /** A connection to an endpoint, which carries one request at a time. */
@@ -79,8 +80,7 @@
     pipeline.addBefore(
         "handler",
         "codec",
-        StrictHttpClientCodec.create(
-            MAX_HEADER_BYTES, connection::isAwaited, connection::onUnsolicitedBytes));
+        StrictHttpClientCodec.create(MAX_HEADER_BYTES, connection.new Recipient()));
     socket.messageHandler(connection::onMessage);
     socket.exceptionHandler(connection::onException);
     socket.closeHandler(ignored -> connection.onDisconnected());
@@ -177,17 +177,6 @@
     return "POST".equals(method) || "PUT".equals(method) || "PATCH".equals(method);
   }
 
-  /** Tells whether a response belongs to the request; a connection that mixes them up is closed. */
-  private boolean isAwaited(HttpResponse message) {
-    ResponseHead head = toHead(message);
-    boolean awaited = matcher.matches(head, carriedRequests == 1);
-    if (!awaited) {
-      notReusable = true;
-      log.skipped(matcher.requestId(), matcher.responseId(head), head.status(), carriedRequests);
-    }
-    return awaited;
-  }
-
   private static ResponseHead toHead(HttpResponse message) {
     return new ResponseHead(
         message.status().code(),
@@ -195,17 +184,6 @@
         HttpUtil.isTransferEncodingChunked(message));
   }
 
-  /** Closes an idle connection, and one in use after its response. */
-  private void onUnsolicitedBytes(int count) {
-    if (open) {
-      log.unsolicited(count, carriedRequests);
-    }
-    notReusable = true;
-    if (listener == null) {
-      close();
-    }
-  }
-
   private void onMessage(Object message) {
     try {
       if (listener == null) {
@@ -334,4 +312,28 @@
   private static boolean hasNoLength(HttpMessage message) {
     return !HttpUtil.isTransferEncodingChunked(message) && !HttpUtil.isContentLengthSet(message);
   }
+
+  private final class Recipient implements ResponseRecipient {
+    @Override
+    public boolean isAwaited(HttpResponse message) {
+      ResponseHead head = toHead(message);
+      boolean awaited = matcher.matches(head, carriedRequests == 1);
+      if (!awaited) {
+        notReusable = true;
+        log.skipped(matcher.requestId(), matcher.responseId(head), head.status(), carriedRequests);
+      }
+      return awaited;
+    }
+
+    @Override
+    public void onUnsolicitedBytes(int count) {
+      notReusable = true;
+      if (open) {
+        log.unsolicited(count, carriedRequests);
+      }
+      if (listener == null) {
+        close();
+      }
+    }
+  }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/http/StrictHttpClientCodec.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/http/StrictHttpClientCodec.java
@@ -25,8 +25,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.IntConsumer;
-import java.util.function.Predicate;
 
 /**
  * Encodes requests and decodes their responses, one at a time on a connection, and keeps bytes that
@@ -41,15 +39,12 @@
 public final class StrictHttpClientCodec
     extends CombinedChannelDuplexHandler<HttpResponseDecoder, HttpRequestEncoder> {
 
-  private final Predicate<HttpResponse> isAwaited;
-  private final IntConsumer onUnsolicitedBytes;
+  private final ResponseRecipient recipient;
   private boolean awaitsResponse;
   private boolean headOnly;
 
-  private StrictHttpClientCodec(
-      int maxHeadBytes, Predicate<HttpResponse> isAwaited, IntConsumer onUnsolicitedBytes) {
-    this.isAwaited = isAwaited;
-    this.onUnsolicitedBytes = onUnsolicitedBytes;
+  private StrictHttpClientCodec(int maxHeadBytes, ResponseRecipient recipient) {
+    this.recipient = recipient;
     init(new ResponseDecoder(maxHeadBytes), new RequestEncoder());
   }
 
@@ -57,14 +52,11 @@
    * Returns the codec of a new connection.
    *
    * @param maxHeadBytes the maximum size of a status line and of the headers of a response
-   * @param isAwaited tells whether a final response belongs to the request that waits for one
-   * @param onUnsolicitedBytes receives the number of bytes that belong to no response; the
-   *     connection should be closed, after the response that has just ended if there is one
+   * @param recipient receives the responses
    * @return the codec
    */
-  public static StrictHttpClientCodec create(
-      int maxHeadBytes, Predicate<HttpResponse> isAwaited, IntConsumer onUnsolicitedBytes) {
-    return new StrictHttpClientCodec(maxHeadBytes, isAwaited, onUnsolicitedBytes);
+  public static StrictHttpClientCodec create(int maxHeadBytes, ResponseRecipient recipient) {
+    return new StrictHttpClientCodec(maxHeadBytes, recipient);
   }
 
   private static boolean isJoined(HttpResponse response) {
@@ -158,7 +150,7 @@
     private void discard(ByteBuf bytes) {
       int count = bytes.readableBytes();
       bytes.skipBytes(count);
-      onUnsolicitedBytes.accept(count);
+      recipient.onUnsolicitedBytes(count);
     }
 
     /** Checks a part of a response; returns false if the part is to be dropped. */
@@ -184,7 +176,7 @@
         reject(response, "the head holds a second status line");
       } else if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
         reject(response, "the protocol is switched without a request to do so");
-      } else if (!interim && !isAwaited.test(response)) {
+      } else if (!interim && !recipient.isAwaited(response)) {
         dropped = Optional.of(new StatusLineDetector());
         if (endsAtClose(response)) {
           reject(response, "a response to another request ends only with the connection");
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/http/StrictHttpClientCodecTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/http/StrictHttpClientCodecTest.java
@@ -176,8 +176,17 @@
     return new EmbeddedChannel(
         StrictHttpClientCodec.create(
             MAX_HEAD_BYTES,
-            response -> awaitedId.equals(response.headers().get("Id")),
-            unsolicited::add));
+            new ResponseRecipient() {
+              @Override
+              public boolean isAwaited(HttpResponse response) {
+                return awaitedId.equals(response.headers().get("Id"));
+              }
+
+              @Override
+              public void onUnsolicitedBytes(int count) {
+                unsolicited.add(count);
+              }
+            }));
   }
 
   private void sendAs(String id) {
