Keep no connection after a response that does not name its request

A decode engine was told to fetch the KV cache of another request. Cause: the response to a prefill may come without a request id, and so do those to releases, state queries and orders; a late copy of one of these cannot be told from the response to the next prefill on the same connection.

A connection is now kept only after a response that named its request, so that any copy on a kept connection has an id that gives it away. Ruled out: refusing responses without id on kept connections, which loses the prefills of an engine that echoes ids only at times.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
@@ -215,7 +215,9 @@
     closesAfterResponse = !HttpUtil.isKeepAlive(message);
     endsAtClose = !headOnly && hasNoLength(message);
     readKeepAlive(message);
-    listener.onHead(toHead(message));
+    ResponseHead head = toHead(message);
+    notReusable = notReusable || !matcher.isNamedBy(head);
+    listener.onHead(head);
   }
 
   private void onContent(HttpContent content) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/ResponseMatcher.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/ResponseMatcher.java
@@ -8,7 +8,8 @@
  * Tells the response to a request from other responses on its connection.
  *
  * <p>Endpoints repeat the id of a request in its response. The response to a run counts without one
- * only if its connection carried no other request.
+ * only if its connection carried no other request. Any other response may come without one, since a
+ * connection carries another request only after responses that named theirs.
  */
 public final class ResponseMatcher {
 
@@ -67,4 +68,14 @@
     Optional<String> id = responseId.apply(response);
     return id.equals(requestId) || (id.isEmpty() && (isFirst || !needsId));
   }
+
+  /**
+   * Tells whether a response names the request, so that a copy of it can be told from the responses
+   * to later requests.
+   *
+   * @param response the response's head
+   */
+  boolean isNamedBy(ResponseHead response) {
+    return requestId.isPresent() && responseId(response).equals(requestId);
+  }
 }
