Reject a body that is filled up by another response

Callers got 200 with a body that ended in the bytes of another response's head. Cause: an endpoint breaks a response off within its body and goes on with a whole one, a failure or a copy of an earlier response; a length or a chunk is filled up by whatever follows.

The codec searches the body of a response for a status line behind which a request of the connection is named, also where the line begins in the body and ends behind it. A body that only mentions a status line is passed on.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
@@ -327,6 +327,11 @@
       return awaited;
     }
 
+    @Override
+    public boolean namesRequest(String head) {
+      return carriedIds.stream().anyMatch(head::contains);
+    }
+
     @Override
     public void onUnsolicitedBytes(int count) {
       notReusable = true;
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/http/ResponseRecipient.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/http/ResponseRecipient.java
@@ -13,6 +13,16 @@
    */
   boolean isAwaited(HttpResponse response);
 
+  /**
+   * Tells whether a head names a request that the connection has carried, the current one included.
+   *
+   * @param head the headers of a response that was found within the body of another one
+   * @return true if the two responses were joined
+   */
+  default boolean namesRequest(String head) {
+    return false;
+  }
+
   /**
    * Receives the number of bytes that belong to no response. The connection should be closed, after
    * the response that has just ended if there is one.
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/http/StatusLineDetector.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/http/StatusLineDetector.java
@@ -36,15 +36,26 @@
    * Searches the next part of the bytes, whose reader index stays unchanged.
    *
    * @param part the part
-   * @return true if a status line has started in this part or in an earlier one
+   * @return the index behind the first status line that ends in the part, or -1
    */
-  public boolean findIn(ByteBuf part) {
-    part.forEachByte(
-        next -> {
-          accept(next);
-          return !found;
-        });
-    return found;
+  public int indexAfter(ByteBuf part) {
+    found = false;
+    int last =
+        part.forEachByte(
+            next -> {
+              accept(next);
+              return !found;
+            });
+    return last < 0 ? -1 : last + 1;
+  }
+
+  /**
+   * Returns how many bytes a status line that has begun still lacks.
+   *
+   * @return the number of bytes, or 0 if none has begun
+   */
+  public int missingBytes() {
+    return matched == 0 ? 0 : PATTERN.length - matched;
   }
 
   private void accept(byte next) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/http/StrictHttpClientCodec.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/http/StrictHttpClientCodec.java
@@ -97,6 +97,9 @@
     /** Searches what follows the head of a response that is dropped; empty otherwise. */
     private Optional<StatusLineDetector> dropped = Optional.empty();
 
+    /** Searches what follows the head of a response that is passed on; empty otherwise. */
+    private Optional<EmbeddedResponseDetector> accepted = Optional.empty();
+
     ResponseDecoder(int maxHeadBytes) {
       super(
           new HttpDecoderConfig()
@@ -125,10 +128,11 @@
       int next = out.size();
       int start = in.readerIndex();
       super.decode(context, in, out);
-      if (dropped.isPresent() && dropped.get().findIn(in.slice(start, in.readerIndex() - start))) {
-        HttpContent joined = new DefaultHttpContent(Unpooled.EMPTY_BUFFER);
-        reject(joined, "a response begins within another one");
-        out.add(joined);
+      if (holdsAnotherResponse(in.slice(start, in.readerIndex() - start))) {
+        out.subList(next, out.size()).forEach(ReferenceCountUtil::release);
+        out.subList(next, out.size()).clear();
+        out.add(joined());
+        return;
       }
       while (next < out.size()) {
         if (out.get(next) instanceof HttpObject part && !passes(part)) {
@@ -137,11 +141,36 @@
           next++;
         }
       }
-      if (!awaitsResponse && in.isReadable()) {
+      if (!awaitsResponse) {
+        if (in.isReadable()) {
+          endBefore(in, out);
+        }
+        accepted = Optional.empty();
+      }
+    }
+
+    /** Searches bytes behind the head of the current response. */
+    private boolean holdsAnotherResponse(ByteBuf bytes) {
+      return (dropped.isPresent() && dropped.get().indexAfter(bytes) >= 0)
+          || (accepted.isPresent() && accepted.get().findIn(bytes));
+    }
+
+    /** Ends a response behind which more bytes were received. */
+    private void endBefore(ByteBuf in, List<Object> out) {
+      if (accepted.isPresent() && accepted.get().continuesIn(in)) {
+        ReferenceCountUtil.release(out.remove(out.size() - 1));
+        out.add(joined());
+      } else {
         discard(in);
       }
     }
 
+    private HttpObject joined() {
+      HttpContent part = new DefaultHttpContent(Unpooled.EMPTY_BUFFER);
+      reject(part, "a response begins within another one");
+      return part;
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
       return headOnly || super.isContentAlwaysEmpty(message);
@@ -181,6 +210,8 @@
         if (endsAtClose(response)) {
           reject(response, "a response to another request ends only with the connection");
         }
+      } else if (!interim) {
+        accepted = Optional.of(new EmbeddedResponseDetector(recipient::namesRequest));
       }
     }
 
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/http/StatusLineDetectorTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/http/StatusLineDetectorTest.java
@@ -12,6 +12,8 @@
 
 class StatusLineDetectorTest {
 
+  private static final int END_OF_STATUS = "confirmedHTTP/1.1 500".length();
+
   @ParameterizedTest
   @ValueSource(
       strings = {
@@ -39,9 +41,12 @@
     for (int cut = 0; cut <= text.length(); cut++) {
       StatusLineDetector detector = new StatusLineDetector();
       ByteBuf first = bytes(text.substring(0, cut));
-      detector.findIn(first);
+      int after = detector.indexAfter(first);
+      int afterRest = detector.indexAfter(bytes(text.substring(cut)));
 
-      assertThat(detector.findIn(bytes(text.substring(cut))), is(true));
+      boolean endsInFirst = cut >= END_OF_STATUS;
+      assertThat(after, is(endsInFirst ? END_OF_STATUS : -1));
+      assertThat(afterRest, is(endsInFirst ? -1 : END_OF_STATUS - cut));
       assertThat(first.readableBytes(), is(cut));
     }
   }
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/http/StrictHttpClientCodecTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/http/StrictHttpClientCodecTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.startsWith;
 
@@ -82,6 +83,39 @@
     assertThat(unsolicited, empty());
   }
 
+  @Test
+  void passesOneResponseAfterAnotherOn() {
+    for (String id : List.of("1", "2", "3")) {
+      sendAs(id);
+
+      assertThat(receive(response("200 OK", id, "one")), is("200:one."));
+    }
+  }
+
+  /** The copy follows the missing bytes of the body, which it fills up. */
+  @Test
+  void rejectsBodyThatIsFilledUpByRepeatedResponse() {
+    String response = response("200 OK", "1", "confirmed");
+    for (int missing = 1; missing < "confirmed".length(); missing++) {
+      EmbeddedChannel connection = open();
+      write(connection, HttpMethod.GET);
+
+      String received =
+          read(connection, response.substring(0, response.length() - missing) + response);
+
+      assertThat(received, endsWith(FAILED));
+      connection.finishAndReleaseAll();
+    }
+  }
+
+  @Test
+  void passesBodyOnThatMentionsStatusLine() {
+    send(HttpMethod.GET);
+    String body = "the server sent HTTP/1.1 200 OK\r\nDate: today\r\n\r\n";
+
+    assertThat(receive(response("200 OK", "1", body)), is("200:" + body + "."));
+  }
+
   @Test
   void responseToHeadRequestHasNoBody() {
     send(HttpMethod.HEAD);
@@ -182,6 +216,11 @@
                 return awaitedId.equals(response.headers().get("Id"));
               }
 
+              @Override
+              public boolean namesRequest(String head) {
+                return head.contains("Id: " + awaitedId);
+              }
+
               @Override
               public void onUnsolicitedBytes(int count) {
                 unsolicited.add(count);
