Fail a response without length whose request was not written to its end

Callers got a success that looked complete though its endpoint had reset the connection. Cause: an endpoint answers without a length before it has read the request, and resets; the pending write takes the error from the socket, and the read that follows sees an orderly end. Such a response is now failed: an endpoint that ends its response with the connection and has not taken the request in resets it in any case.

ResetDuringRequestTest: 6 of 9 cases failed before, in all 12 plays each, none now.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
@@ -228,7 +228,8 @@
     }
     if (content instanceof LastHttpContent && listener != null) {
       inResponse = false;
-      if (endsAtClose && socketFailed) {
+      // While a request is being written, only the write may see that the connection was reset.
+      if (endsAtClose && (socketFailed || !requestWritten)) {
         fail(TransportFailure.CONNECTION_LOST);
       } else {
         complete();
