--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/http/StrictHttpClientCodecTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/http/StrictHttpClientCodecTest.java
@@ -143,6 +143,7 @@
         "TP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nHTTP/1.1 500 X\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nId: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 90\r\n\r\nconfHTTP/1.1 500 X\r\nId: 1\r\n",
       })
@@ -152,6 +153,17 @@
     assertThat(receive(bytes), startsWith(FAILED));
   }
 
+  /** What follows the size of a chunk in its line is read as nothing. */
+  @ParameterizedTest
+  @ValueSource(strings = {"0", "0\r", "0 ", "0;", "0;a=b", "0\r\n", "0\r\n\r", "0\r\nChecked: y"})
+  void rejectsStatusLineInLastChunk(String cutOff) {
+    send(HttpMethod.GET);
+    String copy = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n";
+
+    String received = receive(copy + cutOff) + receive(response("500 X", "1", "two"));
+    assertThat(received, startsWith("200:one" + FAILED));
+  }
+
   /** Copies of any earlier response, cut off anywhere, in front of a response; random reads. */
   @Test
   void neverJoinsTwoResponses() {
