Open a connection for each request of the own interface's clients

EndpointClient and PlatformClient took 500, 404 or 503 for a success, a body or revision from another response, and a call that ran for one that did not (X-Not-Run). Cause: on a kept connection, what a server repeated late and broke off became the beginning of the next response. LoadPoller, OrderDispatcher and EngineCanceller read in the same way.

Responses of the own interface name no request, so that no codec can tell a copy that ends within its body, or a whole one, from the response that is due. The clients are now created by HttpClients and use each connection once, as EndpointClient did for calls that may run once only; its two ways of sending are one now.

LoadPoller, OrderDispatcher and EngineCanceller have no test of their own for this; HttpClientsTest shows that a client so created sends one request on a connection.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/PlainCallExecutor.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/PlainCallExecutor.java
@@ -187,11 +187,10 @@
         .monitor()
         .check(!atMostOnce || sentCalls.hasNoOpenCalls(), Invariant.AT_MOST_ONCE, id());
     EndpointCall call = newEndpointCall(endpoint.get(), atMostOnce);
-    Future<Either<CallFailure, EndpointResponse>> result =
-        atMostOnce
-            ? runtime.endpointClient().sendUnpooled(call, sentCalls)
-            : runtime.endpointClient().send(call, sentCalls);
-    result.onSuccess(response -> onResult(attempt, id, response));
+    runtime
+        .endpointClient()
+        .send(call, sentCalls)
+        .onSuccess(response -> onResult(attempt, id, response));
   }
 
   private EndpointCall newEndpointCall(EndpointSpec endpoint, boolean atMostOnce) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/endpoint/EndpointClient.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/endpoint/EndpointClient.java
@@ -13,9 +13,11 @@
 import java.util.Optional;
 import org.knapweedcleat.core.attempt.CallFailure;
 import org.knapweedcleat.core.attempt.SentCallTracker;
+import org.knapweedcleat.router.http.HttpClients;
 
 /**
- * Sends each call to its endpoint once.
+ * Sends each call to its endpoint once, over a connection of its own, whose state no earlier call
+ * can have affected.
  *
  * <p>The HTTP library obtains a connection before it writes anything. A call that fails before that
  * was not sent; one that fails later may have been. This client neither retries calls nor follows
@@ -32,13 +34,11 @@
   private static final int MAX_RESPONSE_BYTES = 16 << 20;
 
   private final Vertx vertx;
-  private final HttpClient pooled;
-  private final HttpClient unpooled;
+  private final HttpClient client;
 
   private EndpointClient(Vertx vertx) {
     this.vertx = vertx;
-    this.pooled = createClient(vertx, true);
-    this.unpooled = createClient(vertx, false);
+    this.client = createClient(vertx);
   }
 
   /**
@@ -52,7 +52,7 @@
   }
 
   /**
-   * Sends a call over a pooled connection.
+   * Sends a call.
    *
    * @param call the call
    * @param sentCalls records the call before its first byte is sent
@@ -60,19 +60,11 @@
    */
   public Future<Either<CallFailure, EndpointResponse>> send(
       EndpointCall call, SentCallTracker sentCalls) {
-    return exchange(pooled, call, sentCalls);
-  }
-
-  /**
-   * Sends a call over a new connection, whose state no earlier call can have affected.
-   *
-   * @param call the call
-   * @param sentCalls records the call before its first byte is sent
-   * @return the response or the failure; the future itself never fails
-   */
-  public Future<Either<CallFailure, EndpointResponse>> sendUnpooled(
-      EndpointCall call, SentCallTracker sentCalls) {
-    return exchange(unpooled, call, sentCalls);
+    return client
+        .request(requestOptions(call))
+        .<Optional<HttpClientRequest>>map(Optional::of)
+        .otherwise(Optional.empty())
+        .compose(request -> sendOn(request, call, sentCalls));
   }
 
   /**
@@ -84,7 +76,7 @@
    */
   public Future<Either<CallFailure, HttpClientResponse>> openStream(
       EndpointCall call, SentCallTracker sentCalls) {
-    return pooled
+    return client
         .request(requestOptions(call))
         .<Optional<HttpClientRequest>>map(Optional::of)
         .otherwise(Optional.empty())
@@ -97,16 +89,7 @@
    * @return completes when they are closed
    */
   public Future<Void> close() {
-    return Future.join(pooled.close(), unpooled.close()).mapEmpty();
-  }
-
-  private Future<Either<CallFailure, EndpointResponse>> exchange(
-      HttpClient client, EndpointCall call, SentCallTracker sentCalls) {
-    return client
-        .request(requestOptions(call))
-        .<Optional<HttpClientRequest>>map(Optional::of)
-        .otherwise(Optional.empty())
-        .compose(request -> sendOn(request, call, sentCalls));
+    return client.close();
   }
 
   private Future<Either<CallFailure, EndpointResponse>> sendOn(
@@ -178,14 +161,10 @@
         .setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
   }
 
-  private static HttpClient createClient(Vertx vertx, boolean keepAlive) {
-    HttpClientOptions options =
-        new HttpClientOptions()
-            .setKeepAlive(keepAlive)
-            .setPipelining(false)
-            .setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+  private static HttpClient createClient(Vertx vertx) {
+    HttpClientOptions options = new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
     PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_ENDPOINT);
-    return vertx.createHttpClient(options, pool);
+    return HttpClients.createWithoutReuse(vertx, options, pool);
   }
 
   private record ReceivedResponse(EndpointResponse response, boolean notRun) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/http/package-info.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/http/package-info.java
@@ -1,2 +1,5 @@
-/** Strict reading of HTTP responses on connections that carry one request after another. */
+/**
+ * HTTP clients, and strict reading of HTTP responses on connections that carry one request after
+ * another.
+ */
 package org.knapweedcleat.router.http;
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/order/OrderDispatcher.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/order/OrderDispatcher.java
@@ -24,6 +24,7 @@
 import org.knapweedcleat.core.order.OrderResult;
 import org.knapweedcleat.core.order.OrderTracker;
 import org.knapweedcleat.core.order.OutgoingOrder;
+import org.knapweedcleat.router.http.HttpClients;
 
 /** Sends the orders implied by the document to engines of pools that this instance schedules. */
 public final class OrderDispatcher {
@@ -59,7 +60,8 @@
   public static OrderDispatcher create(
       Vertx vertx, MetricRegistry metrics, AuditTrail audit, LongSupplier nowMillis) {
     WebClientOptions options = new WebClientOptions().setConnectTimeout(TIMEOUT_MILLIS);
-    return new OrderDispatcher(WebClient.create(vertx, options), metrics, audit, nowMillis);
+    return new OrderDispatcher(
+        HttpClients.createWebClientWithoutReuse(vertx, options), metrics, audit, nowMillis);
   }
 
   /**
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/EngineCanceller.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/EngineCanceller.java
@@ -10,6 +10,7 @@
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.RequestId;
 import org.knapweedcleat.router.gate.FleetSnapshotProvider;
+import org.knapweedcleat.router.http.HttpClients;
 
 /** Cancels orphaned requests at model engines over HTTP. */
 public final class EngineCanceller implements OrphanCanceller {
@@ -39,7 +40,8 @@
     Objects.requireNonNull(fleet, "fleet");
     Objects.requireNonNull(metrics, "metrics");
     WebClientOptions options = new WebClientOptions().setConnectTimeout(TIMEOUT_MILLIS);
-    return new EngineCanceller(WebClient.create(vertx, options), fleet, metrics);
+    return new EngineCanceller(
+        HttpClients.createWebClientWithoutReuse(vertx, options), fleet, metrics);
   }
 
   @Override
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/LoadPoller.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/placement/LoadPoller.java
@@ -22,6 +22,7 @@
 import org.knapweedcleat.core.id.RequestId;
 import org.knapweedcleat.core.schedule.CacheHint;
 import org.knapweedcleat.core.schedule.EndpointLoad;
+import org.knapweedcleat.router.http.HttpClients;
 
 /** Polls engines of pools that this instance schedules for their load and cache events. */
 public final class LoadPoller {
@@ -57,7 +58,7 @@
     WebClientOptions options = new WebClientOptions();
     options.setConnectTimeout(TIMEOUT_MILLIS);
     options.setFollowRedirects(false);
-    WebClient client = WebClient.create(vertx, options);
+    WebClient client = HttpClients.createWebClientWithoutReuse(vertx, options);
     return new LoadPoller(
         client, Objects.requireNonNull(schedulers, "schedulers"), Objects.requireNonNull(metrics));
   }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/platform/PlatformClient.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/platform/PlatformClient.java
@@ -16,6 +16,7 @@
 import org.knapweedcleat.core.id.InstanceId;
 import org.knapweedcleat.core.id.Revision;
 import org.knapweedcleat.core.membership.ListedInstance;
+import org.knapweedcleat.router.http.HttpClients;
 
 /** HTTP client of the platform. Each call is counted; a long poll counts as one call. */
 public final class PlatformClient {
@@ -53,7 +54,8 @@
     WebClientOptions options = new WebClientOptions();
     options.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
     options.setFollowRedirects(false);
-    return new PlatformClient(WebClient.create(vertx, options), host, port, metrics);
+    return new PlatformClient(
+        HttpClients.createWebClientWithoutReuse(vertx, options), host, port, metrics);
   }
 
   /**
