Read responses of the store by the strict codec

StoreClient yielded a page where the store had answered 503 or 410, a page with the era of another response, and HISTORY_GONE where it had sent a page. Cause: on a kept connection, what the store repeated late and broke off became the beginning of its next response, as towards endpoints.

HttpClients.createForJson puts StrictHttpClientCodec in the place of the library's codec on each new connection, before its first request. Bytes that arrive while no response is due close the connection, and the next request goes over another one; a head of two responses fails the request. Responses of the store name no request, but their bodies are JSON: a line of HTTP in one, or in the line of a chunk's size, shows another response.

Timeouts, the idle time, the bound of 8 MiB and the reasons of failures stay; the size of a head is bounded as before, that of a status line by the same 8 KiB. Not covered: a whole copy that arrives after the next request is taken as the answer to it.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/http/HttpClients.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/http/HttpClients.java
@@ -1,11 +1,18 @@
 package org.knapweedcleat.router.http;
 
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpResponse;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.PoolOptions;
+import io.vertx.core.net.impl.ConnectionBase;
 import io.vertx.ext.web.client.WebClient;
 import io.vertx.ext.web.client.WebClientOptions;
+import java.util.regex.Pattern;
 
 /**
  * Creates HTTP clients that read nothing left over from an earlier response as a part of the next.
@@ -41,4 +48,53 @@
   public static WebClient createWebClientWithoutReuse(Vertx vertx, WebClientOptions options) {
     return WebClient.create(vertx, options.setKeepAlive(false).setPipelining(false));
   }
+
+  /**
+   * Creates a client that keeps connections and reads responses by {@link StrictHttpClientCodec}.
+   * Their bodies have to be JSON, in which no line of HTTP can occur, and callers have to reject
+   * bytes behind it.
+   *
+   * @param vertx the Vert.x instance to run on
+   * @param options the options; whether connections are kept is overridden
+   * @return the client
+   */
+  public static HttpClient createForJson(Vertx vertx, HttpClientOptions options) {
+    int maxHeadBytes = options.getMaxHeaderSize();
+    return vertx
+        .httpClientBuilder()
+        .with(options.setKeepAlive(true).setPipelining(false))
+        .withConnectHandler(connection -> useStrictCodec(connection, maxHeadBytes))
+        .build();
+  }
+
+  /** Replaces the codec of a new connection, on its event loop and before the first request. */
+  private static void useStrictCodec(HttpConnection connection, int maxHeadBytes) {
+    ChannelHandlerContext context = ((ConnectionBase) connection).channelHandlerContext();
+    StrictHttpClientCodec codec =
+        StrictHttpClientCodec.create(maxHeadBytes, new PooledConnection(context.channel()));
+    context.pipeline().replace(HttpClientCodec.class, "codec", codec);
+  }
+
+  /** Takes each response that arrives while one is due; the pool gives up a closed connection. */
+  private record PooledConnection(Channel channel) implements ResponseRecipient {
+    /**
+     * Bytes that follow the status; a string of JSON ends with a quote, and before the line does.
+     */
+    private static final Pattern REST_OF_STATUS_LINE = Pattern.compile("[^\"\r\n]*\r\n");
+
+    @Override
+    public boolean isAwaited(HttpResponse response) {
+      return true;
+    }
+
+    @Override
+    public boolean namesRequest(String head) {
+      return REST_OF_STATUS_LINE.matcher(head).lookingAt();
+    }
+
+    @Override
+    public void onUnsolicitedBytes(int count) {
+      channel.close();
+    }
+  }
 }
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/http/HttpClientsTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/http/HttpClientsTest.java
@@ -8,22 +8,29 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.net.NetSocket;
 import io.vertx.ext.web.client.WebClient;
 import io.vertx.ext.web.client.WebClientOptions;
+import java.util.ArrayList;
 import java.util.Collections;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-/** Guards against a second request on a connection of a client that should keep none. */
+/**
+ * Guards against a second request on a connection of a client that should keep none, and against
+ * responses that the client for JSON cannot read.
+ */
 class HttpClientsTest {
 
   private static final String HOST = "127.0.0.1";
   private static final int REQUESTS = 50;
+  private static final int IDLE_MILLIS = 30;
 
   private final Vertx vertx = Vertx.vertx();
   private final AtomicInteger connections = new AtomicInteger();
@@ -55,6 +62,29 @@
     assertThat(connections.get(), is(2 * REQUESTS));
   }
 
+  @Test
+  void clientForJsonReadsAllFormsOfResponsesOnOneConnection() {
+    int port = startServerOfAllForms();
+    HttpClient client = HttpClients.createForJson(vertx, new HttpClientOptions());
+    List<String> received = new ArrayList<>();
+    for (String request : List.of("GET /", "HEAD /", "GET /chunks", "GET /none", "POST /")) {
+      String[] methodAndPath = request.split(" ");
+      HttpMethod method = HttpMethod.valueOf(methodAndPath[0]);
+      received.add(
+          await(
+              client
+                  .request(method, port, HOST, methodAndPath[1])
+                  .compose(sent -> method == HttpMethod.POST ? sent.send("sent") : sent.send())
+                  .compose(
+                      response ->
+                          response.body().map(body -> response.statusCode() + " " + body))));
+      pause();
+    }
+
+    assertThat(received, is(List.of("200 got ", "200 ", "200 onetwo", "204 ", "200 got sent")));
+    assertThat(connections.get(), is(1));
+  }
+
   /** Sends requests one after another, and then as many at a time. */
   private static <T> void sendAll(Supplier<Future<T>> request) {
     for (int sent = 0; sent < REQUESTS; sent++) {
@@ -73,6 +103,36 @@
     socket.handler(bytes -> socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"));
   }
 
+  private int startServerOfAllForms() {
+    return await(
+            vertx
+                .createHttpServer()
+                .connectionHandler(connection -> connections.incrementAndGet())
+                .requestHandler(HttpClientsTest::answer)
+                .listen(0, HOST))
+        .actualPort();
+  }
+
+  private static void answer(HttpServerRequest request) {
+    switch (request.path()) {
+      case "/chunks" -> {
+        request.response().setChunked(true).write("one");
+        request.response().end("two");
+      }
+      case "/none" -> request.response().setStatusCode(204).end();
+      default -> request.body().onSuccess(body -> request.response().end("got " + body));
+    }
+  }
+
+  private static void pause() {
+    try {
+      Thread.sleep(IDLE_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException(e);
+    }
+  }
+
   private static <T> T await(Future<T> future) {
     try {
       return future.toCompletionStage().toCompletableFuture().get(1, TimeUnit.MINUTES);
