Open a connection for each request of the command line

The last reader of HTTP that kept connections without telling one response from another: drain polls the status of an instance, audit asks for page after page. The stand-ins' clients, which are not shipped, keep theirs.

--- a/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/OperatorClient.java
+++ b/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/OperatorClient.java
@@ -14,7 +14,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
-/** HTTP client for the operator port of instances. */
+/**
+ * HTTP client for the operator port of instances. Each request has its own connection, since
+ * responses do not name their request.
+ */
 final class OperatorClient implements AutoCloseable {
 
   private static final int TIMEOUT_MILLIS = 5_000;
@@ -23,7 +26,8 @@
 
   private final Vertx vertx = Vertx.vertx();
   private final WebClient client =
-      WebClient.create(vertx, new WebClientOptions().setConnectTimeout(TIMEOUT_MILLIS));
+      WebClient.create(
+          vertx, new WebClientOptions().setConnectTimeout(TIMEOUT_MILLIS).setKeepAlive(false));
 
   private OperatorClient() {}
 
