Reset the connection of a response that is broken off towards a caller of HTTP/1.0

Such a caller got a part of a response as if it were whole: a long response or a stream of which the rest never came ended with an orderly close, which is how a response without length and chunks ends.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -322,6 +323,11 @@
     server.schedule(LINGER_MILLIS, socket::close);
   }
 
+  /** Lets the caller see that a response without length and chunks is not complete. */
+  private void resetAtClose() {
+    socket.channelHandlerContext().channel().config().setOption(ChannelOption.SO_LINGER, 0);
+  }
+
   private void restartTimeouts() {
     lastByteMillis = server.nowMillis();
     if (headStartedMillis >= 0) {
@@ -389,6 +395,7 @@
     private final RequestHead head;
     private boolean responseStarted;
     private boolean closesConnection;
+    private boolean endsAtClose;
     private boolean ended;
     private Runnable onDisconnect = () -> {};
 
@@ -446,7 +453,8 @@
       }
       responseStarted = true;
       HttpResponse response = newFramedResponse(status, headers);
-      if (request.head().protocolVersion().equals(HttpVersion.HTTP_1_1)) {
+      endsAtClose = !request.head().protocolVersion().equals(HttpVersion.HTTP_1_1);
+      if (!endsAtClose) {
         HttpUtil.setTransferEncodingChunked(response, true);
       }
       socket.writeMessage(response);
@@ -476,6 +484,9 @@
     public void abort() {
       if (!ended) {
         ended = true;
+        if (responseStarted && endsAtClose) {
+          resetAtClose();
+        }
         close();
       }
     }
