Pass on a response that ends in order before its request was written

Since a response without length was failed whenever its request had not been written to its end. What tells the two apart is the write: a reset fails it with the error of the socket, an orderly close only with the closed channel.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
@@ -18,6 +18,7 @@
 import io.vertx.core.internal.buffer.BufferInternal;
 import io.vertx.core.internal.net.NetSocketInternal;
 import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
 import java.util.HashSet;
 import java.util.Set;
 import org.knapweedcleat.router.forward.codec.HeaderField;
@@ -143,7 +144,10 @@
     if (body.length() > 0 || carriesBody(head.method())) {
       request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length());
     }
-    socket.writeMessage(request).onSuccess(done -> requestWritten = true);
+    socket
+        .writeMessage(request)
+        .onSuccess(done -> requestWritten = true)
+        .onFailure(this::onException);
   }
 
   /** Pauses reading while the caller does not keep up. */
@@ -228,8 +232,7 @@
     }
     if (content instanceof LastHttpContent && listener != null) {
       inResponse = false;
-      // While a request is being written, only the write may see that the connection was reset.
-      if (endsAtClose && (socketFailed || !requestWritten)) {
+      if (endsAtClose && socketFailed) {
         fail(TransportFailure.CONNECTION_LOST);
       } else {
         complete();
@@ -277,11 +280,15 @@
   }
 
   /**
-   * Records that the connection was reset. Failures of another type do not concern what was
-   * received: Vert.x reports one if it stops reading on a connection that is closed already.
+   * Records that the connection was reset, which the write of a request may be the only one to see.
+   * Failures of another type do not concern what was received: a write fails when the endpoint
+   * closes the connection in order, and Vert.x reports one if it stops reading on a connection that
+   * is closed already.
    */
   private void onException(Throwable failure) {
-    socketFailed = socketFailed || failure instanceof IOException;
+    boolean isReset =
+        failure instanceof IOException && !(failure instanceof ClosedChannelException);
+    socketFailed = socketFailed || isReset;
   }
 
   /** Handles the end of the connection, which Vert.x reports before messages that it queues. */
