Find joined responses by lines of a head instead of texts that hold an id

A body that mentions a status line and, anywhere behind it, a short id that some caller had used on the connection was rejected, so that a call that had run was lost.

EmbeddedResponseDetector now follows the lines behind a status line: a line that is no header closes the head, a header that names a request of the connection, read as the headers of a response are, shows that two responses were joined. A body that ends within a status line or an open head is held back until all that was received has been read; if more follows, it was filled up. A dropped response fails the request at the first whole head behind its own. Statuses outside 100 to 599 are rejected; 099 hid the real response.

Not covered: a copy whose missing bytes arrive alone, with nothing behind them yet; one whose head does not name a request; headers that mention a status line are still rejected.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
@@ -20,6 +20,7 @@
 import java.io.IOException;
 import java.nio.channels.ClosedChannelException;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.knapweedcleat.router.forward.codec.HeaderField;
 import org.knapweedcleat.router.forward.codec.RequestHead;
@@ -336,8 +337,17 @@
     }
 
     @Override
-    public boolean namesRequest(String head) {
-      return carriedIds.stream().anyMatch(head::contains);
+    public boolean revealsResponse(String line) {
+      int colon = line.indexOf(':');
+      if (colon < 0) {
+        return false;
+      }
+      HeaderField header =
+          new HeaderField(line.substring(0, colon), line.substring(colon + 1).trim());
+      return matcher
+          .responseId(new ResponseHead(SUCCESS, List.of(header)))
+          .filter(carriedIds::contains)
+          .isPresent();
     }
 
     @Override
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/http/HttpClients.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/http/HttpClients.java
@@ -12,7 +12,6 @@
 import io.vertx.core.net.impl.ConnectionBase;
 import io.vertx.ext.web.client.WebClient;
 import io.vertx.ext.web.client.WebClientOptions;
-import java.util.regex.Pattern;
 
 /**
  * Creates HTTP clients that read nothing left over from an earlier response as a part of the next.
@@ -77,19 +76,15 @@
 
   /** Takes each response that arrives while one is due; the pool gives up a closed connection. */
   private record PooledConnection(Channel channel) implements ResponseRecipient {
-    /**
-     * Bytes that follow the status; a string of JSON ends with a quote, and before the line does.
-     */
-    private static final Pattern REST_OF_STATUS_LINE = Pattern.compile("[^\"\r\n]*\r\n");
-
     @Override
     public boolean isAwaited(HttpResponse response) {
       return true;
     }
 
+    /** A string of JSON ends with a quote, and before its line does. */
     @Override
-    public boolean namesRequest(String head) {
-      return REST_OF_STATUS_LINE.matcher(head).lookingAt();
+    public boolean revealsResponse(String line) {
+      return line.indexOf('"') < 0;
     }
 
     @Override
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/http/ResponseRecipient.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/http/ResponseRecipient.java
@@ -14,12 +14,13 @@
   boolean isAwaited(HttpResponse response);
 
   /**
-   * Tells whether a head names a request that the connection has carried, the current one included.
+   * Tells whether a line behind a status line that was found within a response shows that another
+   * response has begun there. A body may mention a status line.
    *
-   * @param head the headers of a response that was found within the body of another one
-   * @return true if the two responses were joined
+   * @param line the rest of the status line, or a header, without its end
+   * @return true if two responses were joined
    */
-  default boolean namesRequest(String head) {
+  default boolean revealsResponse(String line) {
     return false;
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/http/StrictHttpClientCodec.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/http/StrictHttpClientCodec.java
@@ -32,9 +32,9 @@
  *
  * <p>A server may repeat an earlier response late and break the copy off anywhere. Bytes that
  * arrive while no response is due are discarded and reported instead of becoming the start of the
- * next response. A response to another request is dropped. A head that holds a second status line
- * is that of two responses, and a dropped response with one behind its head has taken another one
- * in; such a message has a failure as its decoder result.
+ * next response. A response to another request is dropped. A response with a second status line in
+ * its head, or with the head of another response behind it, is two responses; it has a failure as
+ * its decoder result.
  */
 public final class StrictHttpClientCodec
     extends CombinedChannelDuplexHandler<HttpResponseDecoder, HttpRequestEncoder> {
@@ -95,11 +95,13 @@
     private boolean rejected;
 
     /** Searches what follows the head of a response that is dropped; empty otherwise. */
-    private Optional<StatusLineDetector> dropped = Optional.empty();
+    private Optional<EmbeddedResponseDetector> dropped = Optional.empty();
 
     /** Searches what follows the head of a response that is passed on; empty otherwise. */
     private Optional<EmbeddedResponseDetector> accepted = Optional.empty();
 
+    private Optional<HttpObject> heldEnd = Optional.empty();
+
     ResponseDecoder(int maxHeadBytes) {
       super(
           new HttpDecoderConfig()
@@ -110,11 +112,37 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-      if (!awaitsResponse && message instanceof ByteBuf bytes) {
-        discard(bytes);
-        bytes.release();
-      } else {
+      if (awaitsResponse || !(message instanceof ByteBuf bytes)) {
         super.channelRead(context, message);
+        return;
+      }
+      if (heldEnd.isPresent()) {
+        heldEnd = Optional.of(endBefore(bytes, heldEnd.get()));
+        fireHeldEnd(context);
+      } else {
+        discard(bytes);
+      }
+      bytes.release();
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+      fireHeldEnd(context);
+      super.channelReadComplete(context);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) throws Exception {
+      fireHeldEnd(context);
+      super.channelInactive(context);
+    }
+
+    private void fireHeldEnd(ChannelHandlerContext context) {
+      if (heldEnd.isPresent()) {
+        HttpObject end = heldEnd.get();
+        heldEnd = Optional.empty();
+        accepted = Optional.empty();
+        context.fireChannelRead(end);
       }
     }
 
@@ -142,27 +170,42 @@
         }
       }
       if (!awaitsResponse) {
-        if (in.isReadable()) {
-          endBefore(in, out);
-        }
-        accepted = Optional.empty();
+        endResponse(in, out);
       }
     }
 
+    /**
+     * Ends a response. One that ends within what may be the head of another one is held back for
+     * the bytes that have been received, but not read yet.
+     */
+    private void endResponse(ByteBuf in, List<Object> out) {
+      boolean isOpen = accepted.isPresent() && accepted.get().isOpen();
+      if (isOpen && !in.isReadable()) {
+        heldEnd = Optional.of((HttpObject) out.remove(out.size() - 1));
+        return;
+      }
+      if (in.isReadable()) {
+        out.add(endBefore(in, (HttpObject) out.remove(out.size() - 1)));
+      }
+      accepted = Optional.empty();
+    }
+
     /** Searches bytes behind the head of the current response. */
     private boolean holdsAnotherResponse(ByteBuf bytes) {
-      return (dropped.isPresent() && dropped.get().indexAfter(bytes) >= 0)
+      return (dropped.isPresent() && dropped.get().findIn(bytes))
           || (accepted.isPresent() && accepted.get().findIn(bytes));
     }
 
-    /** Ends a response behind which more bytes were received. */
-    private void endBefore(ByteBuf in, List<Object> out) {
-      if (accepted.isPresent() && accepted.get().continuesIn(in)) {
-        ReferenceCountUtil.release(out.remove(out.size() - 1));
-        out.add(joined());
-      } else {
-        discard(in);
+    /** Returns the end of a response behind which more bytes were received. */
+    private HttpObject endBefore(ByteBuf following, HttpObject end) {
+      if (accepted.isPresent()
+          && accepted.get().isOpen()
+          && accepted.get().continuesIn(following)) {
+        ReferenceCountUtil.release(end);
+        return joined();
       }
+      discard(following);
+      return end;
     }
 
     private HttpObject joined() {
@@ -198,20 +241,23 @@
     }
 
     private void begin(HttpResponse response) {
+      accepted = Optional.empty();
       interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
       if (!isKnownVersion(response.protocolVersion())) {
         reject(response, "the version is neither HTTP/1.0 nor HTTP/1.1");
+      } else if (response.status().codeClass() == HttpStatusClass.UNKNOWN) {
+        reject(response, "the status is not between 100 and 599");
       } else if (isJoined(response)) {
         reject(response, "the head holds a second status line");
       } else if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
         reject(response, "the protocol is switched without a request to do so");
       } else if (!interim && !recipient.isAwaited(response)) {
-        dropped = Optional.of(new StatusLineDetector());
+        dropped = Optional.of(EmbeddedResponseDetector.forDropped(recipient::revealsResponse));
         if (endsAtClose(response)) {
           reject(response, "a response to another request ends only with the connection");
         }
       } else if (!interim) {
-        accepted = Optional.of(new EmbeddedResponseDetector(recipient::namesRequest));
+        accepted = Optional.of(EmbeddedResponseDetector.forAccepted(recipient::revealsResponse));
       }
     }
 
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/http/StrictHttpClientCodecTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/http/StrictHttpClientCodecTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.startsWith;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -108,14 +109,49 @@
     }
   }
 
+  /** The missing bytes and the rest of the copy come in reads of their own, in one read loop. */
   @Test
-  void passesBodyOnThatMentionsStatusLine() {
+  void rejectsBodyWhoseCopyContinuesInTheNextRead() {
+    String response = response("200 OK", "1", "confirmed");
+    String copy = response("200 OK", "1", "confirmed");
+    for (int missing = 1; missing < "confirmed".length(); missing++) {
+      EmbeddedChannel connection = open();
+      write(connection, HttpMethod.GET);
+      connection.writeOneInbound(
+          bytes(response.substring(0, response.length() - missing) + copy.substring(0, missing)));
+      connection.writeOneInbound(bytes(copy.substring(missing)));
+
+      assertThat(read(connection, ""), endsWith(FAILED));
+      connection.finishAndReleaseAll();
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "the server sent HTTP/1.1 200 OK\r\nDate: today\r\n\r\n",
+        "HTTP/1.1 200 OK is a status line, Id: 1 none",
+        "HTTP/1.1 200 OK\nId: 1\n",
+        "ends in H",
+        "ends in HTTP/1.1 200"
+      })
+  void passesBodyOnThatMentionsStatusLine(String body) {
     send(HttpMethod.GET);
-    String body = "the server sent HTTP/1.1 200 OK\r\nDate: today\r\n\r\n";
 
     assertThat(receive(response("200 OK", "1", body)), is("200:" + body + "."));
   }
 
+  @Test
+  void findsHeadBehindMentionOfStatusLine() {
+    send(HttpMethod.GET);
+    String mention = "HTTP/1.1 200 OK\r\nno header\r\n" + "x".repeat(5_000);
+    String sent = response("200 OK", "1", mention + "y".repeat(500));
+
+    assertThat(
+        receive(sent.substring(0, sent.length() - 400) + response("500 X", "1", "two")),
+        startsWith("200:" + FAILED));
+  }
+
   @Test
   void responseToHeadRequestHasNoBody() {
     send(HttpMethod.HEAD);
@@ -146,6 +182,8 @@
         "HTTP/1.1 200 OK\r\nHTTP/1.1 500 X\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nId: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 90\r\n\r\nconfHTTP/1.1 500 X\r\nId: 1\r\n",
+        "HTTP/1.1 099 X\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 600 X\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
       })
   void rejectsWhatIsNotOneResponse(String bytes) {
     send(HttpMethod.GET);
@@ -229,8 +267,8 @@
               }
 
               @Override
-              public boolean namesRequest(String head) {
-                return head.contains("Id: " + awaitedId);
+              public boolean revealsResponse(String line) {
+                return line.equals("Id: " + awaitedId);
               }
 
               @Override
@@ -259,7 +297,7 @@
 
   /** Returns status, body and end of each response, or that reading failed. */
   private static String read(EmbeddedChannel connection, String bytes) {
-    connection.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.US_ASCII));
+    connection.writeInbound(bytes(bytes));
     StringBuilder messages = new StringBuilder();
     for (Object next = connection.readInbound(); next != null; next = connection.readInbound()) {
       messages.append(describe((HttpObject) next));
@@ -268,6 +306,10 @@
     return messages.toString();
   }
 
+  private static ByteBuf bytes(String text) {
+    return Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
+  }
+
   private static String describe(HttpObject message) {
     if (message.decoderResult().isFailure()) {
       return FAILED;
