--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/http/StrictHttpClientCodec.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/http/StrictHttpClientCodec.java
@@ -95,10 +95,10 @@
     private boolean rejected;
 
     /** Searches what follows the head of a response that is dropped; empty otherwise. */
-    private Optional<EmbeddedResponseDetector> dropped = Optional.empty();
+    private Optional<EmbeddedResponseDetector> droppedDetector = Optional.empty();
 
     /** Searches what follows the head of a response that is passed on; empty otherwise. */
-    private Optional<EmbeddedResponseDetector> accepted = Optional.empty();
+    private Optional<EmbeddedResponseDetector> acceptedDetector = Optional.empty();
 
     private Optional<HttpObject> heldEnd = Optional.empty();
 
@@ -141,7 +141,7 @@
       if (heldEnd.isPresent()) {
         HttpObject end = heldEnd.get();
         heldEnd = Optional.empty();
-        accepted = Optional.empty();
+        acceptedDetector = Optional.empty();
         context.fireChannelRead(end);
       }
     }
@@ -163,7 +163,7 @@
         return;
       }
       while (next < out.size()) {
-        if (out.get(next) instanceof HttpObject part && !passes(part)) {
+        if (out.get(next) instanceof HttpObject part && !process(part)) {
           ReferenceCountUtil.release(out.remove(next));
         } else {
           next++;
@@ -179,7 +179,7 @@
      * the bytes that have been received, but not read yet.
      */
     private void endResponse(ByteBuf in, List<Object> out) {
-      boolean isOpen = accepted.isPresent() && accepted.get().isOpen();
+      boolean isOpen = acceptedDetector.isPresent() && acceptedDetector.get().isOpen();
       if (isOpen && !in.isReadable()) {
         heldEnd = Optional.of((HttpObject) out.remove(out.size() - 1));
         return;
@@ -187,20 +187,20 @@
       if (in.isReadable()) {
         out.add(endBefore(in, (HttpObject) out.remove(out.size() - 1)));
       }
-      accepted = Optional.empty();
+      acceptedDetector = Optional.empty();
     }
 
     /** Searches bytes behind the head of the current response. */
     private boolean holdsAnotherResponse(ByteBuf bytes) {
-      return (dropped.isPresent() && dropped.get().findIn(bytes))
-          || (accepted.isPresent() && accepted.get().findIn(bytes));
+      return (droppedDetector.isPresent() && droppedDetector.get().findIn(bytes))
+          || (acceptedDetector.isPresent() && acceptedDetector.get().findIn(bytes));
     }
 
     /** Returns the end of a response behind which more bytes were received. */
     private HttpObject endBefore(ByteBuf following, HttpObject end) {
-      if (accepted.isPresent()
-          && accepted.get().isOpen()
-          && accepted.get().continuesIn(following)) {
+      if (acceptedDetector.isPresent()
+          && acceptedDetector.get().isOpen()
+          && acceptedDetector.get().continuesIn(following)) {
         ReferenceCountUtil.release(end);
         return joined();
       }
@@ -226,22 +226,22 @@
     }
 
     /** Checks a part of a response; returns false if the part is to be dropped. */
-    private boolean passes(HttpObject part) {
+    private boolean process(HttpObject part) {
       if (part.decoderResult().isFailure()) {
         return true;
       }
       if (part instanceof HttpResponse response) {
         begin(response);
       }
-      boolean passes = dropped.isEmpty() || part.decoderResult().isFailure();
+      boolean isPassedOn = droppedDetector.isEmpty() || part.decoderResult().isFailure();
       if (part instanceof LastHttpContent end) {
         end(end);
       }
-      return passes;
+      return isPassedOn;
     }
 
     private void begin(HttpResponse response) {
-      accepted = Optional.empty();
+      acceptedDetector = Optional.empty();
       interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
       if (!isKnownVersion(response.protocolVersion())) {
         reject(response, "the version is neither HTTP/1.0 nor HTTP/1.1");
@@ -252,18 +252,20 @@
       } else if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
         reject(response, "the protocol is switched without a request to do so");
       } else if (!interim && !recipient.isAwaited(response)) {
-        dropped = Optional.of(EmbeddedResponseDetector.forDropped(recipient::revealsResponse));
+        droppedDetector =
+            Optional.of(EmbeddedResponseDetector.forDropped(recipient::revealsResponse));
         if (endsAtClose(response)) {
           reject(response, "a response to another request ends only with the connection");
         }
       } else if (!interim) {
-        accepted = Optional.of(EmbeddedResponseDetector.forAccepted(recipient::revealsResponse));
+        acceptedDetector =
+            Optional.of(EmbeddedResponseDetector.forAccepted(recipient::revealsResponse));
       }
     }
 
     private void end(LastHttpContent end) {
-      awaitsResponse = interim || dropped.isPresent();
-      dropped = Optional.empty();
+      awaitsResponse = interim || droppedDetector.isPresent();
+      droppedDetector = Optional.empty();
       if (isJoined(end.trailingHeaders())) {
         reject(end, "a trailer holds a status line");
       }
