Handle no request whose caller left before it was read

A connection was read once in each pass of the event loop, and a request was handled within that read, so a close behind it was unknown. Change: a connection is read until nothing is left, and requests are handled after that, unless the caller has closed the connection. It costs one more read for each arrival.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
@@ -2,6 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
@@ -46,6 +48,9 @@
   /** Number of pipelined requests from which on the connection is not read. */
   private static final int MAX_QUEUED_REQUESTS = 16;
 
+  /** Netty's default, which a replaced allocator does not get. */
+  private static final int MAX_READS_PER_PASS = 16;
+
   /** Time after the last response for the caller to read it and close the connection. */
   private static final long LINGER_MILLIS = 1_000;
 
@@ -89,6 +94,7 @@
 
   private void install() {
     ChannelPipeline pipeline = socket.channelHandlerContext().pipeline();
+    readUntilNothingIsLeft(pipeline.channel());
     pipeline.addBefore(VERTX_HANDLER, "arrivals", new ArrivalMonitor());
     int maxHeaderBytes = server.bounds().maxHeaderBytes();
     pipeline.addBefore(VERTX_HANDLER, DECODER, new StrictRequestDecoder(maxHeaderBytes));
@@ -98,6 +104,14 @@
     socket.closeHandler(ignored -> onDisconnected());
   }
 
+  /** Makes a close that arrived behind a request known in the pass that reads the request. */
+  private static void readUntilNothingIsLeft(Channel channel) {
+    AdaptiveRecvByteBufAllocator buffers = new AdaptiveRecvByteBufAllocator();
+    buffers.maxMessagesPerRead(MAX_READS_PER_PASS);
+    buffers.respectMaybeMoreData(false);
+    channel.config().setRecvByteBufAllocator(buffers);
+  }
+
   /** Closes the connection if it is idle; a busy one announces the close in its next response. */
   void closeWhenIdle() {
     if (!isBusy()) {
@@ -260,7 +274,7 @@
   }
 
   private void handleNext() {
-    if (current != null || !open || decoding) {
+    if (current != null || !open || decoding || !isConnected()) {
       return;
     }
     if (!queuedRequests.isEmpty()) {
@@ -274,6 +288,11 @@
     }
   }
 
+  /** Returns false as soon as the close of the caller was read; its event follows later. */
+  private boolean isConnected() {
+    return socket.channelHandlerContext().channel().isActive();
+  }
+
   private void onDisconnected() {
     open = false;
     queuedRequests.clear();
@@ -373,7 +392,8 @@
       } finally {
         decoding = false;
       }
-      handleNext();
+      // Runs after all bytes are read that have arrived, and a close of the caller with them.
+      context.executor().execute(CallerConnection.this::handleNext);
     }
 
     /** Tells whether the bytes are empty lines, which the decoder skips before a request. */
