Decide by one type whether an endpoint may take a call now

Cause: evacuations of failure domains and cold times of endpoints were read by nothing, and the reasons against an endpoint were decided in three places without a name.

Change: EndpointEligibility answers whether an endpoint may take a call, and if not, why and when. Evacuations and cold times pass between instances in a message of their own, which is sent only while there are any. Permits (decision 0012) also limit cold endpoints.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointAvailability.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointAvailability.java
@@ -16,7 +16,15 @@
   /** Far more than the endpoints of any deployment; the oldest entries are dropped. */
   private static final int MAX_ENTRIES = 4_000;
 
-  private final Map<EndpointIncarnation, Long> unavailableUntilMillis = BoundedMap.of(MAX_ENTRIES);
+  private final Map<EndpointIncarnation, Unavailability> unavailable = BoundedMap.of(MAX_ENTRIES);
+
+  /** Until when an endpoint accepts no calls, and why. */
+  private record Unavailability(long untilMillis, IneligibilityReason reason) {
+
+    Unavailability latest(Unavailability other) {
+      return other.untilMillis > untilMillis ? other : this;
+    }
+  }
 
   private EndpointAvailability() {}
 
@@ -36,21 +44,59 @@
    * @return true if this was not known before
    */
   public boolean markLeaving(EndpointEntry endpoint) {
-    Long previous = unavailableUntilMillis.put(EndpointIncarnation.of(endpoint), Long.MAX_VALUE);
-    return previous == null || previous != Long.MAX_VALUE;
+    Unavailability previous =
+        unavailable.put(
+            EndpointIncarnation.of(endpoint),
+            new Unavailability(Long.MAX_VALUE, IneligibilityReason.LEAVING));
+    return previous == null || previous.untilMillis() != Long.MAX_VALUE;
   }
 
   /**
-   * Records that an endpoint accepts no calls for a time. A shorter pause does not replace a longer
-   * one.
+   * Records that an endpoint has asked for a pause. A shorter pause does not replace a longer one.
    *
    * @param nowMillis the current time
    * @param endpoint the endpoint
    * @param pauseMillis the length of the pause, at least 0
    */
   public void markPaused(long nowMillis, EndpointEntry endpoint, long pauseMillis) {
-    unavailableUntilMillis.merge(
-        EndpointIncarnation.of(endpoint), nowMillis + pauseMillis, Math::max);
+    markUnavailable(nowMillis, endpoint, pauseMillis, IneligibilityReason.PAUSED);
+  }
+
+  /**
+   * Records that an endpoint accepts no calls for a time. A shorter time does not replace a longer
+   * one.
+   *
+   * @param nowMillis the current time
+   * @param endpoint the endpoint
+   * @param millis the time, at least 0
+   * @param reason the reason
+   */
+  public void markUnavailable(
+      long nowMillis, EndpointEntry endpoint, long millis, IneligibilityReason reason) {
+    unavailable.merge(
+        EndpointIncarnation.of(endpoint),
+        new Unavailability(nowMillis + millis, reason),
+        Unavailability::latest);
+  }
+
+  /**
+   * Returns whether an endpoint accepts calls now.
+   *
+   * @param nowMillis the current time
+   * @param endpoint the endpoint
+   * @return the verdict
+   */
+  public Eligibility check(long nowMillis, EndpointEntry endpoint) {
+    if (unavailable.isEmpty()) {
+      return Eligibility.ELIGIBLE;
+    }
+    Unavailability current = unavailable.get(EndpointIncarnation.of(endpoint));
+    if (current == null || current.untilMillis() <= nowMillis) {
+      return Eligibility.ELIGIBLE;
+    }
+    return current.untilMillis() == Long.MAX_VALUE
+        ? Eligibility.not(current.reason())
+        : Eligibility.notYet(current.reason(), current.untilMillis() - nowMillis);
   }
 
   /**
@@ -61,7 +107,7 @@
    * @return those that are neither leaving nor paused
    */
   public List<EndpointEntry> available(long nowMillis, List<EndpointEntry> endpoints) {
-    if (unavailableUntilMillis.isEmpty()) {
+    if (unavailable.isEmpty()) {
       return endpoints;
     }
     return endpoints.stream().filter(endpoint -> isAvailable(nowMillis, endpoint)).toList();
@@ -75,7 +121,7 @@
    * @return false if it is leaving or paused
    */
   public boolean isAvailable(long nowMillis, EndpointEntry endpoint) {
-    return unavailableUntil(endpoint) <= nowMillis;
+    return check(nowMillis, endpoint).isEligible();
   }
 
   /**
@@ -87,13 +133,7 @@
    */
   public OptionalLong millisUntilAvailable(long nowMillis, List<EndpointEntry> endpoints) {
     return endpoints.stream()
-        .mapToLong(this::unavailableUntil)
-        .filter(untilMillis -> untilMillis != Long.MAX_VALUE)
-        .map(untilMillis -> Math.max(0, untilMillis - nowMillis))
+        .flatMapToLong(endpoint -> check(nowMillis, endpoint).opensInMillis().stream())
         .min();
   }
-
-  private long unavailableUntil(EndpointEntry endpoint) {
-    return unavailableUntilMillis.getOrDefault(EndpointIncarnation.of(endpoint), Long.MIN_VALUE);
-  }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointSelector.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointSelector.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.DoubleStream;
 import java.util.stream.Stream;
@@ -43,6 +44,12 @@
    */
   private static final double LOCAL_PREFILL_PENALTY_MILLIS = 300;
 
+  /**
+   * Penalty for a cold endpoint. Warm ones are preferred until their queues are longer than this; a
+   * cold endpoint takes only few requests, so that a call may be denied there.
+   */
+  private static final double COLD_PENALTY_MILLIS = 2_000;
+
   /** Interval between events of a running stream while its engine does not prefill. */
   private static final double EVENT_INTERVAL_MILLIS = 80;
 
@@ -66,17 +73,20 @@
   private final WorkloadTracker workload;
   private final EndpointHealthRegistry health;
   private final DoubleSupplier random;
+  private final Predicate<EndpointEntry> isCold;
   private final Map<ServiceId, PrefillTimeEstimator> estimators = new HashMap<>();
 
   private EndpointSelector(
       DomainTopology topology,
       WorkloadTracker workload,
       EndpointHealthRegistry health,
-      DoubleSupplier random) {
+      DoubleSupplier random,
+      Predicate<EndpointEntry> isCold) {
     this.topology = topology;
     this.workload = workload;
     this.health = health;
     this.random = random;
+    this.isCold = isCold;
   }
 
   /**
@@ -93,7 +103,17 @@
       WorkloadTracker workload,
       EndpointHealthRegistry health,
       DoubleSupplier random) {
-    return new EndpointSelector(topology, workload, health, random);
+    return new EndpointSelector(topology, workload, health, random, endpoint -> false);
+  }
+
+  /**
+   * Returns a selector with the same inputs that prefers warm endpoints.
+   *
+   * @param predicate tells which endpoints are cold
+   * @return the selector
+   */
+  public EndpointSelector preferringWarm(Predicate<EndpointEntry> predicate) {
+    return new EndpointSelector(topology, workload, health, random, predicate);
   }
 
   /**
@@ -311,9 +331,10 @@
         + penaltyMillis(nowMillis, entry);
   }
 
-  /** Returns the time that an endpoint's distance and failure rate add to any call. */
+  /** Returns the time that an endpoint's distance, failures and coldness add to any call. */
   private double penaltyMillis(long nowMillis, EndpointEntry entry) {
-    return topology.distanceToLocal(entry.domain()).roundTripMillis()
+    return (isCold.test(entry) ? COLD_PENALTY_MILLIS : 0)
+        + topology.distanceToLocal(entry.domain()).roundTripMillis()
         + FAILURE_PENALTY_MILLIS * health.get(entry.id()).failureRate(nowMillis);
   }
 
@@ -322,7 +343,7 @@
     return (double) work.memoryTokens() / Math.max(1, profile.memoryTokens());
   }
 
-  /** Reduces many candidates to one sampled by weight, from the local region if possible. */
+  /** Reduces many candidates to one sampled by weight, warm and of the local region if possible. */
   private List<EndpointEntry> sampleIfMany(
       List<EndpointEntry> candidates, ToDoubleFunction<EndpointEntry> weight) {
     if (candidates.size() <= MAX_COMPARED) {
@@ -333,7 +354,9 @@
             .filter(
                 entry -> topology.distanceToLocal(entry.domain()) != NetworkDistance.OTHER_REGION)
             .toList();
-    return List.of(sample(regional.isEmpty() ? candidates : regional, weight));
+    List<EndpointEntry> preferred = regional.isEmpty() ? candidates : regional;
+    List<EndpointEntry> warm = preferred.stream().filter(isCold.negate()).toList();
+    return List.of(sample(warm.isEmpty() ? preferred : warm, weight));
   }
 
   private EndpointEntry sample(
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingKeys.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingKeys.java
@@ -126,6 +126,23 @@
           "3000",
           "the time within which a published configuration has to be in force");
 
+  static final SettingKey<Double> COLD_OVERAGE =
+      SettingKey.optional(
+          SectionKind.BOUNDS,
+          "coldOverage",
+          ValueRules.decimal(0, 100),
+          "times the service's cold rate",
+          Double.toString(ForwarderSettings.Bounds.DEFAULT_COLD_OVERAGE),
+          "the multiple of its service's cold rate that a cold endpoint tolerates in a second");
+  static final SettingKey<Double> COLD_SLACK =
+      SettingKey.optional(
+          SectionKind.BOUNDS,
+          "coldSlack",
+          ValueRules.decimal(0, 1_000_000),
+          "requests",
+          Double.toString(ForwarderSettings.Bounds.DEFAULT_COLD_SLACK),
+          "how many more requests a cold endpoint tolerates in a second");
+
   static final SettingKey<RegionId> REGION =
       SettingKey.required(
           SectionKind.FORWARDER_DOMAIN,
@@ -153,6 +170,8 @@
           QUOTA_SLACK,
           PREFILL_PART,
           CONFIG_APPLY,
+          COLD_OVERAGE,
+          COLD_SLACK,
           REGION);
 
   private ForwarderSettingKeys() {}
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettings.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettings.java
@@ -51,6 +51,9 @@
    * @param quotaSlackUnits the units of a quota that the fleet may spend on top of that
    * @param prefillPart the fraction of a service's engines that prefill for others
    * @param configApplyMillis the time within which a published configuration has to be in force
+   * @param coldOverage the multiple of its service's cold rate that a cold endpoint tolerates in
+   *     any one second
+   * @param coldSlack the requests that a cold endpoint tolerates on top of that
    */
   public record Bounds(
       int stopMillis,
@@ -60,5 +63,48 @@
       double quotaOverage,
       int quotaSlackUnits,
       double prefillPart,
-      int configApplyMillis) {}
+      int configApplyMillis,
+      double coldOverage,
+      double coldSlack) {
+
+    /** The default of {@link #coldOverage}. */
+    static final double DEFAULT_COLD_OVERAGE = 1.5;
+
+    /** The default of {@link #coldSlack}. */
+    static final double DEFAULT_COLD_SLACK = 5;
+
+    /**
+     * Creates bounds with the default tolerance of cold endpoints.
+     *
+     * @param stopMillis the time limit of a planned stop
+     * @param repeatRatio the repeats that each call of a service adds to the budget
+     * @param repeatWindowMillis the length of the window in which repeats are counted
+     * @param repeatSlack the repeats that the fleet may send in a window on top of the ratio
+     * @param quotaOverage the fraction by which the fleet may exceed a quota's rate and burst
+     * @param quotaSlackUnits the units of a quota that the fleet may spend on top of that
+     * @param prefillPart the fraction of a service's engines that prefill for others
+     * @param configApplyMillis the time within which a configuration has to be in force
+     */
+    public Bounds(
+        int stopMillis,
+        double repeatRatio,
+        int repeatWindowMillis,
+        int repeatSlack,
+        double quotaOverage,
+        int quotaSlackUnits,
+        double prefillPart,
+        int configApplyMillis) {
+      this(
+          stopMillis,
+          repeatRatio,
+          repeatWindowMillis,
+          repeatSlack,
+          quotaOverage,
+          quotaSlackUnits,
+          prefillPart,
+          configApplyMillis,
+          DEFAULT_COLD_OVERAGE,
+          DEFAULT_COLD_SLACK);
+    }
+  }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingsParser.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingsParser.java
@@ -111,6 +111,8 @@
         section.get(ForwarderSettingKeys.QUOTA_OVERAGE),
         section.get(ForwarderSettingKeys.QUOTA_SLACK),
         section.get(ForwarderSettingKeys.PREFILL_PART),
-        section.get(ForwarderSettingKeys.CONFIG_APPLY));
+        section.get(ForwarderSettingKeys.CONFIG_APPLY),
+        section.get(ForwarderSettingKeys.COLD_OVERAGE),
+        section.get(ForwarderSettingKeys.COLD_SLACK));
   }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/directory/RegionRestriction.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/directory/RegionRestriction.java
@@ -12,6 +12,9 @@
  */
 public final class RegionRestriction {
 
+  /** The restriction of a call that may be served in any region. */
+  public static final RegionRestriction NONE = new RegionRestriction(List.of());
+
   private final List<Set<RegionId>> restrictions;
 
   private RegionRestriction(List<Set<RegionId>> restrictions) {
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/throttle/PermitIssuer.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/throttle/PermitIssuer.java
@@ -26,6 +26,9 @@
 
   private static final double MILLIS_PER_SECOND = 1_000;
 
+  /** The unused time that may be made up for, in seconds. */
+  static final double MAX_CREDIT_SECONDS = MAX_CREDIT_MILLIS / MILLIS_PER_SECOND;
+
   /** Far more than the endpoints of any deployment; the oldest entries are dropped. */
   private static final int MAX_ENTRIES = 4_000;
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardContext.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardContext.java
@@ -6,6 +6,7 @@
 import java.util.function.LongSupplier;
 import org.knapweedcleat.core.balance.DomainTopology;
 import org.knapweedcleat.core.balance.EndpointAvailability;
+import org.knapweedcleat.core.balance.EndpointEligibility;
 import org.knapweedcleat.core.balance.EndpointHealthRegistry;
 import org.knapweedcleat.core.balance.EndpointSelector;
 import org.knapweedcleat.core.balance.WorkloadTracker;
@@ -69,4 +70,8 @@
   long nowMillis() {
     return clock.getAsLong();
   }
+
+  EndpointEligibility eligibility() {
+    return EndpointEligibility.of(domains, directory.eligibility().evacuations(), notices);
+  }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -7,8 +7,9 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.knapweedcleat.core.balance.EndpointEligibility;
 import org.knapweedcleat.core.balance.EndpointHealth;
 import org.knapweedcleat.core.balance.EndpointWorkload;
 import org.knapweedcleat.core.directory.AccountQuota;
@@ -16,6 +17,7 @@
 import org.knapweedcleat.core.directory.EndpointIncarnation;
 import org.knapweedcleat.core.directory.ForwardRoute;
 import org.knapweedcleat.core.directory.RegionRestriction;
+import org.knapweedcleat.core.directory.ServiceProfile;
 import org.knapweedcleat.core.fleet.ObservationSource;
 import org.knapweedcleat.core.forward.AttemptLedger;
 import org.knapweedcleat.core.forward.RetryDecision;
@@ -63,6 +65,7 @@
   protected final long startedMillis;
   private final Optional<AccountQuota> account;
   private final RegionRestriction restriction;
+  private final EndpointEligibility eligibility;
   private final long quotaUnits;
   private final long expiresAtMillis;
   private final WindowedRetryBudget retryBudget;
@@ -89,6 +92,7 @@
     this.service = route.selectService(context.random().getAsDouble());
     this.account = account;
     this.restriction = RegionRestriction.of(route, account);
+    this.eligibility = context.eligibility();
     this.quotaUnits = units;
     this.retryBudget = context.retryBudgets().budget(service);
     this.ledger = AttemptLedger.of(route, retryBudget);
@@ -165,7 +169,8 @@
    */
   protected final List<EndpointEntry> candidates() {
     List<EndpointEntry> available =
-        context.notices().available(context.nowMillis(), permittedEndpoints());
+        eligibility.eligible(
+            context.nowMillis(), publishedEndpoints(), restriction, call.requestId());
     return standby.isEmpty()
         ? available
         : available.stream()
@@ -173,11 +178,8 @@
             .toList();
   }
 
-  /** Lists the published endpoints of the service in the regions that may serve the call. */
-  private List<EndpointEntry> permittedEndpoints() {
-    return context.directory().endpoints().available(service).stream()
-        .filter(endpoint -> restriction.allows(context.domains().region(endpoint.domain())))
-        .toList();
+  private List<EndpointEntry> publishedEndpoints() {
+    return context.directory().endpoints().available(service);
   }
 
   /** Returns whether a region may serve the call. */
@@ -298,22 +300,36 @@
   }
 
   /**
-   * Refuses a call without candidate endpoints. If all of them have asked for a pause or have
-   * reached their rate limit, Retry-After is the end of the first pause.
+   * Refuses a call without candidate endpoints. If some of them accept it later, since they have
+   * asked for a pause or have reached their rate limit, Retry-After is when the first one does.
    */
   protected final void refuseWithoutCandidates() {
-    OptionalLong opensInMillis =
-        context.notices().millisUntilAvailable(context.nowMillis(), permittedEndpoints());
-    if (opensInMillis.isPresent()) {
+    EndpointEligibility.Refusal refusal =
+        eligibility.explain(
+            context.nowMillis(), publishedEndpoints(), restriction, call.requestId());
+    refusal
+        .reasons()
+        .forEach(
+            reason ->
+                context
+                    .metrics()
+                    .counter("calls.ineligible." + reason.name().toLowerCase(Locale.ROOT))
+                    .inc());
+    String reason =
+        refusal.reasons().isEmpty()
+            ? "the service has no other endpoint that accepts work"
+            : "no endpoint may take the call: "
+                + refusal.reasons().stream()
+                    .map(one -> one + " (" + one.description() + ")")
+                    .collect(Collectors.joining(", "));
+    if (refusal.opensInMillis().isPresent()) {
       long spreadMillis =
           permits.wasDenied()
               ? (long) (PERMIT_RETURN_SPREAD_MILLIS * context.random().getAsDouble())
               : 0;
-      refuse(
-          "all endpoints of the service have asked for a pause or have reached their rate limit",
-          opensInMillis.getAsLong() + spreadMillis);
+      refuse(reason, refusal.opensInMillis().getAsLong() + spreadMillis);
     } else {
-      proceed(ledger.giveUp(), "no endpoint of the service accepts calls");
+      proceed(ledger.giveUp(), reason);
     }
   }
 
@@ -334,6 +350,7 @@
     }
     AvailabilityNotice notice = context.codec().decodeNotice(response);
     recordRateLimit(endpoint, notice, isGenuine, sentMillis);
+    notice.coldMillis().ifPresent(millis -> recordColdTime(endpoint, millis));
     notice
         .pauseMillis()
         .ifPresent(millis -> context.notices().markPaused(context.nowMillis(), endpoint, millis));
@@ -344,6 +361,16 @@
     }
   }
 
+  private void recordColdTime(EndpointEntry endpoint, long remainingMillis) {
+    long coldStartMillis =
+        context
+            .directory()
+            .findService(endpoint.service())
+            .map(ServiceProfile::coldStartMillis)
+            .orElse(0L);
+    context.directory().eligibility().recordStatement(endpoint, remainingMillis, coldStartMillis);
+  }
+
   private void recordRateLimit(
       EndpointEntry endpoint, AvailabilityNotice notice, boolean isGenuine, long sentMillis) {
     boolean isLimited = notice.requestsPerSecond().isPresent();
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/SendPermits.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/SendPermits.java
@@ -2,12 +2,12 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import org.knapweedcleat.core.balance.IneligibilityReason;
 import org.knapweedcleat.core.directory.EndpointEntry;
-import org.knapweedcleat.core.directory.EndpointIncarnation;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.throttle.PermitDecision;
 
-/** The permits of one call to be sent to endpoints that have announced a rate limit. */
+/** The permits of one call to be sent to endpoints that have a rate limit or are cold. */
 final class SendPermits {
 
   /** A call waits for a permit for at most this multiple of its latency target. */
@@ -42,8 +42,8 @@
 
   /**
    * Runs an action when the call may be sent to an endpoint, which is at once unless the endpoint
-   * has announced a rate limit. If it may not be sent soon enough, the endpoint gets no calls from
-   * this instance until the limit permits one.
+   * has announced a rate limit or is cold. If it may not be sent soon enough, the endpoint gets no
+   * calls from this instance until the limit permits one.
    *
    * @param onPermitted sends the call
    * @param onDenied places the call again
@@ -67,7 +67,7 @@
   }
 
   private boolean isLimited(EndpointEntry endpoint) {
-    return context.rateLimits().requestsPerSecond(EndpointIncarnation.of(endpoint)).isPresent();
+    return context.permits().isLimited(endpoint);
   }
 
   /** A call goes to another endpoint rather than wait, unless it has no choice. */
@@ -101,6 +101,7 @@
 
   private void recordDenial(EndpointEntry endpoint, long delayMillis) {
     denials++;
+    IneligibilityReason reason = context.permits().reason(endpoint);
     context.metrics().counter("sends.denied").inc();
     context
         .log()
@@ -110,10 +111,12 @@
             call.call.requestId(),
             "endpoint",
             endpoint.id(),
+            "reason",
+            reason,
             "permittedInMillis",
             delayMillis,
             "remainingMillis",
             call.remainingMillis());
-    context.notices().markPaused(context.nowMillis(), endpoint, delayMillis);
+    context.notices().markUnavailable(context.nowMillis(), endpoint, delayMillis, reason);
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
@@ -92,6 +92,7 @@
   private final LongSupplier clock;
   private final DecisionLog log;
   private final DirectorySynchronizer synchronizer;
+  private final EligibilityExchange eligibility;
   private final MemberReportCache reports = new MemberReportCache();
   private final UnreachableReportTracker unreachableReports = UnreachableReportTracker.create();
   private final long readerTimeoutMillis;
@@ -131,6 +132,7 @@
     this.log = context.log();
     this.readerTimeoutMillis = Math.round(configApplyMillis * READER_TIMEOUT_RATIO);
     this.synchronizer = new DirectorySynchronizer(directory, log);
+    this.eligibility = new EligibilityExchange(self, directory.eligibility());
   }
 
   /**
@@ -220,6 +222,7 @@
     sentAtMillis = nowMillis;
     sentConfigVersion = synchronizer.configVersion();
     sentEndpointsHash = synchronizer.endpointsHash();
+    eligibility.markSent();
     members.removeExpired(nowMillis).forEach(this::removeIncarnation);
     List<InetAddressPort> unknownSeeds = unknownSeeds();
     updateFleetSize(nowMillis, unknownSeeds.size());
@@ -227,6 +230,7 @@
         message(false, List.of(ownReport()), members.nextGossipMembers(nowMillis));
     members.directPeers().forEach(member -> send(member, gossip));
     sendLimits(nowMillis, members.directPeers(), EnumSet.of(ObservationSource.LOCAL));
+    sendEligibility(nowMillis, members.directPeers(), EnumSet.of(ObservationSource.LOCAL));
     unknownSeeds.forEach(seed -> messenger.send(seedAddress(seed), gossip));
     sendAcrossDomains(nowMillis);
   }
@@ -249,6 +253,8 @@
       onLimits(limits);
     } else if (message instanceof QuarantineNotice notice) {
       quarantine.onNotice(notice);
+    } else if (message instanceof EligibilityNotice notice) {
+      eligibility.onNotice(clock.getAsLong(), notice);
     }
   }
 
@@ -286,7 +292,8 @@
   private boolean hasUnsentStoreChanges() {
     return readsStore()
         && (synchronizer.configVersion() != sentConfigVersion
-            || synchronizer.endpointsHash() != sentEndpointsHash);
+            || synchronizer.endpointsHash() != sentEndpointsHash
+            || eligibility.hasUnsentEvacuations());
   }
 
   private void sendAcrossDomains(long nowMillis) {
@@ -305,6 +312,22 @@
         nowMillis,
         members.crossDomainPeers(),
         EnumSet.of(ObservationSource.LOCAL, ObservationSource.OWN_DOMAIN));
+    sendEligibility(
+        nowMillis,
+        members.crossDomainPeers(),
+        EnumSet.of(ObservationSource.LOCAL, ObservationSource.OWN_DOMAIN));
+  }
+
+  /** Tells other instances of evacuations and cold endpoints; sends nothing if there are none. */
+  private void sendEligibility(
+      long nowMillis, List<FleetMember> recipients, Set<ObservationSource> sources) {
+    eligibility
+        .notice(nowMillis, sources)
+        .ifPresent(
+            notice ->
+                recipients.forEach(
+                    member ->
+                        messenger.send(PeerAddress.of(member), member.incarnation(), notice)));
   }
 
   /**
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -26,6 +26,7 @@
 import org.knapweedcleat.core.room.LateCallDetector;
 import org.knapweedcleat.core.stage.OrderLeaderElection;
 import org.knapweedcleat.core.stage.StageBalancer;
+import org.knapweedcleat.core.throttle.ColdRatePolicy;
 import org.knapweedcleat.core.throttle.EndpointRateLimits;
 import org.knapweedcleat.router.forward.call.AdmissionHandler;
 import org.knapweedcleat.router.forward.call.ForwardContext;
@@ -42,6 +43,7 @@
 import org.knapweedcleat.router.forward.store.PublishedKind;
 import org.knapweedcleat.router.forward.store.PublishedStore;
 import org.knapweedcleat.router.forward.store.StoreWatcher;
+import org.knapweedcleat.router.forward.throttle.ColdSendRates;
 import org.knapweedcleat.router.forward.throttle.PermitExchange;
 import org.knapweedcleat.router.lifecycle.Closer;
 import org.knapweedcleat.router.operator.MetricsFormatter;
@@ -96,7 +98,7 @@
     this.settings = settings;
     this.adapter = adapter;
     IncarnationId incarnation = IncarnationId.of(settings.id(), System.currentTimeMillis());
-    this.directory = DirectoryCache.of(ForwarderNode::nowMillis, log);
+    this.directory = DirectoryCache.of(settings.regions(), ForwarderNode::nowMillis, log);
     WorkloadTracker work = WorkloadTracker.of(WORK_REPORT_TTL_MILLIS);
     EndpointHealthRegistry health = EndpointHealthRegistry.create();
     FleetQuotaLimiter quota =
@@ -116,7 +118,14 @@
             settings.peerAddress().host(),
             settings.peerAddress().port());
     FleetMembership members = FleetMembership.of(self, settings.discovery().gossipMillis());
-    EndpointSelector chooser = EndpointSelector.of(domains, work, health, random::nextDouble);
+    ColdSendRates coldRates =
+        ColdSendRates.of(
+            directory,
+            ColdRatePolicy.of(settings.bounds().coldOverage(), settings.bounds().coldSlack()),
+            ForwarderNode::nowMillis);
+    EndpointSelector chooser =
+        EndpointSelector.of(domains, work, health, random::nextDouble)
+            .preferringWarm(coldRates::isLimited);
     EndpointAvailability notices = EndpointAvailability.create();
     EndpointRateLimits rateLimits = EndpointRateLimits.create();
     PlacementExchange rooms =
@@ -143,7 +152,13 @@
             notices,
             rateLimits,
             PermitExchange.of(
-                self, members, settings.regions(), rateLimits, ForwarderNode::nowMillis, log),
+                self,
+                members,
+                settings.regions(),
+                rateLimits,
+                coldRates,
+                ForwarderNode::nowMillis,
+                log),
             QuarantineExchange.of(self, ForwarderNode::nowMillis, log, metrics),
             rooms,
             quota,
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/StageCoordinator.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/StageCoordinator.java
@@ -128,6 +128,8 @@
     return context.directory().endpoints().all().keySet().stream()
         .filter(entry -> entry.stage() != EndpointStage.WHOLE && !entry.draining())
         .filter(entry -> isConfigured(entry.service()))
+        .filter(
+            entry -> !context.directory().eligibility().evacuations().isEvacuated(entry.domain()))
         .toList();
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/room/PlacementExchange.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/room/PlacementExchange.java
@@ -8,12 +8,15 @@
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.knapweedcleat.core.balance.DomainTopology;
 import org.knapweedcleat.core.balance.EndpointAvailability;
+import org.knapweedcleat.core.balance.EndpointEligibility;
 import org.knapweedcleat.core.balance.EngineFault;
 import org.knapweedcleat.core.balance.StreamCapacityAllocator;
 import org.knapweedcleat.core.balance.StreamRequirements;
 import org.knapweedcleat.core.directory.EndpointEntry;
 import org.knapweedcleat.core.directory.EngineProfile;
+import org.knapweedcleat.core.directory.RegionRestriction;
 import org.knapweedcleat.core.directory.ServiceProfile;
 import org.knapweedcleat.core.fleet.FleetMember;
 import org.knapweedcleat.core.fleet.FleetMembership;
@@ -50,7 +53,7 @@
   private final List<RegionId> regionsOwnFirst;
   private final StreamCapacityAllocator localCoordinator;
   private final DirectoryCache directory;
-  private final EndpointAvailability notices;
+  private final EndpointEligibility eligibility;
   private final LongSupplier clock;
 
   private PlacementExchange(
@@ -70,7 +73,11 @@
         Stream.concat(Stream.of(ownRegion), regionByDomain.values().stream()).distinct().toList();
     this.localCoordinator = localCoordinator;
     this.directory = directory;
-    this.notices = notices;
+    this.eligibility =
+        EndpointEligibility.of(
+            DomainTopology.of(self.domain(), regionByDomain),
+            directory.eligibility().evacuations(),
+            notices);
     this.clock = clock;
     this.coordinators =
         CoordinatorClient.of(self, members, clock, log, "room.unanswered", REPLY_TIMEOUT_MILLIS);
@@ -196,8 +203,10 @@
     ServiceId service = ServiceId.of(query.service());
     Set<String> unusable = Set.copyOf(query.unusableEngines());
     List<EndpointEntry> candidates =
-        notices.available(nowMillis, directory.endpoints().available(service)).stream()
-            .filter(entry -> ownRegion.equals(regionByDomain.get(entry.domain())))
+        eligibility
+            .eligible(
+                nowMillis, regionalEndpoints(service), RegionRestriction.NONE, query.requestId())
+            .stream()
             .filter(entry -> !unusable.contains(entry.id().value()))
             .toList();
     EngineProfile profile =
@@ -234,6 +243,12 @@
         .orElse(StreamPlacementReply.NO_CAPACITY);
   }
 
+  private List<EndpointEntry> regionalEndpoints(ServiceId service) {
+    return directory.endpoints().available(service).stream()
+        .filter(entry -> ownRegion.equals(regionByDomain.get(entry.domain())))
+        .toList();
+  }
+
   /**
    * Releases, as coordinator, the reservation of a stream that has ended.
    *
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/DirectoryCache.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/DirectoryCache.java
@@ -8,11 +8,16 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
+import org.knapweedcleat.core.directory.DomainEvacuations;
 import org.knapweedcleat.core.directory.EndpointDirectory;
 import org.knapweedcleat.core.directory.EndpointEntry;
 import org.knapweedcleat.core.directory.RoutingConfig;
 import org.knapweedcleat.core.directory.RoutingContent;
+import org.knapweedcleat.core.directory.ServiceProfile;
 import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.FailureDomainId;
+import org.knapweedcleat.core.id.RegionId;
+import org.knapweedcleat.core.id.ServiceId;
 import org.knapweedcleat.core.id.StorePosition;
 import org.knapweedcleat.router.forward.log.DecisionLog;
 
@@ -42,6 +47,7 @@
   private final Map<EndpointId, HeldEntry> heldEntries = new HashMap<>();
   private final Map<PublishedKind, Long> directContactAtMillis = neverContacted();
   private final Map<PublishedKind, Long> contactAtMillis = neverContacted();
+  private final EligibilityCache eligibility;
   private final LongSupplier clock;
   private final DecisionLog log;
   private Optional<RoutingConfig> config = Optional.empty();
@@ -54,21 +60,36 @@
   /** An entry that may be older than the endpoint's removal. */
   private record HeldEntry(EndpointEntry entry, StorePosition position, long untilMillis) {}
 
-  private DirectoryCache(LongSupplier clock, DecisionLog log) {
+  private DirectoryCache(
+      Map<FailureDomainId, RegionId> regionByDomain, LongSupplier clock, DecisionLog log) {
+    this.eligibility = new EligibilityCache(regionByDomain, clock, log);
     this.clock = clock;
     this.log = log;
     this.eraNoticedAtMillis = clock.getAsLong();
   }
 
   /**
-   * Creates an empty cache.
+   * Creates an empty cache that does not check the names of failure domains and regions.
    *
    * @param clock returns the current time in milliseconds
    * @param log records changes
    * @return the cache
    */
   public static DirectoryCache of(LongSupplier clock, DecisionLog log) {
-    return new DirectoryCache(clock, log);
+    return of(Map.of(), clock, log);
+  }
+
+  /**
+   * Creates an empty cache.
+   *
+   * @param regionByDomain the region of each failure domain
+   * @param clock returns the current time in milliseconds
+   * @param log records changes
+   * @return the cache
+   */
+  public static DirectoryCache of(
+      Map<FailureDomainId, RegionId> regionByDomain, LongSupplier clock, DecisionLog log) {
+    return new DirectoryCache(regionByDomain, clock, log);
   }
 
   /**
@@ -89,6 +110,25 @@
     return endpoints;
   }
 
+  /**
+   * Returns the published evacuations and cold times.
+   *
+   * @return the evacuations and cold times
+   */
+  public EligibilityCache eligibility() {
+    return eligibility;
+  }
+
+  /**
+   * Returns the published profile of a service.
+   *
+   * @param service the service
+   * @return its profile; empty if it is not published
+   */
+  public Optional<ServiceProfile> findService(ServiceId service) {
+    return config.flatMap(current -> current.findService(service));
+  }
+
   /**
    * Returns whether calls can be served.
    *
@@ -153,6 +193,7 @@
    */
   public void tick() {
     long nowMillis = clock.getAsLong();
+    eligibility.tick();
     if (!pendingRemovals.isEmpty() && nowMillis >= graceEndMillis) {
       Map<EndpointId, StorePosition> expired = Map.copyOf(pendingRemovals);
       pendingRemovals.clear();
@@ -194,6 +235,7 @@
     recordPosition(position);
     items.forEach(this::apply);
     if (kind != PublishedKind.ENDPOINTS) {
+      eligibility.endAbsent(items, position);
       return;
     }
     List<EndpointId> listed = new ArrayList<>();
@@ -213,6 +255,8 @@
     items.forEach(this::apply);
     if (kind == PublishedKind.ENDPOINTS) {
       endpoints.advanceTo(position);
+    } else {
+      eligibility.evacuations().advanceTo(position);
     }
   }
 
@@ -270,8 +314,14 @@
 
   private void apply(PublishedItem item) {
     if (item instanceof PublishedItem.Config newConfig) {
-      applyConfig(newConfig.content(), "store");
+      applyConfig(newConfig.content(), EligibilityCache.STORE);
+    } else if (item instanceof PublishedItem.Evacuation evacuation) {
+      eligibility.applyEvacuation(
+          new DomainEvacuations.Change(
+              evacuation.domain(), evacuation.evacuated(), evacuation.position()),
+          EligibilityCache.STORE);
     } else if (item instanceof PublishedItem.Endpoint endpoint) {
+      recordColdTime(endpoint);
       put(endpoint.entry(), endpoint.position());
     } else if (item instanceof PublishedItem.Removed removed) {
       remove(removed.endpoint(), removed.position());
@@ -281,12 +331,22 @@
     }
   }
 
+  private void recordColdTime(PublishedItem.Endpoint endpoint) {
+    if (endpoint.coldRemainingMillis() != 0) {
+      long coldStartMillis =
+          findService(endpoint.entry().service()).map(ServiceProfile::coldStartMillis).orElse(0L);
+      eligibility.recordStatement(
+          endpoint.entry(), endpoint.coldRemainingMillis(), coldStartMillis);
+    }
+  }
+
   private void applyConfig(RoutingContent content, String source) {
     long currentVersion = config.map(RoutingConfig::version).orElse(Long.MIN_VALUE);
     if (content.version() <= currentVersion) {
       return;
     }
     config = Optional.of(RoutingConfig.of(content));
+    eligibility.check(content);
     log.stateChange(
         "config.applied",
         "version",
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/PublishedItem.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/PublishedItem.java
@@ -4,6 +4,7 @@
 import org.knapweedcleat.core.directory.EndpointEntry;
 import org.knapweedcleat.core.directory.RoutingContent;
 import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.StorePosition;
 
 /** A decoded item of the store. */
@@ -24,13 +25,37 @@
    */
   record Config(RoutingContent content, StorePosition position) implements PublishedItem {}
 
+  /**
+   * The evacuation of a failure domain.
+   *
+   * @param domain the failure domain
+   * @param evacuated false if the evacuation has ended
+   * @param position the position of the last change
+   */
+  record Evacuation(FailureDomainId domain, boolean evacuated, StorePosition position)
+      implements PublishedItem {}
+
   /**
    * An endpoint registration.
    *
    * @param entry the entry that the endpoint published
+   * @param coldRemainingMillis how long the endpoint stays cold by its own statement; negative if
+   *     the statement is invalid
    * @param position the position of the last change
    */
-  record Endpoint(EndpointEntry entry, StorePosition position) implements PublishedItem {}
+  record Endpoint(EndpointEntry entry, long coldRemainingMillis, StorePosition position)
+      implements PublishedItem {
+
+    /**
+     * Creates the registration of a warm endpoint.
+     *
+     * @param entry the entry that the endpoint published
+     * @param position the position of the last change
+     */
+    public Endpoint(EndpointEntry entry, StorePosition position) {
+      this(entry, 0, position);
+    }
+  }
 
   /**
    * An endpoint that is no longer published.
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/throttle/PermitExchange.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/throttle/PermitExchange.java
@@ -8,7 +8,9 @@
 import java.util.OptionalDouble;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import java.util.stream.DoubleStream;
 import java.util.stream.Stream;
+import org.knapweedcleat.core.balance.IneligibilityReason;
 import org.knapweedcleat.core.directory.EndpointEntry;
 import org.knapweedcleat.core.directory.EndpointIncarnation;
 import org.knapweedcleat.core.fleet.FleetMember;
@@ -46,6 +48,7 @@
 
   private final Map<FailureDomainId, RegionId> regionByDomain;
   private final EndpointRateLimits limits;
+  private final ColdSendRates coldRates;
   private final CoordinatorClient coordinators;
   private final LongSupplier clock;
   private final DecisionLog log;
@@ -55,11 +58,13 @@
   private PermitExchange(
       Map<FailureDomainId, RegionId> regionByDomain,
       EndpointRateLimits limits,
+      ColdSendRates coldRates,
       CoordinatorClient coordinators,
       LongSupplier clock,
       DecisionLog log) {
     this.regionByDomain = Map.copyOf(regionByDomain);
     this.limits = limits;
+    this.coldRates = coldRates;
     this.coordinators = coordinators;
     this.clock = clock;
     this.log = log;
@@ -71,7 +76,8 @@
    * @param self this instance
    * @param members the other instances
    * @param regionByDomain the region of each failure domain
-   * @param limits the known rate limits
+   * @param limits the rate limits that endpoints have announced
+   * @param coldRates the rates of cold endpoints
    * @param clock supplies the monotonic time in milliseconds
    * @param log records which instance issues permits, and those that do not reply
    * @return the exchange
@@ -81,11 +87,13 @@
       FleetMembership members,
       Map<FailureDomainId, RegionId> regionByDomain,
       EndpointRateLimits limits,
+      ColdSendRates coldRates,
       LongSupplier clock,
       DecisionLog log) {
     return new PermitExchange(
         regionByDomain,
         limits,
+        coldRates,
         CoordinatorClient.of(self, members, clock, log, "permit.unanswered", REPLY_TIMEOUT_MILLIS),
         clock,
         log);
@@ -100,6 +108,37 @@
     coordinators.transport(peerTransport);
   }
 
+  /**
+   * Returns whether sending to an endpoint needs a permit.
+   *
+   * @param endpoint the endpoint
+   * @return true if it has announced a rate limit, or is cold and has a limit for that
+   */
+  public boolean isLimited(EndpointEntry endpoint) {
+    return requestsPerSecond(EndpointIncarnation.of(endpoint)).isPresent();
+  }
+
+  /**
+   * Returns why an endpoint has a limit.
+   *
+   * @param endpoint an endpoint with a limit
+   * @return the reason to state for a denied permit
+   */
+  public IneligibilityReason reason(EndpointEntry endpoint) {
+    return coldRates.isLimited(endpoint)
+        ? IneligibilityReason.COLD
+        : IneligibilityReason.RATE_LIMITED;
+  }
+
+  /** Returns the lower one of the announced limit and that of a cold endpoint. */
+  private OptionalDouble requestsPerSecond(EndpointIncarnation endpoint) {
+    return lower(limits.requestsPerSecond(endpoint), coldRates.requestsPerSecond(endpoint));
+  }
+
+  private static OptionalDouble lower(OptionalDouble first, OptionalDouble second) {
+    return DoubleStream.concat(first.stream(), second.stream()).min();
+  }
+
   /**
    * Requests a permit.
    *
@@ -109,14 +148,15 @@
    */
   public Uni<PermitDecision> request(EndpointEntry endpoint, long maxDelayMillis) {
     EndpointIncarnation incarnation = EndpointIncarnation.of(endpoint);
-    if (limits.requestsPerSecond(incarnation).isEmpty()) {
+    OptionalDouble limit = requestsPerSecond(incarnation);
+    if (limit.isEmpty()) {
       return Uni.createFrom().item(PermitDecision.IMMEDIATE);
     }
     Optional<FleetMember> coordinator = settledCoordinator(incarnation, endpoint.domain());
     if (coordinator.isEmpty()) {
       return Uni.createFrom().item(PermitDecision.denied(NO_COORDINATOR_PAUSE_MILLIS));
     }
-    SendPermitQuery query = query(endpoint, limits.find(incarnation).orElseThrow(), maxDelayMillis);
+    SendPermitQuery query = query(endpoint, limit.getAsDouble(), maxDelayMillis);
     if (coordinators.isSelf(coordinator.get())) {
       return Uni.createFrom().item(issue(query).decision());
     }
@@ -137,13 +177,18 @@
     long nowMillis = clock.getAsLong();
     EndpointIncarnation endpoint =
         new EndpointIncarnation(EndpointId.of(query.endpoint()), query.startedAtMillis());
-    limits.record(
-        new LimitObservation(
-            endpoint,
-            OptionalDouble.of(query.requestsPerSecond()),
-            nowMillis - query.limitAgeMillis(),
-            ObservationSource.OTHER_DOMAIN));
-    OptionalDouble limit = limits.requestsPerSecond(endpoint);
+    if (query.isLimitAnnounced()) {
+      limits.record(
+          new LimitObservation(
+              endpoint,
+              OptionalDouble.of(query.requestsPerSecond()),
+              nowMillis - query.limitAgeMillis(),
+              ObservationSource.OTHER_DOMAIN));
+    }
+    OptionalDouble limit = requestsPerSecond(endpoint);
+    if (!query.isLimitAnnounced()) {
+      limit = lower(limit, OptionalDouble.of(query.requestsPerSecond()));
+    }
     if (limit.isEmpty()) {
       return SendPermitReply.of(PermitDecision.IMMEDIATE);
     }
@@ -167,13 +212,19 @@
   }
 
   private SendPermitQuery query(
-      EndpointEntry endpoint, LimitObservation limit, long maxDelayMillis) {
+      EndpointEntry endpoint, double requestsPerSecond, long maxDelayMillis) {
+    long limitAgeMillis =
+        limits
+            .find(EndpointIncarnation.of(endpoint))
+            .filter(limit -> limit.requestsPerSecond().equals(OptionalDouble.of(requestsPerSecond)))
+            .map(limit -> clock.getAsLong() - limit.observedAtMillis())
+            .orElse(SendPermitQuery.NOT_ANNOUNCED);
     return new SendPermitQuery(
         endpoint.id().value(),
         endpoint.domain().value(),
         endpoint.startedAtMillis(),
-        limit.requestsPerSecond().orElseThrow(),
-        clock.getAsLong() - limit.observedAtMillis(),
+        requestsPerSecond,
+        limitAgeMillis,
         maxDelayMillis);
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/throttle/SendPermitQuery.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/throttle/SendPermitQuery.java
@@ -9,7 +9,8 @@
  * @param domain the endpoint's failure domain
  * @param startedAtMillis the endpoint's start time in Unix milliseconds
  * @param requestsPerSecond the limit that the sender knows of
- * @param limitAgeMillis the time since the limit was observed
+ * @param limitAgeMillis the time since the endpoint announced the limit; {@link #NOT_ANNOUNCED} if
+ *     it has not, and the limit is that of a cold endpoint
  * @param maxDelayMillis how long the sender is prepared to wait
  */
 public record SendPermitQuery(
@@ -19,4 +20,13 @@
     double requestsPerSecond,
     long limitAgeMillis,
     long maxDelayMillis)
-    implements PeerMessage {}
+    implements PeerMessage {
+
+  /** The age of a limit that the endpoint has not announced. */
+  public static final long NOT_ANNOUNCED = -1;
+
+  /** Returns whether the endpoint itself has announced the limit. */
+  boolean isLimitAnnounced() {
+    return limitAgeMillis >= 0;
+  }
+}
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerCodec.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerCodec.java
@@ -31,6 +31,7 @@
   private PeerCodec() {
     mapper = new ObjectMapper(new MessagePackFactory());
     mapper.setAnnotationIntrospector(new JsonArrayFormat());
+    mapper.registerModule(ServiceProfileFormat.module());
     mapper.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerMessageType.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerMessageType.java
@@ -14,6 +14,7 @@
 import org.knapweedcleat.core.schedule.RunningClaims;
 import org.knapweedcleat.router.forward.fleet.DirectoryRequest;
 import org.knapweedcleat.router.forward.fleet.DirectoryResponse;
+import org.knapweedcleat.router.forward.fleet.EligibilityNotice;
 import org.knapweedcleat.router.forward.fleet.GossipMessage;
 import org.knapweedcleat.router.forward.quarantine.QuarantineNotice;
 import org.knapweedcleat.router.forward.room.EngineFaultNotice;
@@ -101,7 +102,9 @@
   /** Reports the rate limits that endpoints have announced. */
   LIMIT_NEWS(109, LimitNotice.class),
   /** Reports under which prompts engines were lost. */
-  QUARANTINE_NEWS(110, QuarantineNotice.class);
+  QUARANTINE_NEWS(110, QuarantineNotice.class),
+  /** Reports evacuated failure domains and cold endpoints. */
+  ELIGIBILITY_NEWS(120, EligibilityNotice.class);
 
   private static final Map<Short, PeerMessageType> BY_CODE = new HashMap<>();
   private static final Map<Class<?>, PeerMessageType> BY_CLASS = new HashMap<>();
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
@@ -28,6 +28,7 @@
 import org.knapweedcleat.core.message.PeerMessage;
 import org.knapweedcleat.core.quota.FleetQuotaLimiter;
 import org.knapweedcleat.core.quota.QuotaTolerance;
+import org.knapweedcleat.core.throttle.ColdRatePolicy;
 import org.knapweedcleat.core.throttle.EndpointRateLimits;
 import org.knapweedcleat.router.forward.call.ForwardContext;
 import org.knapweedcleat.router.forward.call.ServiceRetryBudgets;
@@ -37,6 +38,7 @@
 import org.knapweedcleat.router.forward.store.DirectoryCache;
 import org.knapweedcleat.router.forward.store.PublishedItem;
 import org.knapweedcleat.router.forward.store.PublishedKind;
+import org.knapweedcleat.router.forward.throttle.ColdSendRates;
 import org.knapweedcleat.router.forward.throttle.PermitExchange;
 import org.knapweedcleat.router.peer.PeerAddress;
 import org.knapweedcleat.router.peer.PeerCodec;
@@ -113,7 +115,14 @@
               () -> fleet.nowMillis,
               log);
       this.permits =
-          PermitExchange.of(self, members, fleet.regions, rateLimits, () -> fleet.nowMillis, log);
+          PermitExchange.of(
+              self,
+              members,
+              fleet.regions,
+              rateLimits,
+              ColdSendRates.of(directory, ColdRatePolicy.of(1.5, 5), () -> fleet.nowMillis),
+              () -> fleet.nowMillis,
+              log);
       this.quarantine = QuarantineExchange.of(self, () -> fleet.nowMillis, log, metrics);
       ForwardContext context =
           new ForwardContext(
