Let calls leave their failure domain only when that pays

Cause: the choice of endpoints hardly prefers the own failure domain, and the allocator measures distance from its own domain instead of that of the instance that serves the call. Change: with [locality] interDomainCostMillis above 0, a controller decides for each service and home domain which fraction of calls may leave, by the wait at home against the wait elsewhere, the delay and the price. The allocator finds the home domain of a stream by the incarnation of its holder. Without the setting nothing is filtered and no further random number is drawn.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/DomainTopology.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/DomainTopology.java
@@ -27,6 +27,25 @@
     return new DomainTopology(local, regions);
   }
 
+  /**
+   * Returns the local failure domain.
+   *
+   * @return the failure domain from which distances are measured
+   */
+  public FailureDomainId local() {
+    return local;
+  }
+
+  /**
+   * Returns the topology as seen from another failure domain.
+   *
+   * @param domain the failure domain from which distances are measured
+   * @return the topology
+   */
+  public DomainTopology seenFrom(FailureDomainId domain) {
+    return new DomainTopology(domain, regionsByDomain);
+  }
+
   /**
    * Returns the region of a failure domain.
    *
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointSelector.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointSelector.java
@@ -14,6 +14,7 @@
 import org.knapweedcleat.core.directory.EndpointStage;
 import org.knapweedcleat.core.directory.EngineProfile;
 import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.ServiceId;
 
 /**
@@ -62,21 +63,29 @@
   /** Number of best prefill and decode engines that are compared as pairs. */
   private static final int PAIR_CANDIDATES = 5;
 
+  /** Estimated bytes of a stream per token: some five of the prompt's text, more of an event's. */
+  private static final long STREAM_BYTES_PER_TOKEN = 8;
+
   private final DomainTopology topology;
   private final WorkloadTracker workload;
   private final EndpointHealthRegistry health;
   private final DoubleSupplier random;
-  private final Map<ServiceId, PrefillTimeEstimator> estimators = new HashMap<>();
+  private final Optional<HomeDomainFilter> homeFilter;
+  private final Map<ServiceId, PrefillTimeEstimator> estimators;
 
   private EndpointSelector(
       DomainTopology topology,
       WorkloadTracker workload,
       EndpointHealthRegistry health,
-      DoubleSupplier random) {
+      DoubleSupplier random,
+      Optional<HomeDomainFilter> homeFilter,
+      Map<ServiceId, PrefillTimeEstimator> estimators) {
     this.topology = topology;
     this.workload = workload;
     this.health = health;
     this.random = random;
+    this.homeFilter = homeFilter;
+    this.estimators = estimators;
   }
 
   /**
@@ -93,7 +102,47 @@
       WorkloadTracker workload,
       EndpointHealthRegistry health,
       DoubleSupplier random) {
-    return new EndpointSelector(topology, workload, health, random);
+    return of(topology, workload, health, random, Optional.empty());
+  }
+
+  /**
+   * Returns a selector that may keep calls in their home domain.
+   *
+   * @param topology the failure domains as seen from this instance
+   * @param workload the workload of each endpoint
+   * @param health the health of each endpoint
+   * @param random supplies numbers from 0 (inclusive) to 1 (exclusive)
+   * @param homeFilter decides which calls may leave their home domain; empty if all may
+   * @return the selector
+   */
+  public static EndpointSelector of(
+      DomainTopology topology,
+      WorkloadTracker workload,
+      EndpointHealthRegistry health,
+      DoubleSupplier random,
+      Optional<HomeDomainFilter> homeFilter) {
+    return new EndpointSelector(topology, workload, health, random, homeFilter, new HashMap<>());
+  }
+
+  /**
+   * Returns this selector for calls of an instance in another failure domain. Without a filter for
+   * home domains, distances are always measured from the local one.
+   *
+   * @param home the home domain of the calls; empty if it is not known, in which case it has no
+   *     effect on the selection
+   * @return a selector that shares the state of this one
+   */
+  EndpointSelector forHome(Optional<FailureDomainId> home) {
+    if (homeFilter.isEmpty()) {
+      return this;
+    }
+    return new EndpointSelector(
+        home.map(topology::seenFrom).orElse(topology),
+        workload,
+        health,
+        random,
+        home.isPresent() ? homeFilter : Optional.empty(),
+        estimators);
   }
 
   /**
@@ -107,7 +156,7 @@
   }
 
   /**
-   * Selects an endpoint for a plain call.
+   * Selects an endpoint for a plain call without a body.
    *
    * @param nowMillis the current time
    * @param candidates the endpoints that accept work
@@ -116,16 +165,67 @@
    */
   public Optional<EndpointEntry> selectForPlainCall(
       long nowMillis, List<EndpointEntry> candidates, Set<EndpointId> tried) {
+    return selectForPlainCall(nowMillis, candidates, tried, 0);
+  }
+
+  /**
+   * Selects an endpoint for a plain call.
+   *
+   * @param nowMillis the current time
+   * @param candidates the endpoints that accept work
+   * @param tried the endpoints that already failed this call; used only as a last resort
+   * @param bytes the bytes of the call
+   * @return the endpoint, or empty if there are no candidates
+   */
+  public Optional<EndpointEntry> selectForPlainCall(
+      long nowMillis, List<EndpointEntry> candidates, Set<EndpointId> tried, long bytes) {
     ToDoubleFunction<EndpointEntry> expectedMillis =
         entry -> plainMillis(nowMillis, entry) + penaltyMillis(nowMillis, entry);
-    return rank(
-            nowMillis,
-            reachable(candidates),
-            tried,
-            expectedMillis,
-            Optional.of(entry -> 1 / expectedMillis.applyAsDouble(entry)))
-        .stream()
-        .findFirst();
+    List<EndpointEntry> reachable = reachable(candidates);
+    DomainWaits waits = new DomainWaits(nowMillis, workload, health, tried);
+    List<EndpointEntry> allowed =
+        allowed(nowMillis, reachable, entries -> plainWaitMillis(waits, entries, reachable));
+    Optional<EndpointEntry> selected =
+        rank(
+                nowMillis,
+                allowed,
+                tried,
+                expectedMillis,
+                Optional.of(entry -> 1 / expectedMillis.applyAsDouble(entry)))
+            .stream()
+            .findFirst();
+    selected.ifPresent(entry -> recordSelection(nowMillis, entry, bytes));
+    return selected;
+  }
+
+  /** Returns the candidates that the call may use, by the wait at the endpoints of a domain. */
+  private List<EndpointEntry> allowed(
+      long nowMillis,
+      List<EndpointEntry> reachable,
+      ToDoubleFunction<List<EndpointEntry>> waitMillis) {
+    return homeFilter
+        .map(filter -> filter.filter(nowMillis, topology, reachable, waitMillis))
+        .orElse(reachable);
+  }
+
+  private double plainWaitMillis(
+      DomainWaits waits, List<EndpointEntry> domainEntries, List<EndpointEntry> all) {
+    double callMillis =
+        all.stream()
+            .mapToDouble(
+                entry -> health.get(entry.id()).meanDurationMillis(DEFAULT_PLAIN_CALL_MILLIS))
+            .average()
+            .orElse(DEFAULT_PLAIN_CALL_MILLIS);
+    return waits.mean(
+        domainEntries,
+        entry ->
+            waits.plainMillis(entry, callMillis)
+                + penaltyMillis(waits.nowMillis(), entry)
+                - roundTripMillis(entry));
+  }
+
+  private void recordSelection(long nowMillis, EndpointEntry selected, long bytes) {
+    homeFilter.ifPresent(filter -> filter.recordSelection(nowMillis, topology, selected, bytes));
   }
 
   /**
@@ -188,14 +288,14 @@
       Optional<ToDoubleFunction<EndpointEntry>> prefillWeight) {
     long promptTokens = requirements.promptTokens();
     List<EndpointEntry> reachable = reachable(candidates);
-    List<EndpointEntry> decodeEngines =
-        reachable.stream()
-            .filter(entry -> entry.stage().runsRequests())
-            .filter(
-                entry ->
-                    requirements.ignoresCapacity()
-                        || hasCapacity(nowMillis, entry, profile, requirements))
-            .toList();
+    DomainWaits waits = new DomainWaits(nowMillis, workload, health, tried);
+    List<EndpointEntry> allowed =
+        allowed(
+            nowMillis,
+            reachable,
+            entries -> streamWaitMillis(waits, entries, reachable, profile, requirements));
+    List<EndpointEntry> decodeEngines = decodeEngines(nowMillis, allowed, profile, requirements);
+    List<EndpointEntry> prefillEngines = prefillEngines(allowed, requirements);
     List<EndpointEntry> rankedDecodeEngines =
         rank(
             nowMillis,
@@ -207,29 +307,98 @@
         requirements.allowsSplit()
             ? rank(
                 nowMillis,
-                reachable.stream()
-                    .filter(entry -> entry.stage() == EndpointStage.PREFILL)
-                    .filter(entry -> !requirements.failedPrefillEngines().contains(entry.id()))
-                    .toList(),
+                prefillEngines.isEmpty() ? prefillEngines(reachable, requirements) : prefillEngines,
                 tried,
                 entry -> prefillMillis(nowMillis, entry, promptTokens),
                 prefillWeight)
             : List.of();
-    return rankedDecodeEngines.stream()
-        .limit(PAIR_CANDIDATES)
-        .flatMap(
-            decode ->
-                Stream.concat(
-                    rankedPrefillEngines.isEmpty()
-                            || canPrefillLocally(nowMillis, decode, requirements)
-                        ? Stream.of(decodeOnlyPlacement(nowMillis, decode, profile, promptTokens))
-                        : Stream.empty(),
-                    rankedPrefillEngines.stream()
-                        .limit(PAIR_CANDIDATES)
-                        .map(
-                            prefill ->
-                                splitPlacement(nowMillis, prefill, decode, profile, promptTokens))))
-        .min(Comparator.comparingDouble(StreamPlacement::expectedFirstEventMillis));
+    Optional<StreamPlacement> placement =
+        rankedDecodeEngines.stream()
+            .limit(PAIR_CANDIDATES)
+            .flatMap(
+                decode ->
+                    Stream.concat(
+                        rankedPrefillEngines.isEmpty()
+                                || canPrefillLocally(nowMillis, decode, requirements)
+                            ? Stream.of(
+                                decodeOnlyPlacement(nowMillis, decode, profile, promptTokens))
+                            : Stream.empty(),
+                        rankedPrefillEngines.stream()
+                            .limit(PAIR_CANDIDATES)
+                            .map(
+                                prefill ->
+                                    splitPlacement(
+                                        nowMillis, prefill, decode, profile, promptTokens))))
+            .min(
+                Comparator.comparingDouble(
+                    one -> one.expectedFirstEventMillis() + transferPriceMillis(one)));
+    placement.ifPresent(
+        one ->
+            recordSelection(
+                nowMillis, one.decode(), requirements.memoryTokens() * STREAM_BYTES_PER_TOKEN));
+    return placement;
+  }
+
+  private List<EndpointEntry> decodeEngines(
+      long nowMillis,
+      List<EndpointEntry> engines,
+      EngineProfile profile,
+      StreamRequirements requirements) {
+    return engines.stream()
+        .filter(entry -> entry.stage().runsRequests())
+        .filter(
+            entry ->
+                requirements.ignoresCapacity()
+                    || hasCapacity(nowMillis, entry, profile, requirements))
+        .toList();
+  }
+
+  private static List<EndpointEntry> prefillEngines(
+      List<EndpointEntry> engines, StreamRequirements requirements) {
+    return engines.stream()
+        .filter(entry -> entry.stage() == EndpointStage.PREFILL)
+        .filter(entry -> !requirements.failedPrefillEngines().contains(entry.id()))
+        .toList();
+  }
+
+  /**
+   * Returns the wait of a stream in a domain; infinite if none of its engines has capacity. Engines
+   * are divided between stages by region, so a domain may be without prefill engines; its streams
+   * use those of other domains.
+   */
+  private double streamWaitMillis(
+      DomainWaits waits,
+      List<EndpointEntry> domainEntries,
+      List<EndpointEntry> all,
+      EngineProfile profile,
+      StreamRequirements requirements) {
+    long nowMillis = waits.nowMillis();
+    ToDoubleFunction<EndpointEntry> decodeWaitMillis =
+        entry -> decodeMillis(nowMillis, entry, profile) - roundTripMillis(entry);
+    double waitMillis =
+        waits.shortest(
+            decodeEngines(nowMillis, domainEntries, profile, requirements), decodeWaitMillis);
+    if (!requirements.allowsSplit()) {
+      return waitMillis;
+    }
+    ToDoubleFunction<EndpointEntry> prefillWaitMillis =
+        entry -> prefillMillis(nowMillis, entry, 0) - roundTripMillis(entry);
+    List<EndpointEntry> own = prefillEngines(domainEntries, requirements);
+    List<EndpointEntry> usable = own.isEmpty() ? prefillEngines(all, requirements) : own;
+    double prefillMillis = waits.shortest(usable, prefillWaitMillis);
+    return Double.isInfinite(prefillMillis) ? waitMillis : waitMillis + prefillMillis;
+  }
+
+  /** Returns the price of the KV cache transfer of a placement; 0 without a filter for homes. */
+  private double transferPriceMillis(StreamPlacement placement) {
+    if (homeFilter.isEmpty() || placement.prefill().isEmpty()) {
+      return 0;
+    }
+    return homeFilter
+        .get()
+        .priceMillis(
+            topology.distanceBetween(
+                placement.prefill().get().domain(), placement.decode().domain()));
   }
 
   /**
@@ -313,10 +482,14 @@
 
   /** Returns the time that an endpoint's distance and failure rate add to any call. */
   private double penaltyMillis(long nowMillis, EndpointEntry entry) {
-    return topology.distanceToLocal(entry.domain()).roundTripMillis()
+    return roundTripMillis(entry)
         + FAILURE_PENALTY_MILLIS * health.get(entry.id()).failureRate(nowMillis);
   }
 
+  private int roundTripMillis(EndpointEntry entry) {
+    return topology.distanceToLocal(entry.domain()).roundTripMillis();
+  }
+
   /** Returns the occupied fraction of an engine's memory. */
   private static double memoryFraction(EndpointWorkload work, EngineProfile profile) {
     return (double) work.memoryTokens() / Math.max(1, profile.memoryTokens());
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/StreamCapacityAllocator.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/StreamCapacityAllocator.java
@@ -7,9 +7,11 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.function.Function;
 import org.knapweedcleat.core.directory.EndpointEntry;
 import org.knapweedcleat.core.directory.EngineProfile;
 import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.IncarnationId;
 
 /**
@@ -27,6 +29,7 @@
   private final EndpointSelector selector;
   private final WorkloadTracker workload;
   private final EndpointHealthRegistry health;
+  private final Function<IncarnationId, Optional<FailureDomainId>> domainOf;
   private final Map<ReservationKey, Reservation> reservations = new HashMap<>();
   private final PriorityQueue<Expiry> expiries = new PriorityQueue<>();
 
@@ -49,15 +52,18 @@
       IncarnationId local,
       EndpointSelector selector,
       WorkloadTracker workload,
-      EndpointHealthRegistry health) {
+      EndpointHealthRegistry health,
+      Function<IncarnationId, Optional<FailureDomainId>> domainOf) {
     this.local = local;
     this.selector = selector;
     this.workload = workload;
     this.health = health;
+    this.domainOf = domainOf;
   }
 
   /**
-   * Returns an allocator without reservations.
+   * Returns an allocator without reservations that does not know in which failure domains holders
+   * are.
    *
    * @param local the local incarnation, whose streams are not reserved here because it tracks their
    *     workload itself
@@ -71,7 +77,28 @@
       EndpointSelector selector,
       WorkloadTracker workload,
       EndpointHealthRegistry health) {
-    return new StreamCapacityAllocator(local, selector, workload, health);
+    return of(local, selector, workload, health, holder -> Optional.empty());
+  }
+
+  /**
+   * Returns an allocator without reservations.
+   *
+   * @param local the local incarnation, whose streams are not reserved here because it tracks their
+   *     workload itself
+   * @param selector selects engines
+   * @param workload the workload of each endpoint
+   * @param health the health of each endpoint
+   * @param domainOf finds the failure domain of a holder, from which distances are measured if the
+   *     selector keeps calls in their home domain
+   * @return the allocator
+   */
+  public static StreamCapacityAllocator of(
+      IncarnationId local,
+      EndpointSelector selector,
+      WorkloadTracker workload,
+      EndpointHealthRegistry health,
+      Function<IncarnationId, Optional<FailureDomainId>> domainOf) {
+    return new StreamCapacityAllocator(local, selector, workload, health, domainOf);
   }
 
   /**
@@ -101,7 +128,9 @@
     ReservationKey key = new ReservationKey(holder, requestId);
     releaseReservation(key);
     Optional<StreamPlacement> selected =
-        selector.placeStreamOnBest(nowMillis, candidates, tried, profile, requirements);
+        selector
+            .forHome(domainOf.apply(holder))
+            .placeStreamOnBest(nowMillis, candidates, tried, profile, requirements);
     if (holder.equals(local)) {
       return selected;
     }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingKeys.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingKeys.java
@@ -126,6 +126,24 @@
           "3000",
           "the time within which a published configuration has to be in force");
 
+  static final SettingKey<Integer> INTER_DOMAIN_COST =
+      SettingKey.optional(
+          SectionKind.LOCALITY,
+          "interDomainCostMillis",
+          ValueRules.intRange(0, 60_000),
+          MILLIS,
+          "0",
+          "the wait that is accepted for keeping one call in its failure domain; 0 to send calls"
+              + " regardless of domains");
+  static final SettingKey<Integer> INTER_REGION_RATE =
+      SettingKey.optional(
+          SectionKind.LOCALITY,
+          "interRegionKilobitsPerSecond",
+          ValueRules.intRange(0, 100_000_000),
+          "kilobits a second",
+          "0",
+          "the rate between two regions, which all instances of a region share; 0 for no limit");
+
   static final SettingKey<RegionId> REGION =
       SettingKey.required(
           SectionKind.FORWARDER_DOMAIN,
@@ -153,6 +171,8 @@
           QUOTA_SLACK,
           PREFILL_PART,
           CONFIG_APPLY,
+          INTER_DOMAIN_COST,
+          INTER_REGION_RATE,
           REGION);
 
   private ForwarderSettingKeys() {}
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettings.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettings.java
@@ -18,6 +18,7 @@
  * @param regions the region of each failure domain
  * @param discovery how it finds other instances and the configuration
  * @param bounds fleet-wide time limits and budgets
+ * @param locality when calls may leave their failure domain
  */
 public record ForwarderSettings(
     InstanceId id,
@@ -28,7 +29,8 @@
     InetAddressPort metricsAddress,
     Map<FailureDomainId, RegionId> regions,
     Discovery discovery,
-    Bounds bounds) {
+    Bounds bounds,
+    Locality locality) {
 
   /**
    * How an instance finds other instances and the configuration.
@@ -61,4 +63,27 @@
       int quotaSlackUnits,
       double prefillPart,
       int configApplyMillis) {}
+
+  /**
+   * When calls may leave their failure domain.
+   *
+   * @param interDomainCostMillis the wait that is accepted for keeping one call in its domain; 0 to
+   *     send calls regardless of domains
+   * @param interRegionKilobitsPerSecond the rate between two regions, which all instances of a
+   *     region share; 0 for no limit
+   */
+  public record Locality(int interDomainCostMillis, int interRegionKilobitsPerSecond) {
+
+    /** Sends calls regardless of domains. */
+    public static final Locality NONE = new Locality(0, 0);
+
+    /**
+     * Returns whether calls are kept in their domain at all.
+     *
+     * @return true if keeping a call in its domain is worth a wait
+     */
+    public boolean isEnabled() {
+      return interDomainCostMillis > 0;
+    }
+  }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingsParser.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingsParser.java
@@ -88,7 +88,8 @@
         instance.get(ForwarderSettingKeys.METRICS),
         regions(sections),
         discovery(only(sections, SectionKind.DISCOVERY)),
-        bounds(only(sections, SectionKind.BOUNDS)));
+        bounds(only(sections, SectionKind.BOUNDS)),
+        locality(only(sections, SectionKind.LOCALITY)));
   }
 
   private static ValidatedSection only(List<ValidatedSection> sections, SectionKind kind) {
@@ -102,6 +103,12 @@
         section.get(ForwarderSettingKeys.GOSSIP));
   }
 
+  private static ForwarderSettings.Locality locality(ValidatedSection section) {
+    return new ForwarderSettings.Locality(
+        section.get(ForwarderSettingKeys.INTER_DOMAIN_COST),
+        section.get(ForwarderSettingKeys.INTER_REGION_RATE));
+  }
+
   private static ForwarderSettings.Bounds bounds(ValidatedSection section) {
     return new ForwarderSettings.Bounds(
         section.get(ForwarderSettingKeys.STOP),
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/fleet/FleetMembership.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/fleet/FleetMembership.java
@@ -4,6 +4,8 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.stream.IntStream;
 import org.knapweedcleat.core.id.FailureDomainId;
@@ -279,6 +281,45 @@
     return others.values().stream().map(entry -> entry.member).toList();
   }
 
+  /**
+   * Returns the failure domain of an incarnation.
+   *
+   * @param incarnation the incarnation
+   * @return its failure domain; empty if it is unknown or was replaced by another one
+   */
+  public Optional<FailureDomainId> domainOf(IncarnationId incarnation) {
+    if (incarnation.equals(local.incarnation())) {
+      return Optional.of(local.domain());
+    }
+    return Optional.ofNullable(others.get(incarnation.instance()))
+        .map(entry -> entry.member)
+        .filter(member -> member.incarnation().equals(incarnation))
+        .map(FleetMember::domain);
+  }
+
+  /**
+   * Returns the age of what is known of a failure domain: half of its known instances were heard
+   * from more recently.
+   *
+   * @param nowMillis the current time
+   * @param domain the failure domain
+   * @return milliseconds; 0 for the local domain, empty if no instance of the domain is known
+   */
+  public OptionalLong reportAgeMillis(long nowMillis, FailureDomainId domain) {
+    if (domain.equals(local.domain())) {
+      return OptionalLong.of(0);
+    }
+    long[] agesMillis =
+        others.values().stream()
+            .filter(entry -> entry.member.domain().equals(domain))
+            .mapToLong(entry -> nowMillis - entry.heardAtMillis)
+            .sorted()
+            .toArray();
+    return agesMillis.length == 0
+        ? OptionalLong.empty()
+        : OptionalLong.of(agesMillis[(agesMillis.length - 1) / 2]);
+  }
+
   /**
    * Returns the live instances.
    *
--- /dev/null
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/locality/package-info.java
@@ -0,0 +1,2 @@
+/** Decides which fraction of calls may leave the failure domain of their instance. */
+package org.knapweedcleat.core.locality;
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/config/ForwarderSettingsParserTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/config/ForwarderSettingsParserTest.java
@@ -52,6 +52,25 @@
         ForwarderSettingsParser.parse("i.ini", text).get().discovery().seeds(), is(List.of()));
   }
 
+  /** Guards against a changed selection of endpoints in deployments without the section. */
+  @Test
+  void localityIsOffWithoutItsSection() {
+    assertThat(
+        ForwarderSettingsParser.parse("i.ini", TEXT).get().locality(),
+        is(ForwarderSettings.Locality.NONE));
+    assertThat(ForwarderSettings.Locality.NONE.isEnabled(), is(false));
+  }
+
+  @Test
+  void parsesLocality() {
+    String text =
+        TEXT + "[locality]\ninterDomainCostMillis = 80\ninterRegionKilobitsPerSecond = 42000\n";
+
+    assertThat(
+        ForwarderSettingsParser.parse("i.ini", text).get().locality(),
+        is(new ForwarderSettings.Locality(80, 42_000)));
+  }
+
   /** Guards against an instance that does not start where a bound of the fleet is a fraction. */
   @Test
   void roundsFractionalBoundsDown() {
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/fleet/FleetMembershipTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/fleet/FleetMembershipTest.java
@@ -8,6 +8,8 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.knapweedcleat.core.id.FailureDomainId;
@@ -51,6 +53,34 @@
     assertThat(members.knownMembers(), contains(restarted, TWO));
   }
 
+  @Test
+  void findsDomainsOfKnownIncarnationsOnly() {
+    members.recordMessage(0, ONE, List.of());
+
+    assertThat(members.domainOf(ONE.incarnation()), is(Optional.of(ONE.domain())));
+    assertThat(members.domainOf(member("one", 2).incarnation()), is(Optional.empty()));
+    assertThat(members.domainOf(TWO.incarnation()), is(Optional.empty()));
+    FleetMember self = member("self", 1);
+    assertThat(members.domainOf(self.incarnation()), is(Optional.of(self.domain())));
+  }
+
+  /** Guards against a domain that counts as known because a single instance is still heard. */
+  @Test
+  void reportsOnDomainAreAsOldAsThoseOfHalfItsInstances() {
+    FailureDomainId elsewhere = FailureDomainId.of("elsewhere");
+    for (int i = 0; i < 3; i++) {
+      FleetMember one =
+          new FleetMember(
+              IncarnationId.of(InstanceId.of("e" + i), 1), elsewhere, "127.0.0.9", 9000 + i);
+      members.recordMessage(i * 1_000, one, List.of());
+    }
+
+    assertThat(members.reportAgeMillis(2_000, elsewhere), is(OptionalLong.of(1_000)));
+    assertThat(members.reportAgeMillis(2_000, ONE.domain()), is(OptionalLong.of(0)));
+    assertThat(
+        members.reportAgeMillis(2_000, FailureDomainId.of("unheard")), is(OptionalLong.empty()));
+  }
+
   @Test
   void leavingInstanceIsRemoved() {
     members.recordMessage(0, ONE, List.of());
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/UnaryCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/UnaryCall.java
@@ -49,7 +49,8 @@
   protected void place() {
     context
         .chooser()
-        .selectForPlainCall(context.nowMillis(), candidates(), ledger.triedEndpoints())
+        .selectForPlainCall(
+            context.nowMillis(), candidates(), ledger.triedEndpoints(), exchange.body().length())
         .ifPresentOrElse(
             endpoint -> permits.whenPermitted(endpoint, () -> send(endpoint), this::place),
             this::refuseWithoutCandidates);
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -6,12 +6,14 @@
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.knapweedcleat.core.balance.DomainTopology;
 import org.knapweedcleat.core.balance.EndpointAvailability;
 import org.knapweedcleat.core.balance.EndpointHealthRegistry;
 import org.knapweedcleat.core.balance.EndpointSelector;
+import org.knapweedcleat.core.balance.HomeDomainFilter;
 import org.knapweedcleat.core.balance.StreamCapacityAllocator;
 import org.knapweedcleat.core.balance.WorkloadTracker;
 import org.knapweedcleat.core.config.ForwarderSettings;
@@ -21,6 +23,8 @@
 import org.knapweedcleat.core.fleet.FleetMember;
 import org.knapweedcleat.core.fleet.FleetMembership;
 import org.knapweedcleat.core.id.IncarnationId;
+import org.knapweedcleat.core.id.RegionId;
+import org.knapweedcleat.core.locality.LinkBudget;
 import org.knapweedcleat.core.quota.FleetQuotaLimiter;
 import org.knapweedcleat.core.quota.QuotaTolerance;
 import org.knapweedcleat.core.room.LateCallDetector;
@@ -36,6 +40,7 @@
 import org.knapweedcleat.router.forward.http.CallerServer;
 import org.knapweedcleat.router.forward.http.EndpointConnectionPool;
 import org.knapweedcleat.router.forward.log.DecisionLog;
+import org.knapweedcleat.router.forward.log.LocalityLog;
 import org.knapweedcleat.router.forward.quarantine.QuarantineExchange;
 import org.knapweedcleat.router.forward.room.PlacementExchange;
 import org.knapweedcleat.router.forward.store.DirectoryCache;
@@ -116,7 +121,9 @@
             settings.peerAddress().host(),
             settings.peerAddress().port());
     FleetMembership members = FleetMembership.of(self, settings.discovery().gossipMillis());
-    EndpointSelector chooser = EndpointSelector.of(domains, work, health, random::nextDouble);
+    EndpointSelector chooser =
+        EndpointSelector.of(
+            domains, work, health, random::nextDouble, homeFilter(domains, members, random));
     EndpointAvailability notices = EndpointAvailability.create();
     EndpointRateLimits rateLimits = EndpointRateLimits.create();
     PlacementExchange rooms =
@@ -124,7 +131,7 @@
             self,
             members,
             settings.regions(),
-            StreamCapacityAllocator.of(incarnation, chooser, work, health),
+            StreamCapacityAllocator.of(incarnation, chooser, work, health, members::domainOf),
             directory,
             notices,
             ForwarderNode::nowMillis,
@@ -226,6 +233,32 @@
     return stopped.future();
   }
 
+  private Optional<HomeDomainFilter> homeFilter(
+      DomainTopology domains, FleetMembership members, Random random) {
+    ForwarderSettings.Locality locality = settings.locality();
+    if (!locality.isEnabled()) {
+      return Optional.empty();
+    }
+    Optional<RegionId> region = domains.region(settings.domain());
+    LinkBudget link =
+        LinkBudget.of(
+            locality.interRegionKilobitsPerSecond(),
+            () ->
+                1
+                    + (int)
+                        members.liveMembers(nowMillis()).stream()
+                            .filter(member -> domains.region(member.domain()).equals(region))
+                            .count());
+    return Optional.of(
+        HomeDomainFilter.of(
+            locality.interDomainCostMillis(),
+            WORK_REPORT_TTL_MILLIS,
+            link,
+            members::reportAgeMillis,
+            LocalityLog.of(log, metrics),
+            random::nextDouble));
+  }
+
   private Future<ForwarderNode> listen() {
     PublishedStore store = adapter.storeClient(vertx, settings.discovery().storeAddress());
     SinglePathServer readiness =
