--- a/knapweedcleat-bench/src/test/java/org/knapweedcleat/bench/pattern/SimulatedEngine.java
+++ b/knapweedcleat-bench/src/test/java/org/knapweedcleat/bench/pattern/SimulatedEngine.java
@@ -18,6 +18,10 @@
   private boolean failed;
 
   SimulatedEngine(String id, EndpointStage stage, long memoryTokens) {
+    this(id, stage, memoryTokens, FailureDomainId.of("a"));
+  }
+
+  SimulatedEngine(String id, EndpointStage stage, long memoryTokens, FailureDomainId domain) {
     this.entry =
         new EndpointEntry(
             EndpointId.of(id),
@@ -25,7 +29,7 @@
             ServiceId.of("notes"),
             "127.0.0.1",
             9000,
-            FailureDomainId.of("a"),
+            domain,
             stage,
             64,
             false);
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/DomainWaits.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/DomainWaits.java
@@ -2,9 +2,8 @@
 
 import java.util.List;
 import java.util.Set;
-import java.util.function.ToDoubleFunction;
-import java.util.stream.DoubleStream;
 import org.knapweedcleat.core.directory.EndpointEntry;
+import org.knapweedcleat.core.directory.EngineProfile;
 import org.knapweedcleat.core.id.EndpointId;
 
 /**
@@ -12,49 +11,69 @@
  * distance.
  *
  * @param nowMillis the current time
- * @param workload the workload of each endpoint
+ * @param times the waits at single endpoints
  * @param health the health of each endpoint
  * @param tried the endpoints that already failed the call, where it cannot wait
  */
 record DomainWaits(
-    long nowMillis,
-    WorkloadTracker workload,
-    EndpointHealthRegistry health,
-    Set<EndpointId> tried) {
+    long nowMillis, ExpectedTimes times, EndpointHealthRegistry health, Set<EndpointId> tried) {
 
-  /** Returns the shortest wait at one of the endpoints; infinite if none can take the call. */
-  double shortest(List<EndpointEntry> endpoints, ToDoubleFunction<EndpointEntry> waitMillis) {
-    return usable(endpoints, waitMillis).min().orElse(Double.POSITIVE_INFINITY);
+  /**
+   * Returns the mean wait of a plain call in a domain; infinite if no endpoint can take it. The
+   * shortest wait would be too low, since many instances that know the same old workloads all
+   * select the endpoint that had it.
+   */
+  double plainMillis(List<EndpointEntry> domainEndpoints, List<EndpointEntry> allEndpoints) {
+    double callMillis = times.meanPlainCallMillis(allEndpoints);
+    return usable(domainEndpoints).stream()
+        .mapToDouble(entry -> times.plainWaitMillis(nowMillis, entry, callMillis))
+        .average()
+        .orElse(Double.POSITIVE_INFINITY);
   }
 
   /**
-   * Returns the mean wait at the endpoints, which an instance among many can expect when the
-   * workload of each endpoint is known with a delay; infinite if none can take the call.
+   * Returns the shortest wait of a stream in a domain; infinite if none of its engines has
+   * capacity.
    */
-  double mean(List<EndpointEntry> endpoints, ToDoubleFunction<EndpointEntry> waitMillis) {
-    return usable(endpoints, waitMillis).average().orElse(Double.POSITIVE_INFINITY);
+  double streamMillis(
+      List<EndpointEntry> domainEngines,
+      List<EndpointEntry> allEngines,
+      EngineProfile profile,
+      StreamRequirements requirements) {
+    double decodeMillis =
+        usable(times.decodeEngines(nowMillis, domainEngines, profile, requirements)).stream()
+            .mapToDouble(engine -> times.decodeWaitMillis(nowMillis, engine, profile))
+            .min()
+            .orElse(Double.POSITIVE_INFINITY);
+    if (!requirements.allowsSplit()) {
+      return decodeMillis;
+    }
+    return decodeMillis
+        + usable(prefillEngines(domainEngines, allEngines, requirements)).stream()
+            .mapToDouble(engine -> times.prefillWaitMillis(nowMillis, engine))
+            .min()
+            .orElse(0);
   }
 
   /**
-   * Returns how long a plain call waits at an endpoint.
-   *
-   * @param endpoint the endpoint
-   * @param callMillis the duration of a call, the same for all endpoints of the service, since few
-   *     of the endpoints elsewhere have been measured
+   * Returns the engines that may prefill a stream which runs on the allowed engines. Engines are
+   * divided between stages by region, so a domain may be without prefill engines; its streams use
+   * those of other domains.
    */
-  double plainMillis(EndpointEntry endpoint, double callMillis) {
-    int calls = workload.total(endpoint.id(), nowMillis).calls();
-    int slots = Math.max(1, endpoint.slots());
-    double queued = Math.max(0, calls + 1 - slots);
-    double utilization = (double) Math.min(calls, slots) / slots;
-    return callMillis * (utilization / 2 + queued / slots);
+  List<EndpointEntry> prefillEngines(
+      List<EndpointEntry> allowedEngines,
+      List<EndpointEntry> allEngines,
+      StreamRequirements requirements) {
+    List<EndpointEntry> allowed = ExpectedTimes.prefillEngines(allowedEngines, requirements);
+    return usable(allowed).isEmpty()
+        ? ExpectedTimes.prefillEngines(allEngines, requirements)
+        : allowed;
   }
 
-  private DoubleStream usable(
-      List<EndpointEntry> endpoints, ToDoubleFunction<EndpointEntry> waitMillis) {
+  private List<EndpointEntry> usable(List<EndpointEntry> endpoints) {
     return endpoints.stream()
         .filter(entry -> !tried.contains(entry.id()))
         .filter(entry -> health.get(entry.id()).acceptsCall(nowMillis))
-        .mapToDouble(waitMillis);
+        .toList();
   }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointSelector.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointSelector.java
@@ -11,7 +11,6 @@
 import java.util.stream.DoubleStream;
 import java.util.stream.Stream;
 import org.knapweedcleat.core.directory.EndpointEntry;
-import org.knapweedcleat.core.directory.EndpointStage;
 import org.knapweedcleat.core.directory.EngineProfile;
 import org.knapweedcleat.core.id.EndpointId;
 import org.knapweedcleat.core.id.FailureDomainId;
@@ -23,30 +22,18 @@
  */
 public final class EndpointSelector {
 
-  /** Assumed duration of a plain call until one has been measured. */
-  private static final double DEFAULT_PLAIN_CALL_MILLIS = 60;
-
-  /** Penalty for a failure rate of 1: a failed call is lost or is retried after about this time. */
-  private static final double FAILURE_PENALTY_MILLIS = 1_500;
-
   /**
    * Relative random variation of expected times, so that instances do not all select the same
    * endpoint.
    */
   private static final double JITTER = 0.1;
 
-  /** Slowdown of a full decode engine against an idle one, over the tokens of a whole response. */
-  private static final double FULL_ENGINE_PENALTY_MILLIS = 200;
-
   /**
    * Penalty for prefilling a prompt on a full decode engine, which delays the requests running
    * there by up to half the time of their own tokens.
    */
   private static final double LOCAL_PREFILL_PENALTY_MILLIS = 300;
 
-  /** Interval between events of a running stream while its engine does not prefill. */
-  private static final double EVENT_INTERVAL_MILLIS = 80;
-
   /**
    * With more candidates than this, one is sampled by weight instead of taking the best. Reports
    * from other instances arrive late, so many instances would otherwise all select the few engines
@@ -54,12 +41,6 @@
    */
   private static final int MAX_COMPARED = 8;
 
-  /** Lower bound of the free memory fraction in sampling weights. */
-  private static final double MIN_FREE_FRACTION = 0.01;
-
-  /** Exponent of the free memory fraction in sampling weights. */
-  private static final double FREE_MEMORY_EXPONENT = 1.5;
-
   /** Number of best prefill and decode engines that are compared as pairs. */
   private static final int PAIR_CANDIDATES = 5;
 
@@ -71,7 +52,7 @@
   private final EndpointHealthRegistry health;
   private final DoubleSupplier random;
   private final Optional<HomeDomainFilter> homeFilter;
-  private final Map<ServiceId, PrefillTimeEstimator> estimators;
+  private final ExpectedTimes times;
 
   private EndpointSelector(
       DomainTopology topology,
@@ -79,13 +60,13 @@
       EndpointHealthRegistry health,
       DoubleSupplier random,
       Optional<HomeDomainFilter> homeFilter,
-      Map<ServiceId, PrefillTimeEstimator> estimators) {
+      ExpectedTimes times) {
     this.topology = topology;
     this.workload = workload;
     this.health = health;
     this.random = random;
     this.homeFilter = homeFilter;
-    this.estimators = estimators;
+    this.times = times;
   }
 
   /**
@@ -121,7 +102,13 @@
       EndpointHealthRegistry health,
       DoubleSupplier random,
       Optional<HomeDomainFilter> homeFilter) {
-    return new EndpointSelector(topology, workload, health, random, homeFilter, new HashMap<>());
+    return new EndpointSelector(
+        topology,
+        workload,
+        health,
+        random,
+        homeFilter,
+        ExpectedTimes.of(topology, workload, health));
   }
 
   /**
@@ -136,13 +123,14 @@
     if (homeFilter.isEmpty()) {
       return this;
     }
+    DomainTopology seenFromHome = home.map(topology::seenFrom).orElse(topology);
     return new EndpointSelector(
-        home.map(topology::seenFrom).orElse(topology),
+        seenFromHome,
         workload,
         health,
         random,
         home.isPresent() ? homeFilter : Optional.empty(),
-        estimators);
+        times.seenFrom(seenFromHome));
   }
 
   /**
@@ -152,7 +140,7 @@
    * @return the estimator
    */
   public PrefillTimeEstimator prefillTimeEstimator(ServiceId service) {
-    return estimators.computeIfAbsent(service, id -> PrefillTimeEstimator.initial());
+    return times.prefillTimeEstimator(service);
   }
 
   /**
@@ -180,18 +168,19 @@
   public Optional<EndpointEntry> selectForPlainCall(
       long nowMillis, List<EndpointEntry> candidates, Set<EndpointId> tried, long bytes) {
     ToDoubleFunction<EndpointEntry> expectedMillis =
-        entry -> plainMillis(nowMillis, entry) + penaltyMillis(nowMillis, entry);
+        entry -> times.plainMillis(nowMillis, entry) + times.penaltyMillis(nowMillis, entry);
     List<EndpointEntry> reachable = reachable(candidates);
-    DomainWaits waits = new DomainWaits(nowMillis, workload, health, tried);
+    DomainWaits waits = new DomainWaits(nowMillis, times, health, tried);
     List<EndpointEntry> allowed =
-        allowed(nowMillis, reachable, entries -> plainWaitMillis(waits, entries, reachable));
+        allowed(nowMillis, reachable, entries -> waits.plainMillis(entries, reachable));
     Optional<EndpointEntry> selected =
         rank(
                 nowMillis,
                 allowed,
                 tried,
                 expectedMillis,
-                Optional.of(entry -> 1 / expectedMillis.applyAsDouble(entry)))
+                Optional.of(entry -> 1 / expectedMillis.applyAsDouble(entry)),
+                isReducedFromMany(reachable, allowed))
             .stream()
             .findFirst();
     selected.ifPresent(entry -> recordSelection(nowMillis, entry, bytes));
@@ -208,22 +197,6 @@
         .orElse(reachable);
   }
 
-  private double plainWaitMillis(
-      DomainWaits waits, List<EndpointEntry> domainEntries, List<EndpointEntry> all) {
-    double callMillis =
-        all.stream()
-            .mapToDouble(
-                entry -> health.get(entry.id()).meanDurationMillis(DEFAULT_PLAIN_CALL_MILLIS))
-            .average()
-            .orElse(DEFAULT_PLAIN_CALL_MILLIS);
-    return waits.mean(
-        domainEntries,
-        entry ->
-            waits.plainMillis(entry, callMillis)
-                + penaltyMillis(waits.nowMillis(), entry)
-                - roundTripMillis(entry));
-  }
-
   private void recordSelection(long nowMillis, EndpointEntry selected, long bytes) {
     homeFilter.ifPresent(filter -> filter.recordSelection(nowMillis, topology, selected, bytes));
   }
@@ -251,11 +224,11 @@
         tried,
         profile,
         requirements,
-        Optional.of(entry -> decodeWeight(nowMillis, entry, profile)),
+        Optional.of(entry -> times.decodeWeight(nowMillis, entry, profile)),
         Optional.of(
             entry ->
                 requirements.promptTokens()
-                    / prefillMillis(nowMillis, entry, requirements.promptTokens())));
+                    / times.prefillMillis(nowMillis, entry, requirements.promptTokens())));
   }
 
   /**
@@ -288,29 +261,31 @@
       Optional<ToDoubleFunction<EndpointEntry>> prefillWeight) {
     long promptTokens = requirements.promptTokens();
     List<EndpointEntry> reachable = reachable(candidates);
-    DomainWaits waits = new DomainWaits(nowMillis, workload, health, tried);
+    DomainWaits waits = new DomainWaits(nowMillis, times, health, tried);
     List<EndpointEntry> allowed =
         allowed(
             nowMillis,
             reachable,
-            entries -> streamWaitMillis(waits, entries, reachable, profile, requirements));
-    List<EndpointEntry> decodeEngines = decodeEngines(nowMillis, allowed, profile, requirements);
-    List<EndpointEntry> prefillEngines = prefillEngines(allowed, requirements);
+            entries -> waits.streamMillis(entries, reachable, profile, requirements));
+    List<EndpointEntry> decodeEngines =
+        times.decodeEngines(nowMillis, allowed, profile, requirements);
     List<EndpointEntry> rankedDecodeEngines =
         rank(
             nowMillis,
             decodeEngines,
             tried,
-            entry -> decodeMillis(nowMillis, entry, profile),
-            decodeWeight);
+            entry -> times.decodeMillis(nowMillis, entry, profile),
+            decodeWeight,
+            isReducedFromMany(reachable, allowed));
     List<EndpointEntry> rankedPrefillEngines =
         requirements.allowsSplit()
             ? rank(
                 nowMillis,
-                prefillEngines.isEmpty() ? prefillEngines(reachable, requirements) : prefillEngines,
+                waits.prefillEngines(allowed, reachable, requirements),
                 tried,
-                entry -> prefillMillis(nowMillis, entry, promptTokens),
-                prefillWeight)
+                entry -> times.prefillMillis(nowMillis, entry, promptTokens),
+                prefillWeight,
+                isReducedFromMany(reachable, allowed))
             : List.of();
     Optional<StreamPlacement> placement =
         rankedDecodeEngines.stream()
@@ -319,7 +294,7 @@
                 decode ->
                     Stream.concat(
                         rankedPrefillEngines.isEmpty()
-                                || canPrefillLocally(nowMillis, decode, requirements)
+                                || times.canPrefillLocally(nowMillis, decode, requirements)
                             ? Stream.of(
                                 decodeOnlyPlacement(nowMillis, decode, profile, promptTokens))
                             : Stream.empty(),
@@ -339,56 +314,6 @@
     return placement;
   }
 
-  private List<EndpointEntry> decodeEngines(
-      long nowMillis,
-      List<EndpointEntry> engines,
-      EngineProfile profile,
-      StreamRequirements requirements) {
-    return engines.stream()
-        .filter(entry -> entry.stage().runsRequests())
-        .filter(
-            entry ->
-                requirements.ignoresCapacity()
-                    || hasCapacity(nowMillis, entry, profile, requirements))
-        .toList();
-  }
-
-  private static List<EndpointEntry> prefillEngines(
-      List<EndpointEntry> engines, StreamRequirements requirements) {
-    return engines.stream()
-        .filter(entry -> entry.stage() == EndpointStage.PREFILL)
-        .filter(entry -> !requirements.failedPrefillEngines().contains(entry.id()))
-        .toList();
-  }
-
-  /**
-   * Returns the wait of a stream in a domain; infinite if none of its engines has capacity. Engines
-   * are divided between stages by region, so a domain may be without prefill engines; its streams
-   * use those of other domains.
-   */
-  private double streamWaitMillis(
-      DomainWaits waits,
-      List<EndpointEntry> domainEntries,
-      List<EndpointEntry> all,
-      EngineProfile profile,
-      StreamRequirements requirements) {
-    long nowMillis = waits.nowMillis();
-    ToDoubleFunction<EndpointEntry> decodeWaitMillis =
-        entry -> decodeMillis(nowMillis, entry, profile) - roundTripMillis(entry);
-    double waitMillis =
-        waits.shortest(
-            decodeEngines(nowMillis, domainEntries, profile, requirements), decodeWaitMillis);
-    if (!requirements.allowsSplit()) {
-      return waitMillis;
-    }
-    ToDoubleFunction<EndpointEntry> prefillWaitMillis =
-        entry -> prefillMillis(nowMillis, entry, 0) - roundTripMillis(entry);
-    List<EndpointEntry> own = prefillEngines(domainEntries, requirements);
-    List<EndpointEntry> usable = own.isEmpty() ? prefillEngines(all, requirements) : own;
-    double prefillMillis = waits.shortest(usable, prefillWaitMillis);
-    return Double.isInfinite(prefillMillis) ? waitMillis : waitMillis + prefillMillis;
-  }
-
   /** Returns the price of the KV cache transfer of a placement; 0 without a filter for homes. */
   private double transferPriceMillis(StreamPlacement placement) {
     if (homeFilter.isEmpty() || placement.prefill().isEmpty()) {
@@ -411,29 +336,12 @@
     return reachable.isEmpty() ? candidates : reachable;
   }
 
-  /**
-   * Returns whether a decode engine can prefill a prompt, together with all queued prompts, without
-   * pausing the streams running there beyond the allowed gap. The limit also applies to an engine
-   * that seems idle, because it may run streams of instances that have not reported yet.
-   */
-  private boolean canPrefillLocally(
-      long nowMillis, EndpointEntry decode, StreamRequirements requirements) {
-    if (requirements.maxGapMillis() == 0) {
-      return true;
-    }
-    long queuedTokens = workload.total(decode.id(), nowMillis).promptTokens();
-    double prefillMillis =
-        prefillTimeEstimator(decode.service())
-            .onDecodeEngineMillis(queuedTokens + requirements.promptTokens());
-    return EVENT_INTERVAL_MILLIS + prefillMillis <= requirements.maxGapMillis();
-  }
-
   private StreamPlacement decodeOnlyPlacement(
       long nowMillis, EndpointEntry decode, EngineProfile profile, long promptTokens) {
     EndpointWorkload current = workload.total(decode.id(), nowMillis);
     double millis =
-        decodeMillis(nowMillis, decode, profile)
-            + LOCAL_PREFILL_PENALTY_MILLIS * memoryFraction(current, profile)
+        times.decodeMillis(nowMillis, decode, profile)
+            + LOCAL_PREFILL_PENALTY_MILLIS * ExpectedTimes.memoryFraction(current, profile)
             + prefillTimeEstimator(decode.service())
                 .onDecodeEngineMillis(current.promptTokens() + promptTokens);
     return new StreamPlacement(Optional.empty(), decode, millis);
@@ -446,59 +354,27 @@
       EngineProfile profile,
       long promptTokens) {
     double millis =
-        prefillMillis(nowMillis, prefill, promptTokens)
+        times.prefillMillis(nowMillis, prefill, promptTokens)
             + topology.distanceBetween(prefill.domain(), decode.domain()).transferCostMillis()
-            + decodeMillis(nowMillis, decode, profile);
+            + times.decodeMillis(nowMillis, decode, profile);
     return new StreamPlacement(Optional.of(prefill), decode, millis);
   }
 
-  private boolean hasCapacity(
-      long nowMillis, EndpointEntry entry, EngineProfile profile, StreamRequirements requirements) {
-    EndpointWorkload current = workload.total(entry.id(), nowMillis);
-    return current.calls() < profile.slots()
-        && current.memoryTokens() + requirements.memoryTokens()
-            <= profile.memoryTokens() * requirements.usableMemoryFraction();
-  }
-
-  private double plainMillis(long nowMillis, EndpointEntry entry) {
-    int calls = workload.total(entry.id(), nowMillis).calls();
-    double callMillis = health.get(entry.id()).meanDurationMillis(DEFAULT_PLAIN_CALL_MILLIS);
-    double queued = Math.max(0, calls + 1 - entry.slots());
-    double utilization = (double) Math.min(calls, entry.slots()) / Math.max(1, entry.slots());
-    return callMillis * (1 + utilization / 2 + queued / Math.max(1, entry.slots()));
-  }
-
-  private double prefillMillis(long nowMillis, EndpointEntry entry, long promptTokens) {
-    long queuedTokens = workload.total(entry.id(), nowMillis).promptTokens();
-    return prefillTimeEstimator(entry.service()).onPrefillEngineMillis(queuedTokens + promptTokens)
-        + penaltyMillis(nowMillis, entry);
-  }
-
-  private double decodeMillis(long nowMillis, EndpointEntry entry, EngineProfile profile) {
-    EndpointWorkload current = workload.total(entry.id(), nowMillis);
-    return FULL_ENGINE_PENALTY_MILLIS * memoryFraction(current, profile)
-        + penaltyMillis(nowMillis, entry);
-  }
-
-  /** Returns the time that an endpoint's distance and failure rate add to any call. */
-  private double penaltyMillis(long nowMillis, EndpointEntry entry) {
-    return roundTripMillis(entry)
-        + FAILURE_PENALTY_MILLIS * health.get(entry.id()).failureRate(nowMillis);
-  }
-
-  private int roundTripMillis(EndpointEntry entry) {
-    return topology.distanceToLocal(entry.domain()).roundTripMillis();
-  }
-
-  /** Returns the occupied fraction of an engine's memory. */
-  private static double memoryFraction(EndpointWorkload work, EngineProfile profile) {
-    return (double) work.memoryTokens() / Math.max(1, profile.memoryTokens());
+  /**
+   * Returns whether a home domain's few endpoints remain of many. As many instances select among
+   * them by reports as late as before, so that taking the best would overload it.
+   */
+  private static boolean isReducedFromMany(
+      List<EndpointEntry> reachable, List<EndpointEntry> allowed) {
+    return reachable.size() > MAX_COMPARED && allowed.size() < reachable.size();
   }
 
   /** Reduces many candidates to one sampled by weight, from the local region if possible. */
   private List<EndpointEntry> sampleIfMany(
-      List<EndpointEntry> candidates, ToDoubleFunction<EndpointEntry> weight) {
-    if (candidates.size() <= MAX_COMPARED) {
+      List<EndpointEntry> candidates,
+      ToDoubleFunction<EndpointEntry> weight,
+      boolean isReducedFromMany) {
+    if (candidates.size() <= MAX_COMPARED && !isReducedFromMany) {
       return candidates;
     }
     List<EndpointEntry> regional =
@@ -522,15 +398,6 @@
     return candidates.get(candidates.size() - 1);
   }
 
-  /** Returns the sampling weight of a decode engine, from its free memory and its penalties. */
-  private double decodeWeight(long nowMillis, EndpointEntry entry, EngineProfile profile) {
-    double freeFraction =
-        Math.max(
-            MIN_FREE_FRACTION, 1 - memoryFraction(workload.total(entry.id(), nowMillis), profile));
-    return Math.pow(freeFraction, FREE_MEMORY_EXPONENT)
-        / (FULL_ENGINE_PENALTY_MILLIS + penaltyMillis(nowMillis, entry));
-  }
-
   /**
    * Sorts by expected time. Endpoints that failed this call or accept no calls are used only if
    * there are no others.
@@ -540,7 +407,8 @@
       List<EndpointEntry> candidates,
       Set<EndpointId> tried,
       ToDoubleFunction<EndpointEntry> expectedMillis,
-      Optional<ToDoubleFunction<EndpointEntry>> weight) {
+      Optional<ToDoubleFunction<EndpointEntry>> weight,
+      boolean isReducedFromMany) {
     List<EndpointEntry> trusted =
         candidates.stream()
             .filter(entry -> !tried.contains(entry.id()))
@@ -553,7 +421,7 @@
       usable = candidates;
     }
     if (weight.isPresent()) {
-      usable = sampleIfMany(usable, weight.get());
+      usable = sampleIfMany(usable, weight.get(), isReducedFromMany);
     }
     Map<EndpointEntry, Double> jitteredMillis = new HashMap<>();
     usable.forEach(
