--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointSelector.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointSelector.java
@@ -12,9 +12,9 @@
 import java.util.stream.DoubleStream;
 import java.util.stream.Stream;
 import org.knapweedcleat.core.directory.EndpointEntry;
-import org.knapweedcleat.core.directory.EndpointStage;
 import org.knapweedcleat.core.directory.EngineProfile;
 import org.knapweedcleat.core.id.EndpointId;
+import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.ServiceId;
 
 /**
@@ -23,36 +23,18 @@
  */
 public final class EndpointSelector {
 
-  /** Assumed duration of a plain call until one has been measured. */
-  private static final double DEFAULT_PLAIN_CALL_MILLIS = 60;
-
-  /** Penalty for a failure rate of 1: a failed call is lost or is retried after about this time. */
-  private static final double FAILURE_PENALTY_MILLIS = 1_500;
-
   /**
    * Relative random variation of expected times, so that instances do not all select the same
    * endpoint.
    */
   private static final double JITTER = 0.1;
 
-  /** Slowdown of a full decode engine against an idle one, over the tokens of a whole response. */
-  private static final double FULL_ENGINE_PENALTY_MILLIS = 200;
-
   /**
    * Penalty for prefilling a prompt on a full decode engine, which delays the requests running
    * there by up to half the time of their own tokens.
    */
   private static final double LOCAL_PREFILL_PENALTY_MILLIS = 300;
 
-  /**
-   * Penalty for a cold endpoint. Warm ones are preferred until their queues are longer than this; a
-   * cold endpoint takes only few requests, so that a call may be denied there.
-   */
-  private static final double COLD_PENALTY_MILLIS = 2_000;
-
-  /** Interval between events of a running stream while its engine does not prefill. */
-  private static final double EVENT_INTERVAL_MILLIS = 80;
-
   /**
    * With more candidates than this, one is sampled by weight instead of taking the best. Reports
    * from other instances arrive late, so many instances would otherwise all select the few engines
@@ -60,33 +42,32 @@
    */
   private static final int MAX_COMPARED = 8;
 
-  /** Lower bound of the free memory fraction in sampling weights. */
-  private static final double MIN_FREE_FRACTION = 0.01;
-
-  /** Exponent of the free memory fraction in sampling weights. */
-  private static final double FREE_MEMORY_EXPONENT = 1.5;
-
   /** Number of best prefill and decode engines that are compared as pairs. */
   private static final int PAIR_CANDIDATES = 5;
 
+  /** Estimated bytes of a stream per token: some five of the prompt's text, more of an event's. */
+  private static final long STREAM_BYTES_PER_TOKEN = 8;
+
   private final DomainTopology topology;
   private final WorkloadTracker workload;
   private final EndpointHealthRegistry health;
   private final DoubleSupplier random;
-  private final Predicate<EndpointEntry> isCold;
-  private final Map<ServiceId, PrefillTimeEstimator> estimators = new HashMap<>();
+  private final Optional<HomeDomainFilter> homeFilter;
+  private final ExpectedTimes times;
 
   private EndpointSelector(
       DomainTopology topology,
       WorkloadTracker workload,
       EndpointHealthRegistry health,
       DoubleSupplier random,
-      Predicate<EndpointEntry> isCold) {
+      Optional<HomeDomainFilter> homeFilter,
+      ExpectedTimes times) {
     this.topology = topology;
     this.workload = workload;
     this.health = health;
     this.random = random;
-    this.isCold = isCold;
+    this.homeFilter = homeFilter;
+    this.times = times;
   }
 
   /**
@@ -103,7 +84,7 @@
       WorkloadTracker workload,
       EndpointHealthRegistry health,
       DoubleSupplier random) {
-    return new EndpointSelector(topology, workload, health, random, endpoint -> false);
+    return of(topology, workload, health, random, Optional.empty());
   }
 
   /**
@@ -113,7 +94,55 @@
    * @return the selector
    */
   public EndpointSelector preferringWarm(Predicate<EndpointEntry> predicate) {
-    return new EndpointSelector(topology, workload, health, random, predicate);
+    return new EndpointSelector(
+        topology, workload, health, random, homeFilter, times.withCold(predicate));
+  }
+
+  /**
+   * Returns a selector that may keep calls in their home domain.
+   *
+   * @param topology the failure domains as seen from this instance
+   * @param workload the workload of each endpoint
+   * @param health the health of each endpoint
+   * @param random supplies numbers from 0 (inclusive) to 1 (exclusive)
+   * @param homeFilter decides which calls may leave their home domain; empty if all may
+   * @return the selector
+   */
+  public static EndpointSelector of(
+      DomainTopology topology,
+      WorkloadTracker workload,
+      EndpointHealthRegistry health,
+      DoubleSupplier random,
+      Optional<HomeDomainFilter> homeFilter) {
+    return new EndpointSelector(
+        topology,
+        workload,
+        health,
+        random,
+        homeFilter,
+        ExpectedTimes.of(topology, workload, health));
+  }
+
+  /**
+   * Returns this selector for calls of an instance in another failure domain. Without a filter for
+   * home domains, distances are always measured from the local one.
+   *
+   * @param home the home domain of the calls; empty if it is not known, in which case it has no
+   *     effect on the selection
+   * @return a selector that shares the state of this one
+   */
+  EndpointSelector forHome(Optional<FailureDomainId> home) {
+    if (homeFilter.isEmpty()) {
+      return this;
+    }
+    DomainTopology seenFromHome = home.map(topology::seenFrom).orElse(topology);
+    return new EndpointSelector(
+        seenFromHome,
+        workload,
+        health,
+        random,
+        home.isPresent() ? homeFilter : Optional.empty(),
+        times.seenFrom(seenFromHome));
   }
 
   /**
@@ -123,11 +152,11 @@
    * @return the estimator
    */
   public PrefillTimeEstimator prefillTimeEstimator(ServiceId service) {
-    return estimators.computeIfAbsent(service, id -> PrefillTimeEstimator.initial());
+    return times.prefillTimeEstimator(service);
   }
 
   /**
-   * Selects an endpoint for a plain call.
+   * Selects an endpoint for a plain call without a body.
    *
    * @param nowMillis the current time
    * @param candidates the endpoints that accept work
@@ -136,16 +165,52 @@
    */
   public Optional<EndpointEntry> selectForPlainCall(
       long nowMillis, List<EndpointEntry> candidates, Set<EndpointId> tried) {
+    return selectForPlainCall(nowMillis, candidates, tried, 0);
+  }
+
+  /**
+   * Selects an endpoint for a plain call.
+   *
+   * @param nowMillis the current time
+   * @param candidates the endpoints that accept work
+   * @param tried the endpoints that already failed this call; used only as a last resort
+   * @param bytes the bytes of the call
+   * @return the endpoint, or empty if there are no candidates
+   */
+  public Optional<EndpointEntry> selectForPlainCall(
+      long nowMillis, List<EndpointEntry> candidates, Set<EndpointId> tried, long bytes) {
     ToDoubleFunction<EndpointEntry> expectedMillis =
-        entry -> plainMillis(nowMillis, entry) + penaltyMillis(nowMillis, entry);
-    return rank(
-            nowMillis,
-            reachable(candidates),
-            tried,
-            expectedMillis,
-            Optional.of(entry -> 1 / expectedMillis.applyAsDouble(entry)))
-        .stream()
-        .findFirst();
+        entry -> times.plainMillis(nowMillis, entry) + times.penaltyMillis(nowMillis, entry);
+    List<EndpointEntry> reachable = reachable(candidates);
+    DomainWaits waits = new DomainWaits(nowMillis, times, health, tried);
+    List<EndpointEntry> allowed =
+        allowed(nowMillis, reachable, entries -> waits.plainMillis(entries, reachable));
+    Optional<EndpointEntry> selected =
+        rank(
+                nowMillis,
+                allowed,
+                tried,
+                expectedMillis,
+                Optional.of(entry -> 1 / expectedMillis.applyAsDouble(entry)),
+                isReducedFromMany(reachable, allowed))
+            .stream()
+            .findFirst();
+    selected.ifPresent(entry -> recordSelection(nowMillis, entry, bytes));
+    return selected;
+  }
+
+  /** Returns the candidates that the call may use, by the wait at the endpoints of a domain. */
+  private List<EndpointEntry> allowed(
+      long nowMillis,
+      List<EndpointEntry> reachable,
+      ToDoubleFunction<List<EndpointEntry>> waitMillis) {
+    return homeFilter
+        .map(filter -> filter.filter(nowMillis, topology, reachable, waitMillis))
+        .orElse(reachable);
+  }
+
+  private void recordSelection(long nowMillis, EndpointEntry selected, long bytes) {
+    homeFilter.ifPresent(filter -> filter.recordSelection(nowMillis, topology, selected, bytes));
   }
 
   /**
@@ -171,11 +236,11 @@
         tried,
         profile,
         requirements,
-        Optional.of(entry -> decodeWeight(nowMillis, entry, profile)),
+        Optional.of(entry -> times.decodeWeight(nowMillis, entry, profile)),
         Optional.of(
             entry ->
                 requirements.promptTokens()
-                    / prefillMillis(nowMillis, entry, requirements.promptTokens())));
+                    / times.prefillMillis(nowMillis, entry, requirements.promptTokens())));
   }
 
   /**
@@ -208,48 +273,69 @@
       Optional<ToDoubleFunction<EndpointEntry>> prefillWeight) {
     long promptTokens = requirements.promptTokens();
     List<EndpointEntry> reachable = reachable(candidates);
+    DomainWaits waits = new DomainWaits(nowMillis, times, health, tried);
+    List<EndpointEntry> allowed =
+        allowed(
+            nowMillis,
+            reachable,
+            entries -> waits.streamMillis(entries, reachable, profile, requirements));
     List<EndpointEntry> decodeEngines =
-        reachable.stream()
-            .filter(entry -> entry.stage().runsRequests())
-            .filter(
-                entry ->
-                    requirements.ignoresCapacity()
-                        || hasCapacity(nowMillis, entry, profile, requirements))
-            .toList();
+        times.decodeEngines(nowMillis, allowed, profile, requirements);
     List<EndpointEntry> rankedDecodeEngines =
         rank(
             nowMillis,
             decodeEngines,
             tried,
-            entry -> decodeMillis(nowMillis, entry, profile),
-            decodeWeight);
+            entry -> times.decodeMillis(nowMillis, entry, profile),
+            decodeWeight,
+            isReducedFromMany(reachable, allowed));
     List<EndpointEntry> rankedPrefillEngines =
         requirements.allowsSplit()
             ? rank(
                 nowMillis,
-                reachable.stream()
-                    .filter(entry -> entry.stage() == EndpointStage.PREFILL)
-                    .filter(entry -> !requirements.failedPrefillEngines().contains(entry.id()))
-                    .toList(),
+                waits.prefillEngines(allowed, reachable, requirements),
                 tried,
-                entry -> prefillMillis(nowMillis, entry, promptTokens),
-                prefillWeight)
+                entry -> times.prefillMillis(nowMillis, entry, promptTokens),
+                prefillWeight,
+                isReducedFromMany(reachable, allowed))
             : List.of();
-    return rankedDecodeEngines.stream()
-        .limit(PAIR_CANDIDATES)
-        .flatMap(
-            decode ->
-                Stream.concat(
-                    rankedPrefillEngines.isEmpty()
-                            || canPrefillLocally(nowMillis, decode, requirements)
-                        ? Stream.of(decodeOnlyPlacement(nowMillis, decode, profile, promptTokens))
-                        : Stream.empty(),
-                    rankedPrefillEngines.stream()
-                        .limit(PAIR_CANDIDATES)
-                        .map(
-                            prefill ->
-                                splitPlacement(nowMillis, prefill, decode, profile, promptTokens))))
-        .min(Comparator.comparingDouble(StreamPlacement::expectedFirstEventMillis));
+    Optional<StreamPlacement> placement =
+        rankedDecodeEngines.stream()
+            .limit(PAIR_CANDIDATES)
+            .flatMap(
+                decode ->
+                    Stream.concat(
+                        rankedPrefillEngines.isEmpty()
+                                || times.canPrefillLocally(nowMillis, decode, requirements)
+                            ? Stream.of(
+                                decodeOnlyPlacement(nowMillis, decode, profile, promptTokens))
+                            : Stream.empty(),
+                        rankedPrefillEngines.stream()
+                            .limit(PAIR_CANDIDATES)
+                            .map(
+                                prefill ->
+                                    splitPlacement(
+                                        nowMillis, prefill, decode, profile, promptTokens))))
+            .min(
+                Comparator.comparingDouble(
+                    one -> one.expectedFirstEventMillis() + transferPriceMillis(one)));
+    placement.ifPresent(
+        one ->
+            recordSelection(
+                nowMillis, one.decode(), requirements.memoryTokens() * STREAM_BYTES_PER_TOKEN));
+    return placement;
+  }
+
+  /** Returns the price of the KV cache transfer of a placement; 0 without a filter for homes. */
+  private double transferPriceMillis(StreamPlacement placement) {
+    if (homeFilter.isEmpty() || placement.prefill().isEmpty()) {
+      return 0;
+    }
+    return homeFilter
+        .get()
+        .priceMillis(
+            topology.distanceBetween(
+                placement.prefill().get().domain(), placement.decode().domain()));
   }
 
   /**
@@ -262,29 +348,12 @@
     return reachable.isEmpty() ? candidates : reachable;
   }
 
-  /**
-   * Returns whether a decode engine can prefill a prompt, together with all queued prompts, without
-   * pausing the streams running there beyond the allowed gap. The limit also applies to an engine
-   * that seems idle, because it may run streams of instances that have not reported yet.
-   */
-  private boolean canPrefillLocally(
-      long nowMillis, EndpointEntry decode, StreamRequirements requirements) {
-    if (requirements.maxGapMillis() == 0) {
-      return true;
-    }
-    long queuedTokens = workload.total(decode.id(), nowMillis).promptTokens();
-    double prefillMillis =
-        prefillTimeEstimator(decode.service())
-            .onDecodeEngineMillis(queuedTokens + requirements.promptTokens());
-    return EVENT_INTERVAL_MILLIS + prefillMillis <= requirements.maxGapMillis();
-  }
-
   private StreamPlacement decodeOnlyPlacement(
       long nowMillis, EndpointEntry decode, EngineProfile profile, long promptTokens) {
     EndpointWorkload current = workload.total(decode.id(), nowMillis);
     double millis =
-        decodeMillis(nowMillis, decode, profile)
-            + LOCAL_PREFILL_PENALTY_MILLIS * memoryFraction(current, profile)
+        times.decodeMillis(nowMillis, decode, profile)
+            + LOCAL_PREFILL_PENALTY_MILLIS * ExpectedTimes.memoryFraction(current, profile)
             + prefillTimeEstimator(decode.service())
                 .onDecodeEngineMillis(current.promptTokens() + promptTokens);
     return new StreamPlacement(Optional.empty(), decode, millis);
@@ -297,56 +366,27 @@
       EngineProfile profile,
       long promptTokens) {
     double millis =
-        prefillMillis(nowMillis, prefill, promptTokens)
+        times.prefillMillis(nowMillis, prefill, promptTokens)
             + topology.distanceBetween(prefill.domain(), decode.domain()).transferCostMillis()
-            + decodeMillis(nowMillis, decode, profile);
+            + times.decodeMillis(nowMillis, decode, profile);
     return new StreamPlacement(Optional.of(prefill), decode, millis);
   }
 
-  private boolean hasCapacity(
-      long nowMillis, EndpointEntry entry, EngineProfile profile, StreamRequirements requirements) {
-    EndpointWorkload current = workload.total(entry.id(), nowMillis);
-    return current.calls() < profile.slots()
-        && current.memoryTokens() + requirements.memoryTokens()
-            <= profile.memoryTokens() * requirements.usableMemoryFraction();
-  }
-
-  private double plainMillis(long nowMillis, EndpointEntry entry) {
-    int calls = workload.total(entry.id(), nowMillis).calls();
-    double callMillis = health.get(entry.id()).meanDurationMillis(DEFAULT_PLAIN_CALL_MILLIS);
-    double queued = Math.max(0, calls + 1 - entry.slots());
-    double utilization = (double) Math.min(calls, entry.slots()) / Math.max(1, entry.slots());
-    return callMillis * (1 + utilization / 2 + queued / Math.max(1, entry.slots()));
-  }
-
-  private double prefillMillis(long nowMillis, EndpointEntry entry, long promptTokens) {
-    long queuedTokens = workload.total(entry.id(), nowMillis).promptTokens();
-    return prefillTimeEstimator(entry.service()).onPrefillEngineMillis(queuedTokens + promptTokens)
-        + penaltyMillis(nowMillis, entry);
-  }
-
-  private double decodeMillis(long nowMillis, EndpointEntry entry, EngineProfile profile) {
-    EndpointWorkload current = workload.total(entry.id(), nowMillis);
-    return FULL_ENGINE_PENALTY_MILLIS * memoryFraction(current, profile)
-        + penaltyMillis(nowMillis, entry);
-  }
-
-  /** Returns the time that an endpoint's distance, failures and coldness add to any call. */
-  private double penaltyMillis(long nowMillis, EndpointEntry entry) {
-    return (isCold.test(entry) ? COLD_PENALTY_MILLIS : 0)
-        + topology.distanceToLocal(entry.domain()).roundTripMillis()
-        + FAILURE_PENALTY_MILLIS * health.get(entry.id()).failureRate(nowMillis);
-  }
-
-  /** Returns the occupied fraction of an engine's memory. */
-  private static double memoryFraction(EndpointWorkload work, EngineProfile profile) {
-    return (double) work.memoryTokens() / Math.max(1, profile.memoryTokens());
+  /**
+   * Returns whether a home domain's few endpoints remain of many. As many instances select among
+   * them by reports as late as before, so that taking the best would overload it.
+   */
+  private static boolean isReducedFromMany(
+      List<EndpointEntry> reachable, List<EndpointEntry> allowed) {
+    return reachable.size() > MAX_COMPARED && allowed.size() < reachable.size();
   }
 
   /** Reduces many candidates to one sampled by weight, warm and of the local region if possible. */
   private List<EndpointEntry> sampleIfMany(
-      List<EndpointEntry> candidates, ToDoubleFunction<EndpointEntry> weight) {
-    if (candidates.size() <= MAX_COMPARED) {
+      List<EndpointEntry> candidates,
+      ToDoubleFunction<EndpointEntry> weight,
+      boolean isReducedFromMany) {
+    if (candidates.size() <= MAX_COMPARED && !isReducedFromMany) {
       return candidates;
     }
     List<EndpointEntry> regional =
@@ -355,7 +395,7 @@
                 entry -> topology.distanceToLocal(entry.domain()) != NetworkDistance.OTHER_REGION)
             .toList();
     List<EndpointEntry> preferred = regional.isEmpty() ? candidates : regional;
-    List<EndpointEntry> warm = preferred.stream().filter(isCold.negate()).toList();
+    List<EndpointEntry> warm = preferred.stream().filter(entry -> !times.isCold(entry)).toList();
     return List.of(sample(warm.isEmpty() ? preferred : warm, weight));
   }
 
@@ -372,15 +412,6 @@
     return candidates.get(candidates.size() - 1);
   }
 
-  /** Returns the sampling weight of a decode engine, from its free memory and its penalties. */
-  private double decodeWeight(long nowMillis, EndpointEntry entry, EngineProfile profile) {
-    double freeFraction =
-        Math.max(
-            MIN_FREE_FRACTION, 1 - memoryFraction(workload.total(entry.id(), nowMillis), profile));
-    return Math.pow(freeFraction, FREE_MEMORY_EXPONENT)
-        / (FULL_ENGINE_PENALTY_MILLIS + penaltyMillis(nowMillis, entry));
-  }
-
   /**
    * Sorts by expected time. Endpoints that failed this call or accept no calls are used only if
    * there are no others.
@@ -390,7 +421,8 @@
       List<EndpointEntry> candidates,
       Set<EndpointId> tried,
       ToDoubleFunction<EndpointEntry> expectedMillis,
-      Optional<ToDoubleFunction<EndpointEntry>> weight) {
+      Optional<ToDoubleFunction<EndpointEntry>> weight,
+      boolean isReducedFromMany) {
     List<EndpointEntry> trusted =
         candidates.stream()
             .filter(entry -> !tried.contains(entry.id()))
@@ -403,7 +435,7 @@
       usable = candidates;
     }
     if (weight.isPresent()) {
-      usable = sampleIfMany(usable, weight.get());
+      usable = sampleIfMany(usable, weight.get(), isReducedFromMany);
     }
     Map<EndpointEntry, Double> jitteredMillis = new HashMap<>();
     usable.forEach(
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingKeys.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingKeys.java
@@ -142,6 +142,23 @@
           "requests",
           Double.toString(ForwarderSettings.Bounds.DEFAULT_COLD_SLACK),
           "how many more requests a cold endpoint tolerates in a second");
+  static final SettingKey<Integer> INTER_DOMAIN_COST =
+      SettingKey.optional(
+          SectionKind.LOCALITY,
+          "interDomainCostMillis",
+          ValueRules.intRange(0, 60_000),
+          MILLIS,
+          "0",
+          "the wait that is accepted for keeping one call in its failure domain; 0 to send calls"
+              + " regardless of domains");
+  static final SettingKey<Integer> INTER_REGION_RATE =
+      SettingKey.optional(
+          SectionKind.LOCALITY,
+          "interRegionKilobitsPerSecond",
+          ValueRules.intRange(0, 100_000_000),
+          "kilobits a second",
+          "0",
+          "the rate between two regions, which all instances of a region share; 0 for no limit");
 
   static final SettingKey<RegionId> REGION =
       SettingKey.required(
@@ -172,6 +189,8 @@
           CONFIG_APPLY,
           COLD_OVERAGE,
           COLD_SLACK,
+          INTER_DOMAIN_COST,
+          INTER_REGION_RATE,
           REGION);
 
   private ForwarderSettingKeys() {}
