Queue streams by rank at the allocator where the routes of a service differ in rank

Cause: each waiting call polls the allocator every 150 ms, and the first poll after a place becomes free gets it, whatever the rank of its call. Change: StreamAdmissionQuery carries rank, account, target and the time already waited; the reply is placed, queued or refused, and StreamAdmissionNotice tells the holder of a queued stream of its engines. PlacementQueues keeps one admission queue for each service at the allocator. In services whose routes have one rank and in small fleets the messages and the waiting loop stay as they were.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/StreamCapacityAllocator.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/StreamCapacityAllocator.java
@@ -1,6 +1,7 @@
 package org.knapweedcleat.core.balance;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -118,6 +119,21 @@
     return selected;
   }
 
+  /**
+   * Returns the engine that has the most free memory.
+   *
+   * @param nowMillis the current time
+   * @param candidates the engines that accept work
+   * @return the least filled of those that run requests, or empty if there is none
+   */
+  public Optional<EndpointId> leastFilled(long nowMillis, List<EndpointEntry> candidates) {
+    return candidates.stream()
+        .filter(entry -> entry.stage().runsRequests())
+        .map(EndpointEntry::id)
+        .filter(engine -> health.get(engine).acceptsCall(nowMillis))
+        .min(Comparator.comparingLong(engine -> workload.total(engine, nowMillis).memoryTokens()));
+  }
+
   private void reservePrefill(
       long nowMillis,
       ReservationKey key,
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/room/AdmissionQueue.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/room/AdmissionQueue.java
@@ -80,7 +80,6 @@
 
   private static final class Entry {
     private QueuedCall call;
-    private long heardMillis;
     private boolean overtaken;
     private Optional<EndpointId> keptEngine = Optional.empty();
     private long keptSinceMillis;
@@ -126,7 +125,28 @@
       shares.recordArrival(nowMillis, call);
     }
     entry.call = call;
-    entry.heardMillis = nowMillis;
+  }
+
+  /**
+   * Places a call at once or not at all. Calls that wait go first.
+   *
+   * @param nowMillis the current time
+   * @param call the call, which is not added to the queue
+   * @param placer places calls
+   * @return the placement, or empty if others wait or no engine has capacity
+   */
+  public Optional<AdmissionAction> placeAtOnce(
+      long nowMillis, QueuedCall call, CapacityPlacer placer) {
+    if (!entries.isEmpty()) {
+      return Optional.empty();
+    }
+    return placer
+        .place(call, usableFraction(nowMillis, call), Set.of())
+        .map(
+            placement -> {
+              shares.recordArrival(nowMillis, call);
+              return grant(nowMillis, call, placement);
+            });
   }
 
   /**
@@ -148,7 +168,9 @@
    * @return the decision, or empty if no call can be placed and none is to be refused
    */
   public Optional<AdmissionAction> next(long nowMillis, CapacityPlacer placer) {
-    entries.values().removeIf(entry -> nowMillis - entry.heardMillis > UNCONFIRMED_LIFETIME_MILLIS);
+    entries
+        .values()
+        .removeIf(entry -> nowMillis - entry.call.heardMillis() > UNCONFIRMED_LIFETIME_MILLIS);
     List<Entry> ordered = ordered(nowMillis);
     Optional<AdmissionAction> granted = placeFirst(nowMillis, placer, ordered);
     return granted.isPresent()
@@ -231,6 +253,16 @@
         : Optional.empty();
   }
 
+  /**
+   * Returns whether a call waits.
+   *
+   * @param key identifies the call
+   * @return false if it was decided, withdrawn or dropped
+   */
+  public boolean contains(CallKey key) {
+    return entries.containsKey(key);
+  }
+
   /**
    * Returns where a call stands.
    *
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/room/CapacityWaitPolicy.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/room/CapacityWaitPolicy.java
@@ -6,12 +6,12 @@
    * A call that can still be on time: it may nearly fill engines, and waits only as long as it can
    * be on time.
    */
-  ON_TIME(0.93, 0.45),
+  ON_TIME(0.93, 0.45, 1),
   /**
    * A call that is already late: it leaves capacity for calls that are not, and waits longer, since
    * waiting costs it nothing more.
    */
-  LATE(0.78, 1.5);
+  LATE(0.78, 1.5, 1.5);
 
   /** The shortest retry delay of a refused call; bursts of new calls usually last longer. */
   private static final long MIN_RETRY_AFTER_MILLIS = 2_000;
@@ -19,15 +19,20 @@
   /** Random addition to the retry delay, so that refused calls do not return all at once. */
   private static final long RETRY_AFTER_JITTER_MILLIS = 2_000;
 
+  /** Random part of the retry delay of a call that was queued, as a fraction of that delay. */
+  private static final double RETRY_SPREAD = 1;
+
   /** Upper bound of the retry delay, as a fraction of the caller's remaining time. */
   private static final double MAX_RETRY_AFTER_FRACTION = 1.0 / 3;
 
   private final double usableMemoryFraction;
   private final double waitFactor;
+  private final double queueFactor;
 
-  CapacityWaitPolicy(double usableMemoryFraction, double waitFactor) {
+  CapacityWaitPolicy(double usableMemoryFraction, double waitFactor, double queueFactor) {
     this.usableMemoryFraction = usableMemoryFraction;
     this.waitFactor = waitFactor;
+    this.queueFactor = queueFactor;
   }
 
   /**
@@ -59,6 +64,29 @@
     return (long) (targetMillis * waitFactor);
   }
 
+  /**
+   * Returns how long the call waits in an {@link AdmissionQueue}, which asks nothing of it.
+   *
+   * @param targetMillis the time within which a response is on time
+   * @return milliseconds
+   */
+  public long queueMillis(long targetMillis) {
+    return (long) (targetMillis * queueFactor);
+  }
+
+  /**
+   * Spreads the retry delay that an {@link AdmissionQueue} gave to a call.
+   *
+   * @param expectedMillis when capacity is expected for the call
+   * @param remainingMillis the time that the caller has left
+   * @param random a random number from 0 (inclusive) to 1 (exclusive)
+   * @return milliseconds, at least 1
+   */
+  public static long spreadRetryMillis(long expectedMillis, long remainingMillis, double random) {
+    long spreadMillis = (long) (expectedMillis * (1 + RETRY_SPREAD * random));
+    return Math.max(1, Math.min(spreadMillis, (long) (remainingMillis * MAX_RETRY_AFTER_FRACTION)));
+  }
+
   /**
    * Returns the delay after which a call refused for lack of capacity should be retried.
    *
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/room/QueuedCall.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/room/QueuedCall.java
@@ -9,6 +9,7 @@
  * @param account its client account; empty if it has none
  * @param memoryTokens the engine memory that it needs
  * @param arrivedMillis when it arrived at its holder
+ * @param heardMillis when its holder last asked
  * @param targetAtMillis when its first event has to come to be on time; in the past for a call that
  *     returned after a refusal
  * @param refuseAtMillis when it is refused if it has not been placed
@@ -20,6 +21,7 @@
     String account,
     long memoryTokens,
     long arrivedMillis,
+    long heardMillis,
     long targetAtMillis,
     long refuseAtMillis) {
 
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/room/ServiceRanks.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/room/ServiceRanks.java
@@ -16,8 +16,13 @@
  */
 public final class ServiceRanks {
 
+  /** The ranks before a configuration is known. */
+  public static final ServiceRanks NONE = new ServiceRanks();
+
   private final Set<ServiceId> ranked = new HashSet<>();
 
+  private ServiceRanks() {}
+
   private ServiceRanks(RoutingContent content) {
     Set<Integer> accountRanks = new HashSet<>();
     boolean routeRankApplies = !content.requiresKeys();
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/room/AdmissionQueueTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/room/AdmissionQueueTest.java
@@ -155,6 +155,7 @@
             "b",
             CALL_TOKENS,
             1_950,
+            1_950,
             0,
             9_000);
     simulation.queue.offer(1_900, urgent);
@@ -169,9 +170,9 @@
   void endedHolderLosesItsPositions() {
     AdmissionQueue queue = AdmissionQueue.create();
     IncarnationId dead = IncarnationId.of(InstanceId.of("dead"), 1);
-    queue.offer(0, held(dead, "1"));
-    queue.offer(0, held(dead, "2"));
-    queue.offer(0, held(QueueSimulation.HOLDER, "1"));
+    queue.offer(0, held(dead, "1", 0));
+    queue.offer(0, held(dead, "2", 0));
+    queue.offer(0, held(QueueSimulation.HOLDER, "1", 0));
     queue.withdrawAll(dead);
 
     assertThat(queue.depthByRank().get(1), is(1));
@@ -182,9 +183,9 @@
   @Test
   void callThatIsNotConfirmedIsDropped() {
     AdmissionQueue queue = AdmissionQueue.create();
-    queue.offer(0, held(QueueSimulation.HOLDER, "1"));
-    queue.offer(0, held(QueueSimulation.HOLDER, "2"));
-    queue.offer(2_000, held(QueueSimulation.HOLDER, "2"));
+    queue.offer(0, held(QueueSimulation.HOLDER, "1", 0));
+    queue.offer(0, held(QueueSimulation.HOLDER, "2", 0));
+    queue.offer(2_000, held(QueueSimulation.HOLDER, "2", 2_000));
     queue.next(3_000, new FakeCapacity(0, 0));
 
     assertThat(queue.depthByRank().get(1), is(1));
@@ -246,7 +247,7 @@
   void callThatNeverFitsDoesNotBlockOthers() {
     AdmissionQueue queue = AdmissionQueue.create();
     queue.updateCapacity(8, MEMORY_TOKENS);
-    queue.offer(0, held(QueueSimulation.HOLDER, "stuck"));
+    queue.offer(0, held(QueueSimulation.HOLDER, "stuck", 0));
     FakeCapacity capacity = new FakeCapacity(8, MEMORY_TOKENS);
     int granted = 0;
     for (int i = 0; i < 40; i++) {
@@ -265,7 +266,7 @@
   @Test
   void depthCountsOnlyWaitingCalls() {
     AdmissionQueue queue = AdmissionQueue.create();
-    queue.offer(0, held(QueueSimulation.HOLDER, "1"));
+    queue.offer(0, held(QueueSimulation.HOLDER, "1", 0));
     queue.withdraw(new CallKey(QueueSimulation.HOLDER, "1"));
 
     assertThat(queue.depthByRank().keySet(), is(empty()));
@@ -274,8 +275,9 @@
         is(lessThanOrEqualTo(0)));
   }
 
-  private static QueuedCall held(IncarnationId holder, String id) {
-    return new QueuedCall(new CallKey(holder, id), false, 1, "a", CALL_TOKENS, 0, 20_000, 20_000);
+  private static QueuedCall held(IncarnationId holder, String id, long heardMillis) {
+    return new QueuedCall(
+        new CallKey(holder, id), false, 1, "a", CALL_TOKENS, 0, heardMillis, 20_000, 20_000);
   }
 
   private static void simulateRanks(QueueSimulation simulation, double... callsPerSecond) {
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/room/QueueSimulation.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/room/QueueSimulation.java
@@ -50,6 +50,7 @@
         account,
         tokens,
         nowMillis,
+        nowMillis,
         nowMillis + targetMillis,
         nowMillis + targetMillis);
   }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -24,6 +24,7 @@
 import org.knapweedcleat.core.id.RegionId;
 import org.knapweedcleat.core.id.ServiceId;
 import org.knapweedcleat.core.quarantine.QuarantinedPart;
+import org.knapweedcleat.core.room.ServiceRanks;
 import org.knapweedcleat.core.throttle.LimitObservation;
 import org.knapweedcleat.router.forward.codec.AvailabilityNotice;
 import org.knapweedcleat.router.forward.codec.DispatchAttributes;
@@ -139,21 +140,26 @@
     return expiresAtMillis - context.nowMillis();
   }
 
+  /** Returns the rank of the call; 0 is the most urgent. */
+  protected final int rank() {
+    return ServiceRanks.rank(route, account);
+  }
+
+  /** Returns the id of the client account, empty if there is none. */
+  protected final String accountName() {
+    return account.map(quota -> quota.account().value()).orElse("");
+  }
+
   protected final DispatchAttributes dispatch(
       EndpointEntry endpoint,
       boolean prefillOnly,
       Optional<KvHandle> kvHandle,
       Optional<String> resumeAfter) {
-    int priority =
-        account
-            .map(AccountQuota::priority)
-            .filter(accountRank -> accountRank != AccountQuota.ROUTE_PRIORITY)
-            .orElse(route.priority());
     return new DispatchAttributes(
         endpoint.id(),
         account.map(AccountQuota::account),
         Math.max(1, remainingMillis()),
-        priority,
+        rank(),
         prefillOnly,
         kvHandle,
         resumeAfter);
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamPlacer.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamPlacer.java
@@ -38,7 +38,10 @@
   private final String requestId;
   private final Predicate<RegionId> allowedRegions;
   private final BooleanSupplier isFinished;
+  private final StreamAdmission admission;
   private Optional<FleetMember> coordinator = Optional.empty();
+  private Requirements admissionRequirements;
+  private AdmissionResult result;
 
   /** The inputs of one attempt to place the stream. */
   record Requirements(
@@ -73,10 +76,12 @@
     this.requestId = requestId;
     this.allowedRegions = allowedRegions;
     this.isFinished = isFinished;
+    this.admission = new StreamAdmission(context, service, requestId, new AdmissionHandling());
   }
 
   /** Delivers a placement, or none if no engine has capacity. */
   void place(Requirements requirements, Consumer<Optional<StreamPlacement>> onPlacement) {
+    admission.cancel();
     if (requirements.need().ignoresCapacity()) {
       placeLocally(requirements, onPlacement);
     } else {
@@ -84,6 +89,32 @@
     }
   }
 
+  /** Receives what was decided about a stream that is placed by its rank. */
+  interface AdmissionResult {
+
+    /** The stream was placed; empty if no coordinator was reached and no capacity is known. */
+    void onPlacement(Optional<StreamPlacement> placement);
+
+    /** The stream waits; it is to be asked for again if nothing follows. */
+    void onQueued();
+
+    /** The stream cannot be served in time. */
+    void onRefused(long retryAfterMillis);
+  }
+
+  /** Returns whether streams of the service are queued by rank. */
+  boolean isQueued() {
+    return context.placements().isQueued(service) && !queryRegions().isEmpty();
+  }
+
+  /** Asks the coordinators to place the stream by its rank, or confirms that it still waits. */
+  void admit(
+      Requirements requirements, StreamAdmission.Terms terms, AdmissionResult admissionResult) {
+    admissionRequirements = requirements;
+    result = admissionResult;
+    admission.ask(queryRegions(), query(requirements), terms);
+  }
+
   /** Returns how long a stream that was not placed waits before the next attempt. */
   long retryDelayMillis() {
     return queryRegions().isEmpty() ? LOCAL_RETRY_MILLIS : COORDINATOR_RETRY_MILLIS;
@@ -100,6 +131,7 @@
 
   /** Releases the reservation at the coordinator. */
   void release() {
+    admission.cancel();
     coordinator.ifPresent(this::releaseAt);
     coordinator = Optional.empty();
   }
@@ -207,4 +239,33 @@
   private void releaseAt(FleetMember member) {
     context.placements().notifyEnded(member, requestId);
   }
+
+  /** Passes the decisions of coordinators on. */
+  private final class AdmissionHandling implements StreamAdmission.Result {
+    @Override
+    public void onPlaced(FleetMember member, StreamPlacementReply reply) {
+      acceptReply(member, reply, admissionRequirements, result::onPlacement);
+    }
+
+    @Override
+    public void onQueued() {
+      if (!isFinished.getAsBoolean()) {
+        result.onQueued();
+      }
+    }
+
+    @Override
+    public void onRefused(long retryAfterMillis) {
+      if (!isFinished.getAsBoolean()) {
+        result.onRefused(retryAfterMillis);
+      }
+    }
+
+    @Override
+    public void onUnreachable() {
+      if (!isFinished.getAsBoolean()) {
+        placeLocally(admissionRequirements, result::onPlacement);
+      }
+    }
+  }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
@@ -76,6 +76,9 @@
   /** As {@link #MAX_REFUSED_FETCHES}, if the last of the engines was probably full. */
   private static final int MAX_REFUSED_FETCHES_IF_FULL = 3;
 
+  /** A queued stream is asked for again after this time without a message. */
+  private static final long QUEUE_CONFIRM_MILLIS = 1_000;
+
   private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
 
   /** An engine estimated to be fuller than this may have refused for lack of memory. */
@@ -163,17 +166,86 @@
             capacityPolicy.usableMemoryFraction(),
             forced,
             route.maxGapMillis());
-    long search = currentSearch();
-    placer.place(
+    StreamPlacer.Requirements requirements =
         new StreamPlacer.Requirements(
-            candidates, ledger.triedEndpoints(), profile, need, remainingMillis()),
-        placement -> {
-          if (isCurrentSearch(search)) {
-            onPlacement(placement);
-          } else if (!hasStandby()) {
-            placer.release();
-          }
-        });
+            candidates, ledger.triedEndpoints(), profile, need, remainingMillis());
+    PlacementWait wait = new PlacementWait(currentSearch());
+    if (!forced && placer.isQueued()) {
+      placer.admit(requirements, admissionTerms(), wait);
+    } else {
+      placer.place(requirements, wait::onPlacement);
+    }
+  }
+
+  private StreamAdmission.Terms admissionTerms() {
+    boolean started = exchange.isResponseStarted() || kvHandle.isPresent();
+    long targetMillis = capacityPolicy == CapacityWaitPolicy.LATE ? 0 : route.targetMillis();
+    long waitedMillis = context.nowMillis() - startedMillis;
+    return new StreamAdmission.Terms(
+        started,
+        rank(),
+        accountName(),
+        targetMillis,
+        started
+            ? waitedMillis + remainingMillis()
+            : capacityPolicy.queueMillis(route.targetMillis()),
+        waitedMillis);
+  }
+
+  /** Returns after which time a queued stream is asked for again, in case a notice was lost. */
+  private long confirmMillis() {
+    long millis = QUEUE_CONFIRM_MILLIS;
+    if (exchange.isResponseStarted()) {
+      long interruptedMillis = context.nowMillis() - interruptedAtMillis;
+      millis = Math.min(millis, RESUME_WAIT_LIMIT_MILLIS - interruptedMillis);
+    }
+    if (kvHandle.isPresent()) {
+      long usableMillis = (long) (profile.prefillRetentionMillis() * KV_HANDLE_USE_FRACTION);
+      millis = Math.min(millis, kvHandleSinceMillis + usableMillis - context.nowMillis());
+    }
+    return millis;
+  }
+
+  /** Handles what is decided about a placement for one search. */
+  private final class PlacementWait implements StreamPlacer.AdmissionResult {
+    private final long search;
+
+    PlacementWait(long search) {
+      this.search = search;
+    }
+
+    @Override
+    public void onPlacement(Optional<StreamPlacement> placement) {
+      if (isCurrentSearch(search)) {
+        cancelAttemptTimer();
+        StreamingCall.this.onPlacement(placement);
+      } else if (!hasStandby()) {
+        placer.release();
+      }
+    }
+
+    @Override
+    public void onQueued() {
+      if (isCurrentSearch(search)) {
+        startAttemptTimer(confirmMillis(), StreamingCall.this::place);
+      }
+    }
+
+    @Override
+    public void onRefused(long retryAfterMillis) {
+      if (!isCurrentSearch(search)) {
+        return;
+      }
+      cancelAttemptTimer();
+      if (exchange.isResponseStarted()) {
+        startAttemptTimer(placer.retryDelayMillis(), StreamingCall.this::place);
+        return;
+      }
+      refuse(
+          "no engine has capacity in time for a call of rank " + rank(),
+          CapacityWaitPolicy.spreadRetryMillis(
+              retryAfterMillis, remainingMillis(), context.random().getAsDouble()));
+    }
   }
 
   private void onPlacement(Optional<StreamPlacement> placement) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
@@ -35,6 +35,8 @@
 import org.knapweedcleat.router.forward.quarantine.QuarantineNotice;
 import org.knapweedcleat.router.forward.room.EngineFaultNotice;
 import org.knapweedcleat.router.forward.room.PlacementExchange;
+import org.knapweedcleat.router.forward.room.StreamAdmissionNotice;
+import org.knapweedcleat.router.forward.room.StreamAdmissionQuery;
 import org.knapweedcleat.router.forward.room.StreamEndedNotice;
 import org.knapweedcleat.router.forward.room.StreamPlacementQuery;
 import org.knapweedcleat.router.forward.store.DirectoryCache;
@@ -211,6 +213,7 @@
   public void tick() {
     long nowMillis = clock.getAsLong();
     sendQuarantine(nowMillis);
+    rooms.tick();
     long elapsedMillis = nowMillis - sentAtMillis;
     boolean sendEarly =
         elapsedMillis >= MIN_SEND_INTERVAL_MILLIS && !members.isSmall() && hasUnsentStoreChanges();
@@ -245,6 +248,8 @@
       rooms.release(from, ended.requestId());
     } else if (message instanceof EngineFaultNotice fault) {
       rooms.onFault(fault);
+    } else if (message instanceof StreamAdmissionNotice notice) {
+      rooms.onNotice(from, notice);
     } else if (message instanceof LimitNotice limits) {
       onLimits(limits);
     } else if (message instanceof QuarantineNotice notice) {
@@ -260,6 +265,9 @@
     if (request instanceof StreamPlacementQuery roomQuestion) {
       return Uni.createFrom().item(rooms.place(from, roomQuestion));
     }
+    if (request instanceof StreamAdmissionQuery query) {
+      return Uni.createFrom().item(rooms.admit(from, query));
+    }
     if (request instanceof SendPermitQuery permitQuery) {
       return Uni.createFrom().item(permits.issue(permitQuery));
     }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -128,7 +128,8 @@
             directory,
             notices,
             ForwarderNode::nowMillis,
-            log);
+            log,
+            metrics);
     ForwardContext context =
         new ForwardContext(
             vertx,
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/room/PlacementExchange.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/room/PlacementExchange.java
@@ -1,6 +1,8 @@
 package org.knapweedcleat.router.forward.room;
 
+import com.codahale.metrics.MetricRegistry;
 import io.smallrye.mutiny.Uni;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,9 +13,11 @@
 import org.knapweedcleat.core.balance.EndpointAvailability;
 import org.knapweedcleat.core.balance.EngineFault;
 import org.knapweedcleat.core.balance.StreamCapacityAllocator;
+import org.knapweedcleat.core.balance.StreamPlacement;
 import org.knapweedcleat.core.balance.StreamRequirements;
 import org.knapweedcleat.core.directory.EndpointEntry;
 import org.knapweedcleat.core.directory.EngineProfile;
+import org.knapweedcleat.core.directory.RoutingConfig;
 import org.knapweedcleat.core.directory.ServiceProfile;
 import org.knapweedcleat.core.fleet.FleetMember;
 import org.knapweedcleat.core.fleet.FleetMembership;
@@ -22,6 +26,8 @@
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.RegionId;
 import org.knapweedcleat.core.id.ServiceId;
+import org.knapweedcleat.core.room.AdmissionQueue;
+import org.knapweedcleat.core.room.ServiceRanks;
 import org.knapweedcleat.router.forward.coordinator.CoordinatorClient;
 import org.knapweedcleat.router.forward.log.DecisionLog;
 import org.knapweedcleat.router.forward.store.DirectoryCache;
@@ -52,6 +58,10 @@
   private final DirectoryCache directory;
   private final EndpointAvailability notices;
   private final LongSupplier clock;
+  private final PlacementQueues queues;
+  private final Map<String, AdmissionListener> listeners = new HashMap<>();
+  private Optional<RoutingConfig> rankedConfig = Optional.empty();
+  private ServiceRanks ranks = ServiceRanks.NONE;
 
   private PlacementExchange(
       FleetMember self,
@@ -61,7 +71,8 @@
       DirectoryCache directory,
       EndpointAvailability notices,
       LongSupplier clock,
-      DecisionLog log) {
+      DecisionLog log,
+      MetricRegistry metrics) {
     this.self = self;
     this.members = members;
     this.regionByDomain = Map.copyOf(regionByDomain);
@@ -74,6 +85,7 @@
     this.clock = clock;
     this.coordinators =
         CoordinatorClient.of(self, members, clock, log, "room.unanswered", REPLY_TIMEOUT_MILLIS);
+    this.queues = new PlacementQueues(new QueueAllocation(), log, metrics);
   }
 
   /**
@@ -86,7 +98,8 @@
    * @param directory the published configuration and endpoints
    * @param notices which endpoints have announced that they are leaving or want a pause
    * @param clock supplies the monotonic time in milliseconds
-   * @param log records coordinators that do not reply
+   * @param log records coordinators that do not reply, and decisions about queued streams
+   * @param metrics counts queued streams
    * @return the exchange
    */
   public static PlacementExchange of(
@@ -97,9 +110,10 @@
       DirectoryCache directory,
       EndpointAvailability notices,
       LongSupplier clock,
-      DecisionLog log) {
+      DecisionLog log,
+      MetricRegistry metrics) {
     return new PlacementExchange(
-        self, members, regionByDomain, localCoordinator, directory, notices, clock, log);
+        self, members, regionByDomain, localCoordinator, directory, notices, clock, log, metrics);
   }
 
   /**
@@ -134,6 +148,24 @@
         coordinators.live(member -> region.equals(regionByDomain.get(member.domain()))));
   }
 
+  /**
+   * Returns whether the streams of a service are queued by rank.
+   *
+   * @param service the service
+   * @return true if its routes differ in rank and the fleet has coordinators
+   */
+  public boolean isQueued(ServiceId service) {
+    if (members.isSmall()) {
+      return false;
+    }
+    Optional<RoutingConfig> config = directory.config();
+    if (!config.equals(rankedConfig)) {
+      rankedConfig = config;
+      ranks = config.map(one -> ServiceRanks.of(one.content())).orElse(ServiceRanks.NONE);
+    }
+    return ranks.differ(service);
+  }
+
   /**
    * Queries a coordinator.
    *
@@ -148,6 +180,78 @@
     return coordinators.ask(member, query, StreamPlacementReply.class);
   }
 
+  /**
+   * Queries a coordinator about a stream that may be queued.
+   *
+   * @param member the coordinator
+   * @param query the query
+   * @return the reply; fails on a timeout
+   */
+  public Uni<StreamAdmissionReply> ask(FleetMember member, StreamAdmissionQuery query) {
+    if (coordinators.isSelf(member)) {
+      return Uni.createFrom().item(() -> admit(self.incarnation(), query));
+    }
+    return coordinators.ask(member, query, StreamAdmissionReply.class);
+  }
+
+  /**
+   * Answers, as coordinator, a query about a stream that may be queued.
+   *
+   * @param owner the instance that carries the stream
+   * @param query the query
+   * @return the reply
+   */
+  public StreamAdmissionReply admit(IncarnationId owner, StreamAdmissionQuery query) {
+    return queues.onQuery(clock.getAsLong(), owner, query);
+  }
+
+  /**
+   * Registers the receiver of notices about a stream, unless the request has one already.
+   *
+   * @param requestId the id of the stream's request
+   * @param listener receives the notices until it is removed
+   */
+  public void addListener(String requestId, AdmissionListener listener) {
+    listeners.putIfAbsent(requestId, listener);
+  }
+
+  /**
+   * Removes the receiver of notices about a stream.
+   *
+   * @param requestId the id of the stream's request
+   * @param listener the receiver
+   */
+  public void removeListener(String requestId, AdmissionListener listener) {
+    listeners.remove(requestId, listener);
+  }
+
+  /**
+   * Passes a coordinator's notice on. Capacity that is of no use any more is released.
+   *
+   * @param from the coordinator
+   * @param notice the notice
+   */
+  public void onNotice(IncarnationId from, StreamAdmissionNotice notice) {
+    AdmissionListener listener = listeners.get(notice.requestId());
+    boolean taken = listener != null && listener.onNotice(from, notice.reply());
+    if (!taken && notice.reply().placement().hasCapacity()) {
+      findMember(from).ifPresent(member -> notifyEnded(member, notice.requestId()));
+    }
+  }
+
+  /** Decides about queued streams as time passes. */
+  public void tick() {
+    queues.tick(clock.getAsLong());
+  }
+
+  private Optional<FleetMember> findMember(IncarnationId incarnation) {
+    return incarnation.equals(self.incarnation())
+        ? Optional.of(self)
+        : members.knownMembers().stream()
+            .filter(member -> member.incarnation().equals(incarnation))
+            .findFirst();
+  }
+
   /**
    * Tells a coordinator that a stream has ended.
    *
@@ -192,46 +296,59 @@
    * @return the reply
    */
   public StreamPlacementReply place(IncarnationId owner, StreamPlacementQuery query) {
+    return findPlacement(owner, query, query.usableMemoryFraction(), Set.of())
+        .map(StreamPlacementReply::of)
+        .orElse(StreamPlacementReply.NO_CAPACITY);
+  }
+
+  private Optional<StreamPlacement> findPlacement(
+      IncarnationId owner,
+      StreamPlacementQuery query,
+      double usableMemoryFraction,
+      Set<EndpointId> avoided) {
     long nowMillis = clock.getAsLong();
-    ServiceId service = ServiceId.of(query.service());
-    Set<String> unusable = Set.copyOf(query.unusableEngines());
-    List<EndpointEntry> candidates =
-        notices.available(nowMillis, directory.endpoints().available(service)).stream()
-            .filter(entry -> ownRegion.equals(regionByDomain.get(entry.domain())))
-            .filter(entry -> !unusable.contains(entry.id().value()))
-            .toList();
-    EngineProfile profile =
-        directory
-            .config()
-            .flatMap(config -> config.findService(service))
-            .map(ServiceProfile::engine)
-            .orElse(EngineProfile.NONE);
+    List<EndpointEntry> candidates = candidates(nowMillis, query, avoided);
     StreamRequirements need =
         new StreamRequirements(
             query.promptTokens(),
             query.memoryTokens(),
             query.splitAllowed(),
             endpointIds(query.failedPrefillEngines()),
-            query.usableMemoryFraction(),
+            usableMemoryFraction,
             false,
             query.maxGapMillis());
-    return localCoordinator
-        .place(
-            nowMillis,
-            owner,
-            query.requestId(),
-            query.remainingMillis(),
-            candidates,
-            endpointIds(query.triedEngines()),
-            profile,
-            need)
-        .map(
-            placement ->
-                new StreamPlacementReply(
-                    placement.prefill().map(engine -> engine.id().value()).orElse(""),
-                    placement.decode().id().value(),
-                    placement.expectedFirstEventMillis()))
-        .orElse(StreamPlacementReply.NO_CAPACITY);
+    return localCoordinator.place(
+        nowMillis,
+        owner,
+        query.requestId(),
+        query.remainingMillis(),
+        candidates,
+        endpointIds(query.triedEngines()),
+        profile(ServiceId.of(query.service())),
+        need);
+  }
+
+  /** Lists the engines of this region that a stream may use. */
+  private List<EndpointEntry> candidates(
+      long nowMillis, StreamPlacementQuery query, Set<EndpointId> avoided) {
+    Set<String> unusable = Set.copyOf(query.unusableEngines());
+    return regionalEngines(nowMillis, ServiceId.of(query.service()))
+        .filter(entry -> !unusable.contains(entry.id().value()))
+        .filter(entry -> !avoided.contains(entry.id()))
+        .toList();
+  }
+
+  private Stream<EndpointEntry> regionalEngines(long nowMillis, ServiceId service) {
+    return notices.available(nowMillis, directory.endpoints().available(service)).stream()
+        .filter(entry -> ownRegion.equals(regionByDomain.get(entry.domain())));
+  }
+
+  private EngineProfile profile(ServiceId service) {
+    return directory
+        .config()
+        .flatMap(config -> config.findService(service))
+        .map(ServiceProfile::engine)
+        .orElse(EngineProfile.NONE);
   }
 
   /**
@@ -242,6 +359,7 @@
    */
   public void release(IncarnationId owner, String requestId) {
     localCoordinator.release(owner, requestId);
+    queues.release(clock.getAsLong(), owner, requestId);
   }
 
   /**
@@ -251,10 +369,53 @@
    */
   public void release(IncarnationId owner) {
     localCoordinator.release(owner);
+    queues.release(owner);
     coordinators.forget(owner);
   }
 
   private static Set<EndpointId> endpointIds(List<String> names) {
     return names.stream().map(EndpointId::of).collect(Collectors.toSet());
   }
+
+  /** Gives the queues access to the engines of this region and to the other instances. */
+  private final class QueueAllocation implements PlacementQueues.Allocation {
+    @Override
+    public Optional<StreamPlacement> place(
+        IncarnationId owner,
+        StreamPlacementQuery query,
+        double usableMemoryFraction,
+        Set<EndpointId> avoided) {
+      return findPlacement(owner, query, usableMemoryFraction, avoided);
+    }
+
+    @Override
+    public Optional<EndpointId> leastFilled(StreamPlacementQuery query, Set<EndpointId> avoided) {
+      long nowMillis = clock.getAsLong();
+      return localCoordinator.leastFilled(nowMillis, candidates(nowMillis, query, avoided));
+    }
+
+    @Override
+    public void updateCapacity(ServiceId service, AdmissionQueue queue) {
+      int engines =
+          (int)
+              regionalEngines(clock.getAsLong(), service)
+                  .filter(entry -> entry.stage().runsRequests())
+                  .count();
+      queue.updateCapacity(engines, profile(service).memoryTokens());
+    }
+
+    @Override
+    public boolean isLocal(IncarnationId owner) {
+      return owner.equals(self.incarnation());
+    }
+
+    @Override
+    public void send(IncarnationId owner, StreamAdmissionNotice notice) {
+      if (isLocal(owner)) {
+        onNotice(owner, notice);
+      } else {
+        findMember(owner).ifPresent(member -> coordinators.send(member, notice));
+      }
+    }
+  }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/room/StreamPlacementReply.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/room/StreamPlacementReply.java
@@ -1,5 +1,6 @@
 package org.knapweedcleat.router.forward.room;
 
+import org.knapweedcleat.core.balance.StreamPlacement;
 import org.knapweedcleat.core.message.PeerMessage;
 
 /**
@@ -14,6 +15,13 @@
 
   static final StreamPlacementReply NO_CAPACITY = new StreamPlacementReply("", "", 0);
 
+  static StreamPlacementReply of(StreamPlacement placement) {
+    return new StreamPlacementReply(
+        placement.prefill().map(engine -> engine.id().value()).orElse(""),
+        placement.decode().id().value(),
+        placement.expectedFirstEventMillis());
+  }
+
   /**
    * Tells whether the stream was placed.
    *
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerMessageType.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerMessageType.java
@@ -17,6 +17,9 @@
 import org.knapweedcleat.router.forward.fleet.GossipMessage;
 import org.knapweedcleat.router.forward.quarantine.QuarantineNotice;
 import org.knapweedcleat.router.forward.room.EngineFaultNotice;
+import org.knapweedcleat.router.forward.room.StreamAdmissionNotice;
+import org.knapweedcleat.router.forward.room.StreamAdmissionQuery;
+import org.knapweedcleat.router.forward.room.StreamAdmissionReply;
 import org.knapweedcleat.router.forward.room.StreamEndedNotice;
 import org.knapweedcleat.router.forward.room.StreamPlacementQuery;
 import org.knapweedcleat.router.forward.room.StreamPlacementReply;
@@ -101,7 +104,13 @@
   /** Reports the rate limits that endpoints have announced. */
   LIMIT_NEWS(109, LimitNotice.class),
   /** Reports under which prompts engines were lost. */
-  QUARANTINE_NEWS(110, QuarantineNotice.class);
+  QUARANTINE_NEWS(110, QuarantineNotice.class),
+  /** Requests an engine for a stream of a service whose calls are queued by rank. */
+  ADMISSION_QUESTION(111, StreamAdmissionQuery.class),
+  /** Places, queues or refuses such a stream. */
+  ADMISSION_ANSWER(112, StreamAdmissionReply.class),
+  /** Notifies the holder of a queued stream of its engine or its refusal. */
+  ADMISSION_NOTICE(113, StreamAdmissionNotice.class);
 
   private static final Map<Short, PeerMessageType> BY_CODE = new HashMap<>();
   private static final Map<Class<?>, PeerMessageType> BY_CLASS = new HashMap<>();
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
@@ -111,7 +111,8 @@
               directory,
               notices,
               () -> fleet.nowMillis,
-              log);
+              log,
+              metrics);
       this.permits =
           PermitExchange.of(self, members, fleet.regions, rateLimits, () -> fleet.nowMillis, log);
       this.quarantine = QuarantineExchange.of(self, () -> fleet.nowMillis, log, metrics);
