--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
@@ -113,7 +113,8 @@
               directory,
               notices,
               () -> fleet.nowMillis,
-              log);
+              log,
+              metrics);
       this.permits =
           PermitExchange.of(
               self,
