Repeat a grant only while its holder can use the engines

Cause: a holder that was denied the granted engine, as by a rate limit, got the same grant again when it asked within two seconds. Change: a grant is repeated only to a query that does not list its engines as unusable.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/room/PlacementQueues.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/room/PlacementQueues.java
@@ -59,7 +59,17 @@
     void send(IncarnationId owner, StreamAdmissionNotice notice);
   }
 
-  private record Grant(long atMillis, StreamPlacementQuery query, StreamAdmissionReply reply) {}
+  private record Grant(long atMillis, StreamPlacementQuery query, StreamAdmissionReply reply) {
+
+    /** Returns whether a query repeats the granted one, and its holder can use the engines. */
+    boolean isUsableFor(StreamPlacementQuery other) {
+      return query.promptTokens() == other.promptTokens()
+          && query.triedEngines().equals(other.triedEngines())
+          && query.failedPrefillEngines().equals(other.failedPrefillEngines())
+          && !other.unusableEngines().contains(reply.placement().decodeEngine())
+          && !other.unusableEngines().contains(reply.placement().prefillEngine());
+    }
+  }
 
   PlacementQueues(Allocation allocation, DecisionLog log, MetricRegistry metrics) {
     this.allocation = allocation;
@@ -116,7 +126,7 @@
     StreamAdmissionReply onQuery(long nowMillis, IncarnationId owner, StreamAdmissionQuery query) {
       CallKey key = new CallKey(owner, query.stream().requestId());
       Grant grant = grants.get(key);
-      if (grant != null && isSameAttempt(grant.query(), query.stream())) {
+      if (grant != null && grant.isUsableFor(query.stream())) {
         return grant.reply();
       }
       allocation.updateCapacity(service, queue);
@@ -256,12 +266,6 @@
     return "room." + measure + ".rank" + Math.max(0, Math.min(rank, MAX_METRIC_RANK));
   }
 
-  private static boolean isSameAttempt(StreamPlacementQuery one, StreamPlacementQuery other) {
-    return one.promptTokens() == other.promptTokens()
-        && one.triedEngines().equals(other.triedEngines())
-        && one.failedPrefillEngines().equals(other.failedPrefillEngines());
-  }
-
   private static QueuedCall queuedCall(long nowMillis, CallKey key, StreamAdmissionQuery query) {
     long arrivedMillis = nowMillis - query.waitedMillis();
     return new QueuedCall(
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/RankedAdmissionTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/RankedAdmissionTest.java
@@ -145,6 +145,15 @@
     assertThat(ask(holder(2), "two", 1, 0).outcome(), is(Outcome.QUEUED));
   }
 
+  /** Guards against repeating a grant of an engine that the holder cannot use, without end. */
+  @Test
+  void grantOfUnusableEngineIsNotRepeated() {
+    assertThat(ask(holder(0), "one", 1, 0).outcome(), is(Outcome.PLACED));
+
+    StreamAdmissionReply repeated = ask(holder(0), admission("one", 1, 100, List.of("i-1")));
+    assertThat(repeated.outcome(), is(Outcome.QUEUED));
+  }
+
   /** Guards against holding calls that cannot be served; lower ranks return later. */
   @Test
   void burstIsRefusedAtOnceWithRetryTimeByRank() {
@@ -198,12 +207,21 @@
     return askWithoutListener(node, request, rank, waitedMillis);
   }
 
+  private static StreamAdmissionReply ask(Node node, StreamAdmissionQuery query) {
+    return node.rooms.ask(coordinator(node).orElseThrow(), query).await().indefinitely();
+  }
+
   private static StreamAdmissionReply askWithoutListener(Node node, String request, int rank) {
     return askWithoutListener(node, request, rank, 0);
   }
 
   private static StreamAdmissionReply askWithoutListener(
       Node node, String request, int rank, long waitedMillis) {
+    return ask(node, admission(request, rank, waitedMillis, List.of()));
+  }
+
+  private static StreamAdmissionQuery admission(
+      String request, int rank, long waitedMillis, List<String> unusableEngines) {
     StreamPlacementQuery stream =
         new StreamPlacementQuery(
             SERVICE.value(),
@@ -216,13 +234,8 @@
             1,
             0,
             List.of(),
-            List.of());
-    return node.rooms
-        .ask(
-            coordinator(node).orElseThrow(),
-            new StreamAdmissionQuery(stream, true, false, rank, "", 6_000, 6_000, waitedMillis))
-        .await()
-        .indefinitely();
+            unusableEngines);
+    return new StreamAdmissionQuery(stream, true, false, rank, "", 6_000, 6_000, waitedMillis);
   }
 
   private static void publish(Node node, int... ranks) {
