--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -26,7 +26,6 @@
 import org.knapweedcleat.core.id.RegionId;
 import org.knapweedcleat.core.id.ServiceId;
 import org.knapweedcleat.core.quarantine.QuarantinedPart;
-import org.knapweedcleat.core.room.ServiceRanks;
 import org.knapweedcleat.core.throttle.LimitObservation;
 import org.knapweedcleat.router.forward.codec.AvailabilityNotice;
 import org.knapweedcleat.router.forward.codec.DispatchAttributes;
@@ -146,7 +145,7 @@
 
   /** Returns the rank of the call; 0 is the most urgent. */
   protected final int rank() {
-    return ServiceRanks.rank(route, account);
+    return context.placements().ranks().rank(service, route, account);
   }
 
   /** Returns the id of the client account, empty if there is none. */
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/room/PlacementExchange.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/room/PlacementExchange.java
@@ -162,15 +162,21 @@
    * @return true if its routes differ in rank and the fleet has coordinators
    */
   public boolean isQueued(ServiceId service) {
-    if (members.isSmall()) {
-      return false;
-    }
+    return !members.isSmall() && ranks().differ(service);
+  }
+
+  /**
+   * Returns the ranks of calls in the configuration in force.
+   *
+   * @return the ranks
+   */
+  public ServiceRanks ranks() {
     Optional<RoutingConfig> config = directory.config();
     if (!config.equals(rankedConfig)) {
       rankedConfig = config;
       ranks = config.map(one -> ServiceRanks.of(one.content())).orElse(ServiceRanks.NONE);
     }
-    return ranks.differ(service);
+    return ranks;
   }
 
   /**
