Spread prefill engines over the domains of a region

Cause: the engine that changes its stage is chosen by region and id, so a domain may get no prefill engine; each KV cache of its streams then crosses domains. Change: with [locality] enabled, StageBalancer takes the engine from the domain of the region that exceeds its target by most. Without it the order is as before.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/stage/StageBalancer.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/stage/StageBalancer.java
@@ -9,6 +9,7 @@
 import java.util.stream.Collectors;
 import org.knapweedcleat.core.directory.EndpointEntry;
 import org.knapweedcleat.core.directory.EndpointStage;
+import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.RegionId;
 
 /**
@@ -19,11 +20,15 @@
 
   private final double prefillFraction;
   private final Function<EndpointEntry, Optional<RegionId>> regionOf;
+  private final boolean balancesDomains;
 
   private StageBalancer(
-      double prefillFraction, Function<EndpointEntry, Optional<RegionId>> regionOf) {
+      double prefillFraction,
+      Function<EndpointEntry, Optional<RegionId>> regionOf,
+      boolean balancesDomains) {
     this.prefillFraction = prefillFraction;
     this.regionOf = regionOf;
+    this.balancesDomains = balancesDomains;
   }
 
   /**
@@ -39,7 +44,18 @@
       throw new IllegalArgumentException(
           "prefill fraction is not between 0 and 1: " + prefillFraction);
     }
-    return new StageBalancer(prefillFraction, regionOf);
+    return new StageBalancer(prefillFraction, regionOf, false);
+  }
+
+  /**
+   * Returns a balancer that also prefers, within a region, the failure domain that exceeds its
+   * target by most, so that fewer KV caches are transferred between domains.
+   *
+   * @param enabled whether domains matter
+   * @return the balancer
+   */
+  public StageBalancer balancingDomains(boolean enabled) {
+    return new StageBalancer(prefillFraction, regionOf, enabled);
   }
 
   /**
@@ -59,25 +75,28 @@
     }
     EndpointStage from = prefillEngines > target ? EndpointStage.PREFILL : EndpointStage.DECODE;
     EndpointStage to = prefillEngines > target ? EndpointStage.DECODE : EndpointStage.PREFILL;
-    Map<Optional<RegionId>, Double> excess = excess(engines, from);
+    Map<Optional<RegionId>, Double> excess = excess(engines, from, regionOf);
+    Map<FailureDomainId, Double> domainExcess = excess(engines, from, EndpointEntry::domain);
     return engines.stream()
         .filter(engine -> engine.stage() == from)
         .max(
             Comparator.comparingDouble((EndpointEntry engine) -> excess.get(regionOf.apply(engine)))
+                .thenComparing(engine -> balancesDomains ? domainExcess.get(engine.domain()) : 0.0)
                 .thenComparing(EndpointEntry::id))
         .map(engine -> new StageChange(engine, to));
   }
 
-  /** Returns by how many engines of a stage each region exceeds its target. */
-  private Map<Optional<RegionId>, Double> excess(List<EndpointEntry> engines, EndpointStage stage) {
+  /** Returns by how many engines of a stage each region or domain exceeds its target. */
+  private <K> Map<K, Double> excess(
+      List<EndpointEntry> engines, EndpointStage stage, Function<EndpointEntry, K> groupOf) {
     double fraction = stage == EndpointStage.PREFILL ? prefillFraction : 1 - prefillFraction;
-    Map<Optional<RegionId>, Double> excess = new HashMap<>();
+    Map<K, Double> excess = new HashMap<>();
     engines.stream()
-        .collect(Collectors.groupingBy(regionOf))
+        .collect(Collectors.groupingBy(groupOf))
         .forEach(
-            (regionId, regionEngines) -> {
-              long count = regionEngines.stream().filter(engine -> engine.stage() == stage).count();
-              excess.put(regionId, count - fraction * regionEngines.size());
+            (group, groupEngines) -> {
+              long count = groupEngines.stream().filter(engine -> engine.stage() == stage).count();
+              excess.put(group, count - fraction * groupEngines.size());
             });
     return excess;
   }
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/stage/StageBalancerTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/stage/StageBalancerTest.java
@@ -5,8 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.knapweedcleat.core.directory.EndpointEntry;
 import org.knapweedcleat.core.directory.EndpointStage;
@@ -37,6 +39,30 @@
     assertThat(change.stage(), is(EndpointStage.DECODE));
   }
 
+  /** Guards against domains without prefill engines, whose KV caches all cross domains. */
+  @Test
+  void balancesDomainsOfRegionIfEnabled() {
+    List<EndpointEntry> engines = new ArrayList<>();
+    for (String domain : List.of("x", "y", "z")) {
+      for (int i = 0; i < 4; i++) {
+        engines.add(engineIn(domain, domain + i, EndpointStage.DECODE));
+      }
+    }
+    StageBalancer balancing =
+        StageBalancer.of(0.27, engine -> Optional.of(RegionId.of("r"))).balancingDomains(true);
+    Set<FailureDomainId> prefillDomains = new HashSet<>();
+    Optional<StageChange> next = balancing.nextChange(engines);
+    while (next.isPresent()) {
+      EndpointEntry changed = next.get().engine();
+      prefillDomains.add(changed.domain());
+      engines.remove(changed);
+      engines.add(engineIn(changed.domain().value(), changed.id().value(), EndpointStage.PREFILL));
+      next = balancing.nextChange(engines);
+    }
+
+    assertThat(prefillDomains.size(), is(3));
+  }
+
   @Test
   void stopsAtTarget() {
     List<EndpointEntry> engines = new ArrayList<>();
@@ -103,4 +129,17 @@
         64,
         false);
   }
+
+  private static EndpointEntry engineIn(String domain, String id, EndpointStage stage) {
+    return new EndpointEntry(
+        EndpointId.of(id),
+        0,
+        ServiceId.of("notes"),
+        "127.0.0.1",
+        9000,
+        FailureDomainId.of(domain),
+        stage,
+        6,
+        false);
+  }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -181,7 +181,8 @@
             members,
             OrderLeaderElection.of(settings.id(), ORDER_HANDOVER_MILLIS),
             StageBalancer.of(
-                settings.bounds().prefillPart(), entry -> domains.region(entry.domain())),
+                    settings.bounds().prefillPart(), entry -> domains.region(entry.domain()))
+                .balancingDomains(settings.locality().isEnabled()),
             System::currentTimeMillis);
     gossip.seeds(settings.discovery().seeds());
     this.peers =
