Test that streams placed by weight stay in their home domain

Cause: only the selection of the best engines was tested with the filter, not the sampling of small fleets. Change: a test with six engines in each of three domains.

--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/balance/HomeDomainFilterTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/balance/HomeDomainFilterTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
 
 import java.util.HashMap;
 import java.util.List;
@@ -13,6 +14,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.knapweedcleat.core.directory.EndpointEntry;
 import org.knapweedcleat.core.directory.EndpointStage;
@@ -173,6 +175,40 @@
     assertThat(placement.prefill(), is(Optional.of(besidePrefill)));
   }
 
+  /** Guards against instances of small fleets that spread streams over domains with capacity. */
+  @Test
+  void streamsPlacedByWeightStayAtHomeUntilItIsFull() {
+    List<EndpointEntry> many =
+        Stream.of(HOME, BESIDE, FAR)
+            .flatMap(
+                domain ->
+                    IntStream.range(0, 6)
+                        .mapToObj(
+                            i ->
+                                endpoint(
+                                    domain + "-" + i,
+                                    domain,
+                                    i < 2 ? EndpointStage.PREFILL : EndpointStage.DECODE)))
+            .toList();
+
+    for (int i = 0; i < 100; i++) {
+      StreamPlacement placement = placeByWeight(many);
+      assertThat(placement.decode().domain(), is(HOME));
+      assertThat(placement.prefill().orElseThrow().domain(), is(HOME));
+    }
+
+    many.stream()
+        .filter(engine -> engine.domain().equals(HOME))
+        .forEach(engine -> workload.addLocal(engine.id(), new EndpointWorkload(9, 0, 31_000)));
+    assertThat(placeByWeight(many).decode().domain(), not(HOME));
+  }
+
+  private StreamPlacement placeByWeight(List<EndpointEntry> candidates) {
+    return selector
+        .placeStreamByWeight(0, candidates, Set.of(), PROFILE, REQUIREMENTS)
+        .orElseThrow();
+  }
+
   /** Guards against an allocator that prefers its own domain to that of the instance that asks. */
   @Test
   void allocatorPlacesStreamsInTheDomainOfTheirHolder() {
