--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointAvailability.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointAvailability.java
@@ -79,6 +79,15 @@
         Unavailability::latest);
   }
 
+  /**
+   * Returns whether no endpoint has announced anything.
+   *
+   * @return true if all endpoints accept calls
+   */
+  boolean allAvailable() {
+    return unavailable.isEmpty();
+  }
+
   /**
    * Returns whether an endpoint accepts calls now.
    *
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointEligibility.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointEligibility.java
@@ -82,6 +82,9 @@
       List<EndpointEntry> endpoints,
       RegionRestriction restriction,
       String requestId) {
+    if (restriction.allowsAll() && evacuations.isInactive() && availability.allAvailable()) {
+      return endpoints;
+    }
     List<EndpointEntry> eligible = new ArrayList<>(endpoints.size());
     List<EndpointEntry> returning = new ArrayList<>();
     for (EndpointEntry endpoint : endpoints) {
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/directory/DomainEvacuations.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/directory/DomainEvacuations.java
@@ -26,7 +26,7 @@
    * Several times the duration of most calls, so that the load on a returning domain is known
    * before the next calls are placed there.
    */
-  static final long RETURN_MILLIS = 10_000;
+  public static final long RETURN_MILLIS = 10_000;
 
   private final Map<FailureDomainId, Change> changes = new LinkedHashMap<>();
   private final Map<FailureDomainId, Hold> holds = new LinkedHashMap<>();
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/directory/RegionRestriction.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/directory/RegionRestriction.java
@@ -37,6 +37,15 @@
             .toList());
   }
 
+  /**
+   * Returns whether the call may be served in any region.
+   *
+   * @return true if neither its route nor its account restricts it
+   */
+  public boolean allowsAll() {
+    return restrictions.isEmpty();
+  }
+
   /**
    * Returns whether the call may be served in a region.
    *
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/balance/EndpointSelectorTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/balance/EndpointSelectorTest.java
@@ -61,6 +61,39 @@
     assertThat(selector.selectForPlainCall(0, List.of(far, near), Set.of()), is(Optional.of(far)));
   }
 
+  @Test
+  void warmEndpointsArePreferredUntilTheyAreFull() {
+    EndpointEntry cold = engine("cold", "near", EndpointStage.WHOLE);
+    EndpointEntry warm = engine("warm", "far", EndpointStage.WHOLE);
+    EndpointSelector warmFirst = selector.preferringWarm(cold::equals);
+
+    assertThat(
+        warmFirst.selectForPlainCall(0, List.of(cold, warm), Set.of()), is(Optional.of(warm)));
+    workload.addLocal(warm.id(), new EndpointWorkload(6_400, 0, 0));
+    assertThat(
+        warmFirst.selectForPlainCall(0, List.of(cold, warm), Set.of()), is(Optional.of(cold)));
+  }
+
+  /** Guards against streams on a cold engine, by its free memory, beside a warm one. */
+  @Test
+  void streamGoesToWarmEngineAmongFewAndMany() {
+    List<EndpointEntry> decodeEngines =
+        IntStream.range(0, 10)
+            .mapToObj(i -> engine("d-" + i, "near", EndpointStage.DECODE))
+            .toList();
+    EndpointEntry warm = decodeEngines.get(9);
+    workload.addLocal(warm.id(), new EndpointWorkload(1, 0, 20_000));
+    EndpointSelector warmFirst = selector.preferringWarm(entry -> !entry.equals(warm));
+
+    for (List<EndpointEntry> candidates : List.of(decodeEngines, decodeEngines.subList(6, 10))) {
+      assertThat(
+          warmFirst
+              .placeStreamByWeight(0, candidates, Set.of(), PROFILE, REQUIREMENTS)
+              .map(StreamPlacement::decode),
+          is(Optional.of(warm)));
+    }
+  }
+
   /** Guards against sampling plain endpoints uniformly, regardless of their workload. */
   @Test
   void fullEndpointsAmongManyAreRarelySelected() {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/DirectoryCache.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/DirectoryCache.java
@@ -335,8 +335,7 @@
     if (endpoint.coldRemainingMillis() != 0) {
       long coldStartMillis =
           findService(endpoint.entry().service()).map(ServiceProfile::coldStartMillis).orElse(0L);
-      eligibility.recordStatement(
-          endpoint.entry(), endpoint.coldRemainingMillis(), coldStartMillis);
+      eligibility.recordPublished(endpoint, coldStartMillis);
     }
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/EligibilityCache.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/store/EligibilityCache.java
@@ -33,8 +33,13 @@
   /** More than an operator corrects; a fault that was dropped is logged again. */
   private static final int MAX_FAULTS = 1_000;
 
+  /** Far more than the endpoints of any deployment; the oldest entries are dropped. */
+  private static final int MAX_PUBLISHED = 4_000;
+
   private final DomainEvacuations evacuations = DomainEvacuations.create();
   private final ColdEndpoints coldEndpoints = ColdEndpoints.create();
+  private final Map<EndpointIncarnation, StorePosition> publishedColdTimes =
+      BoundedMap.of(MAX_PUBLISHED);
   private final Map<PublishedFault, Boolean> loggedFaults = BoundedMap.of(MAX_FAULTS);
   private final PublishedNames names;
   private final LongSupplier clock;
@@ -121,6 +126,19 @@
     log.stateChange("domain.returning", "domain", domain, "why", reason, "source", STORE);
   }
 
+  /**
+   * Records how long an endpoint stays cold by its published entry. An entry that is read again, as
+   * in a listing, does not count again: its time has run since.
+   */
+  void recordPublished(PublishedItem.Endpoint endpoint, long coldStartMillis) {
+    EndpointIncarnation incarnation = EndpointIncarnation.of(endpoint.entry());
+    StorePosition previous = publishedColdTimes.get(incarnation);
+    if (previous == null || endpoint.position().compareTo(previous) > 0) {
+      publishedColdTimes.put(incarnation, endpoint.position());
+      recordStatement(endpoint.entry(), endpoint.coldRemainingMillis(), coldStartMillis);
+    }
+  }
+
   /**
    * Records how long an endpoint stays cold by its own statement.
    *
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
@@ -65,6 +65,7 @@
   private final Set<InstanceId> disconnectedFromStore = new HashSet<>();
   private final Set<InstanceId> olderBuilds = new HashSet<>();
   private final List<PublishedItem> published = new ArrayList<>();
+  private final List<PublishedItem> publishedByOperators = new ArrayList<>();
   private final Set<InstanceId> storeReaders = new HashSet<>();
   private final Set<FailureDomainId> partitioned = new HashSet<>();
   private final Map<String, Long> lostUntilMillis = new HashMap<>();
@@ -307,8 +308,20 @@
     storePosition = item.position();
   }
 
-  /** Replaces the store by an older copy. */
+  /** Publishes a configuration or a change of an evacuation in the store. */
+  void publishByOperators(PublishedItem item) {
+    publishedByOperators.add(item);
+    storePosition = item.position();
+  }
+
+  /** Returns the position of the next change in the store. */
+  StorePosition nextPosition() {
+    return StorePosition.of(storePosition.era(), storePosition.revision() + 1);
+  }
+
+  /** Replaces the store by an older copy, which has nothing that operators have published. */
   void restoreStore(StorePosition position, PublishedItem... items) {
+    publishedByOperators.clear();
     published.clear();
     published.addAll(List.of(items));
     storePosition = position;
@@ -364,7 +377,11 @@
     StorePosition position = withEras ? storePosition : withoutEra(storePosition);
     List<PublishedItem> items =
         withEras ? published : published.stream().map(SimulatedFleet::withoutEra).toList();
-    node.directory.onChanged(PublishedKind.CONFIG, List.of(), position);
+    if (position.isOfLaterEra(node.directory.endpoints().position())) {
+      node.directory.onListed(PublishedKind.CONFIG, publishedByOperators, position);
+    } else {
+      node.directory.onChanged(PublishedKind.CONFIG, publishedByOperators, position);
+    }
     if (position.isOfLaterEra(node.directory.endpoints().position())) {
       node.directory.onListed(PublishedKind.ENDPOINTS, items, position);
     } else {
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/peer/PeerCodecTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/peer/PeerCodecTest.java
@@ -5,12 +5,19 @@
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.knapweedcleat.core.directory.EngineProfile;
+import org.knapweedcleat.core.directory.RequestLimits;
+import org.knapweedcleat.core.directory.RoutingContent;
+import org.knapweedcleat.core.directory.ServiceProfile;
 import org.knapweedcleat.core.id.AccountId;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.InstanceId;
@@ -18,11 +25,16 @@
 import org.knapweedcleat.core.id.ServiceId;
 import org.knapweedcleat.core.message.PeerMessage;
 import org.knapweedcleat.core.schedule.PlacementRequest;
+import org.knapweedcleat.router.forward.fleet.DirectoryResponse;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 class PeerCodecTest {
 
   private record Unregistered(long number) implements PeerMessage {}
 
+  private static final ServiceId NOTES = ServiceId.of("notes");
+  private static final EngineProfile ENGINE = new EngineProfile(64, 34_000, 500, 13);
+
   private final PeerCodec codec = PeerCodec.create();
 
   private final PeerMessage sample =
@@ -43,6 +55,35 @@
     assertThat(codec.decodeBody(codec.encodeBody(sample)), is(Either.right(sample)));
   }
 
+  @Test
+  void roundTripsLimitOfColdEndpoints() {
+    DirectoryResponse message = response(new ServiceProfile(NOTES, 370, ENGINE, 2.5, 20_000));
+
+    assertThat(codec.decodeBody(codec.encodeBody(message)), is(Either.right(message)));
+  }
+
+  /** Guards against a configuration that older builds reject for its length. */
+  @Test
+  void serviceWithoutLimitOfColdEndpointsIsEncodedAsBefore() throws IOException {
+    DirectoryResponse message = response(new ServiceProfile(NOTES, 370, ENGINE));
+    byte[] body = codec.encodeBody(message);
+    JsonNode services =
+        new ObjectMapper(new MessagePackFactory())
+            .readTree(Arrays.copyOfRange(body, PeerCodec.HEADER_BYTES, body.length))
+            .get(0)
+            .get(0)
+            .get(2);
+
+    assertThat(services.get(0).size(), is(3));
+    assertThat(codec.decodeBody(body), is(Either.right(message)));
+  }
+
+  private static DirectoryResponse response(ServiceProfile service) {
+    RoutingContent content =
+        new RoutingContent(3, List.of(), List.of(service), false, List.of(), RequestLimits.INITIAL);
+    return new DirectoryResponse(List.of(content), List.of(), List.of(), -1);
+  }
+
   @Test
   void reportsFaultOfInvalidBody() {
     byte[] body = codec.encodeBody(sample);
