Tell other instances of a cold endpoint until it is warm

Cause: observations were told for 3 s only; an instance that started later and got the directory from others instead of the store would have sent freely to the cold endpoint. Found by reading, not by a test.

Change: observations are told until the endpoint is warm, the 100 latest at most.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/throttle/ColdEndpoints.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/throttle/ColdEndpoints.java
@@ -15,11 +15,8 @@
  */
 public final class ColdEndpoints {
 
-  /** Other instances learn of an observation many times over in this time. */
-  private static final long REPORT_MILLIS = 3_000;
-
-  /** A report of more endpoints would exceed what instances may spend on messages. */
-  private static final int MAX_REPORTED = 200;
+  /** A report of more endpoints, of some 35 bytes each, would be longer than other messages. */
+  private static final int MAX_REPORTED = 100;
 
   /** Statements of the same time differ by this much, depending on how long they travelled. */
   private static final long TOLERANCE_MILLIS = 250;
@@ -82,20 +79,19 @@
   }
 
   /**
-   * Returns the recent observations that other instances may not know of yet, the latest ones
-   * first.
+   * Returns the observations to tell other instances, the latest ones first. They are told for as
+   * long as the endpoint is cold, since instances that start meanwhile may not read the store.
    *
    * @param nowMillis the current time
    * @param sources whose observations to return
    * @return the observations
    */
-  public List<ColdObservation> recent(long nowMillis, Set<ObservationSource> sources) {
+  public List<ColdObservation> current(long nowMillis, Set<ObservationSource> sources) {
     if (latest.isEmpty()) {
       return List.of();
     }
     return latest.values().stream()
         .filter(observation -> sources.contains(observation.source()))
-        .filter(observation -> nowMillis - observation.observedAtMillis() <= REPORT_MILLIS)
         .filter(observation -> observation.untilMillis() > nowMillis)
         .sorted(Comparator.comparingLong(ColdObservation::observedAtMillis).reversed())
         .limit(MAX_REPORTED)
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/EligibilityExchange.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/EligibilityExchange.java
@@ -44,7 +44,7 @@
     List<EvacuationReport> evacuations =
         cache.evacuations().changes().stream().map(EvacuationReport::of).toList();
     List<ColdReport> coldEndpoints =
-        cache.coldEndpoints().recent(nowMillis, sources).stream()
+        cache.coldEndpoints().current(nowMillis, sources).stream()
             .map(observation -> ColdReport.of(nowMillis, observation))
             .toList();
     return evacuations.isEmpty() && coldEndpoints.isEmpty()
