Bound the memory and number of callers' connections

Cause: bodies, heads and unread responses of callers were held without a bound on their sum, a connection kept the header limit of its start, and an occasional byte kept a body open for ever. Change: the forwarding instance's server for callers applies core.intake: received bytes reach the decoder in slices of 4 KB; a connection is stopped, refused with 503 or closed as the budget says; lines, chunks, extensions and trailers are limited; a body has to make progress; connections are accepted as they are taken over. A changed max_header_bytes replaces a connection's decoder between two requests.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingKeys.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingKeys.java
@@ -136,24 +136,25 @@
 
   private static final List<SettingKey<?>> ALL =
       List.of(
-          ID,
-          DOMAIN,
-          CALLERS,
-          READINESS,
-          PEERS,
-          METRICS,
-          SEEDS,
-          STORE,
-          GOSSIP,
-          STOP,
-          REPEAT_RATIO,
-          REPEAT_WINDOW,
-          REPEAT_SLACK,
-          QUOTA_OVERAGE,
-          QUOTA_SLACK,
-          PREFILL_PART,
-          CONFIG_APPLY,
-          REGION);
+              ID,
+              DOMAIN,
+              CALLERS,
+              READINESS,
+              PEERS,
+              METRICS,
+              SEEDS,
+              STORE,
+              GOSSIP,
+              STOP,
+              REPEAT_RATIO,
+              REPEAT_WINDOW,
+              REPEAT_SLACK,
+              QUOTA_OVERAGE,
+              QUOTA_SLACK,
+              PREFILL_PART,
+              CONFIG_APPLY)
+          .appendAll(CallerSettingKeys.all())
+          .append(REGION);
 
   private ForwarderSettingKeys() {}
 
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettings.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettings.java
@@ -5,6 +5,7 @@
 import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.InstanceId;
 import org.knapweedcleat.core.id.RegionId;
+import org.knapweedcleat.core.intake.CallerLimits;
 
 /**
  * Startup settings of a forwarding instance.
@@ -18,6 +19,7 @@
  * @param regions the region of each failure domain
  * @param discovery how it finds other instances and the configuration
  * @param bounds fleet-wide time limits and budgets
+ * @param callers limits on the connections of callers
  */
 public record ForwarderSettings(
     InstanceId id,
@@ -28,7 +30,44 @@
     InetAddressPort metricsAddress,
     Map<FailureDomainId, RegionId> regions,
     Discovery discovery,
-    Bounds bounds) {
+    Bounds bounds,
+    CallerLimits callers) {
+
+  /**
+   * Creates settings with the default limits on the connections of callers.
+   *
+   * @param id the name of the instance
+   * @param domain the failure domain in which it runs
+   * @param callerAddress the address that serves callers
+   * @param readinessAddress the address that serves readiness checks
+   * @param peerAddress the address that serves other instances
+   * @param metricsAddress the address that serves metrics
+   * @param regions the region of each failure domain
+   * @param discovery how it finds other instances and the configuration
+   * @param bounds fleet-wide time limits and budgets
+   */
+  public ForwarderSettings(
+      InstanceId id,
+      FailureDomainId domain,
+      InetAddressPort callerAddress,
+      InetAddressPort readinessAddress,
+      InetAddressPort peerAddress,
+      InetAddressPort metricsAddress,
+      Map<FailureDomainId, RegionId> regions,
+      Discovery discovery,
+      Bounds bounds) {
+    this(
+        id,
+        domain,
+        callerAddress,
+        readinessAddress,
+        peerAddress,
+        metricsAddress,
+        regions,
+        discovery,
+        bounds,
+        CallerLimits.DEFAULT);
+  }
 
   /**
    * How an instance finds other instances and the configuration.
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingsParser.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingsParser.java
@@ -10,10 +10,13 @@
 import java.util.stream.Collectors;
 import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.RegionId;
+import org.knapweedcleat.core.intake.CallerLimits;
 
 /** Parses and validates the settings of a forwarding instance. */
 public final class ForwarderSettingsParser {
 
+  private static final long BYTES_PER_KILOBYTE = 1_024;
+
   private ForwarderSettingsParser() {}
 
   /**
@@ -88,7 +91,8 @@
         instance.get(ForwarderSettingKeys.METRICS),
         regions(sections),
         discovery(only(sections, SectionKind.DISCOVERY)),
-        bounds(only(sections, SectionKind.BOUNDS)));
+        bounds(only(sections, SectionKind.BOUNDS)),
+        callers(only(sections, SectionKind.CALLERS)));
   }
 
   private static ValidatedSection only(List<ValidatedSection> sections, SectionKind kind) {
@@ -113,4 +117,17 @@
         section.get(ForwarderSettingKeys.PREFILL_PART),
         section.get(ForwarderSettingKeys.CONFIG_APPLY));
   }
+
+  private static CallerLimits callers(ValidatedSection section) {
+    return new CallerLimits(
+        BYTES_PER_KILOBYTE * section.get(CallerSettingKeys.MEMORY),
+        section.get(CallerSettingKeys.CONNECTIONS),
+        section.get(CallerSettingKeys.PARTIAL_REQUESTS),
+        section.get(CallerSettingKeys.HEADER_LINES),
+        section.get(CallerSettingKeys.CHUNKS),
+        section.get(CallerSettingKeys.CHUNK_OVERHEAD),
+        section.get(CallerSettingKeys.TRAILER_LINES),
+        section.get(CallerSettingKeys.MIN_BODY),
+        section.get(CallerSettingKeys.DISCARDED));
+  }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SectionKind.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SectionKind.java
@@ -40,6 +40,8 @@
       SettingsFileType.FORWARDER, "discovery", 0, "where others and the configuration are found"),
   /** Fleet-wide time limits and budgets. */
   BOUNDS(SettingsFileType.FORWARDER, "bounds", 0, "times and budgets of the whole fleet"),
+  /** Limits on the connections of callers of a forwarding instance. */
+  CALLERS(SettingsFileType.FORWARDER, "callers", 0, "limits on the connections of callers"),
   /** A failure domain and its region, as known to a forwarding instance. */
   FORWARDER_DOMAIN(SettingsFileType.FORWARDER, "domain", 1, "a failure domain");
 
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/intake/CallerLimits.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/intake/CallerLimits.java
@@ -8,7 +8,7 @@
  * reaches it.
  *
  * @param memoryBytes the memory held for callers; 0: a part of the heap
- * @param maxConnections the number of open connections; 0: a part of the process's descriptors
+ * @param maxConnections the number of open connections; 0: as descriptors and memory allow
  * @param maxPartialRequests the number of connections with a partly received request; 0: all
  * @param maxHeaderLines the number of lines of a head; 0: as many as its maximum length allows
  * @param maxChunks the number of chunks of a body; 0: as many as its maximum length allows
@@ -46,6 +46,9 @@
    */
   private static final double HEAP_PART = 0.45;
 
+  /** The part of the budget that connections without a request may take. */
+  private static final double CONNECTIONS_PART = 0.25;
+
   /** The rest of the descriptors is for endpoints, other instances and the store. */
   private static final double DESCRIPTOR_PART = 0.6;
 
@@ -63,12 +66,14 @@
    * Returns the number of connections that may be open.
    *
    * @param descriptors the number of descriptors that the process may open
+   * @param budgetBytes the memory budget
    * @return the number
    */
-  public int connections(long descriptors) {
+  public int connections(long descriptors, long budgetBytes) {
+    double byMemory = CONNECTIONS_PART * budgetBytes / HeapCost.CONNECTION_BYTES;
     return maxConnections > 0
         ? maxConnections
-        : (int) Math.max(1, Math.min(Integer.MAX_VALUE, DESCRIPTOR_PART * descriptors));
+        : (int) Math.max(1, Math.min(byMemory, DESCRIPTOR_PART * descriptors));
   }
 
   /**
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/intake/CallerMemoryBudget.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/intake/CallerMemoryBudget.java
@@ -90,12 +90,14 @@
   /**
    * Adds a connection that holds nothing.
    *
+   * @param caller the caller's address
    * @param nowMillis the current time
    * @return what it holds
    */
-  public HeldMemory open(long nowMillis) {
-    HeldMemory held = new HeldMemory(++opened, nowMillis);
+  public HeldMemory open(String caller, long nowMillis) {
+    HeldMemory held = new HeldMemory(++opened, caller, nowMillis);
     connections.add(held);
+    add(held);
     return held;
   }
 
@@ -132,6 +134,10 @@
     subtract(held);
     held.hold(isPartial, partialBytes, completeBytes, responseBytes);
     add(held);
+    if (!isPartial) {
+      stopped.remove(held);
+      held.cancelStop();
+    }
   }
 
   /**
@@ -190,14 +196,15 @@
   }
 
   /**
-   * Decides whether a connection is read, and records that it is stopped if not.
+   * Decides whether a connection is read, and records that it is stopped if not. The first bytes of
+   * a request are always read, since they may be all of a small one.
    *
    * @param held the connection's record
    * @param nowMillis the current time
    * @return false if it is not to be read until {@link #resumable}
    */
   public boolean mayRead(HeldMemory held, long nowMillis) {
-    if (fits(held) || isAlone(held)) {
+    if (!held.hasPartialRequest() || fits(held) || isAlone(held)) {
       return true;
     }
     held.stop(nowMillis);
@@ -321,6 +328,15 @@
     return connections.stream().max(Comparator.comparingLong(HeldMemory::totalBytes));
   }
 
+  /**
+   * Returns the number of connections.
+   *
+   * @return the number
+   */
+  public int connections() {
+    return connections.size();
+  }
+
   /**
    * Returns the number of stopped connections.
    *
@@ -336,7 +352,7 @@
         .filter(held -> !isAlone(held))
         .max(
             Comparator.<HeldMemory>comparingInt(held -> slowness(held.stalledMillis(nowMillis)))
-                .thenComparingLong(HeldMemory::totalBytes))
+                .thenComparingLong(HeldMemory::evictableBytes))
         .map(held -> new Victim(held, held.holdsResponse() ? Eviction.CLOSE : Eviction.REFUSE));
   }
 
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/intake/HeapCost.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/intake/HeapCost.java
@@ -6,6 +6,9 @@
  */
 public final class HeapCost {
 
+  /** Measured: 1,500 idle connections added 13.4 MB of live objects. */
+  static final long CONNECTION_BYTES = 9_216;
+
   /** An entry of the header table and two strings, each with its array. */
   private static final long LINE_BYTES = 160;
 
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/intake/HeldMemory.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/intake/HeldMemory.java
@@ -4,6 +4,7 @@
 public final class HeldMemory {
 
   private final long number;
+  private final String caller;
   private long partialBytes;
   private long completeBytes;
   private long responseBytes;
@@ -13,8 +14,9 @@
   private boolean hasPartialRequest;
   private boolean hasSent;
 
-  HeldMemory(long number, long nowMillis) {
+  HeldMemory(long number, String caller, long nowMillis) {
     this.number = number;
+    this.caller = caller;
     this.progressMillis = nowMillis;
   }
 
@@ -28,12 +30,21 @@
   }
 
   /**
-   * Returns all memory held for the connection.
+   * Returns the caller's address.
+   *
+   * @return the address, for log lines
+   */
+  public String caller() {
+    return caller;
+  }
+
+  /**
+   * Returns all memory held for the connection, which itself counts, too.
    *
    * @return the estimated heap in bytes
    */
   public long totalBytes() {
-    return partialBytes + completeBytes + responseBytes;
+    return HeapCost.CONNECTION_BYTES + partialBytes + completeBytes + responseBytes;
   }
 
   /**
@@ -77,8 +88,18 @@
     return hasPartialRequest ? Math.max(announcedBytes, partialBytes) : 0;
   }
 
-  /** Returns for how long the caller has neither sent nor read, without the time it was stopped. */
-  long stalledMillis(long nowMillis) {
+  /** Returns the memory that becomes free if the partial request and the responses are ended. */
+  long evictableBytes() {
+    return partialBytes + responseBytes;
+  }
+
+  /**
+   * Returns for how long the caller has neither sent nor read, without the time it was stopped.
+   *
+   * @param nowMillis the current time
+   * @return the time in milliseconds
+   */
+  public long stalledMillis(long nowMillis) {
     return (isStopped() ? stoppedMillis : nowMillis) - progressMillis;
   }
 
@@ -111,6 +132,10 @@
     }
   }
 
+  void cancelStop() {
+    stoppedMillis = -1;
+  }
+
   void resume(long nowMillis) {
     progressMillis += stoppedForMillis(nowMillis);
     stoppedMillis = -1;
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/config/ForwarderSettingsParserTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/config/ForwarderSettingsParserTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.RegionId;
+import org.knapweedcleat.core.intake.CallerLimits;
 
 class ForwarderSettingsParserTest {
 
@@ -44,6 +45,17 @@
     assertThat(settings.bounds().stopMillis(), is(8_000));
   }
 
+  @Test
+  void parsesLimitsOnCallersAndAppliesDefaults() {
+    String text = TEXT + "[callers]\nmemoryKilobytes = 2000\nmaxConnections = 300\n";
+
+    assertThat(
+        ForwarderSettingsParser.parse("i.ini", TEXT).get().callers(), is(CallerLimits.DEFAULT));
+    assertThat(
+        ForwarderSettingsParser.parse("i.ini", text).get().callers(),
+        is(new CallerLimits(2_048_000, 300, 0, 0, 0, 0, 0, 64, 8_388_608)));
+  }
+
   @Test
   void allowsEmptySeeds() {
     String text = TEXT.replace("seeds = 127.0.0.2:8082, 127.0.0.3:8082", "seeds =");
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/intake/CallerLimitsTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/intake/CallerLimitsTest.java
@@ -3,7 +3,6 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
-import static org.hamcrest.Matchers.lessThan;
 
 import org.junit.jupiter.api.Test;
 import org.knapweedcleat.core.directory.RequestLimits;
@@ -35,6 +34,14 @@
   /** Load: many connections to the smallest instance, which has 2,069 descriptors. */
   @Test
   void connectionsLeaveDescriptorsForEndpointsAndPeers() {
-    assertThat(CallerLimits.DEFAULT.connections(2_069), lessThan(1_300));
+    long budgetBytes = CallerLimits.DEFAULT.memoryBytes(110L * 1_048_576);
+
+    assertThat(CallerLimits.DEFAULT.connections(2_069, budgetBytes), is(1_241));
+  }
+
+  /** Load: many idle connections to an instance with a small heap. */
+  @Test
+  void connectionsTakeNoMoreThanOneQuarterOfTheMemory() {
+    assertThat(CallerLimits.DEFAULT.connections(20_000, 9_216 * 400), is(100));
   }
 }
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/intake/CallerMemoryBudgetTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/intake/CallerMemoryBudgetTest.java
@@ -26,7 +26,7 @@
   @Test
   void singleLargestRequestIsServedByAnyBudget() {
     CallerMemoryBudget smallBudget = CallerMemoryBudget.of(MEGABYTE);
-    HeldMemory held = smallBudget.open(0);
+    HeldMemory held = smallBudget.open("caller", 0);
 
     assertThat(smallBudget.admitsBody(held, LARGE_BODY), is(true));
     smallBudget.update(held, true, LARGE_BODY, 0, 0);
@@ -79,7 +79,7 @@
   /** Load: readers that do not read their responses. */
   @Test
   void connectionWithUnreadResponseIsClosed() {
-    HeldMemory reader = budget.open(0);
+    HeldMemory reader = budget.open("caller", 0);
     budget.update(reader, false, 0, 0, 30 * MEGABYTE);
     openPartial(12 * MEGABYTE, 0);
 
@@ -90,8 +90,8 @@
   /** Load: requests that wait for engines hold the whole budget; they may have run. */
   @Test
   void requestsInProgressAreNeverEndedAndNewOnesAreRefused() {
-    budget.update(budget.open(0), false, 0, 45 * MEGABYTE, 0);
-    HeldMemory next = budget.open(0);
+    budget.update(budget.open("caller", 0), false, 0, 45 * MEGABYTE, 0);
+    HeldMemory next = budget.open("caller", 0);
     budget.update(next, false, 0, SMALL_REQUEST, 0);
 
     assertThat(budget.nextVictim(60_000), is(Optional.empty()));
@@ -124,7 +124,8 @@
     assertThat(budget.mayRead(late, 0), is(false));
     assertThat(budget.resumable(10), is(empty()));
 
-    budget.update(other, true, 31 * MEGABYTE - CallerMemoryBudget.SMALL_REQUEST_BYTES, 0, 0);
+    long freedBytes = CallerMemoryBudget.SMALL_REQUEST_BYTES + 3 * HeapCost.CONNECTION_BYTES;
+    budget.update(other, true, 31 * MEGABYTE - freedBytes, 0, 0);
 
     assertThat(budget.resumable(10), contains(late));
     assertThat(late.isStopped(), is(false));
@@ -133,10 +134,10 @@
   /** Load: connections that send nothing fill the connection limit. */
   @Test
   void oldestSilentConnectionIsFoundAfterOneSecond() {
-    HeldMemory kept = budget.open(0);
+    HeldMemory kept = budget.open("caller", 0);
     budget.recordProgress(kept, 0);
-    HeldMemory silent = budget.open(0);
-    budget.open(500);
+    HeldMemory silent = budget.open("caller", 0);
+    budget.open("caller", 500);
 
     assertThat(budget.silentConnection(999), is(Optional.empty()));
     assertThat(
@@ -155,7 +156,7 @@
   }
 
   private HeldMemory openPartial(long bytes, long nowMillis) {
-    HeldMemory held = budget.open(nowMillis);
+    HeldMemory held = budget.open("caller", nowMillis);
     budget.update(held, true, bytes, 0, 0);
     return held;
   }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
@@ -2,13 +2,10 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -21,23 +18,23 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ByteProcessor;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.internal.buffer.BufferInternal;
 import io.vertx.core.internal.net.NetSocketInternal;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
-import java.util.OptionalInt;
+import java.util.Optional;
 import org.knapweedcleat.core.directory.RequestLimits;
+import org.knapweedcleat.core.intake.BodyProgress;
+import org.knapweedcleat.core.intake.CallerMemoryBudget.Eviction;
+import org.knapweedcleat.core.intake.HeldMemory;
+import org.knapweedcleat.core.intake.SyntaxLimits;
 import org.knapweedcleat.router.forward.codec.HeaderField;
-import org.knapweedcleat.router.forward.codec.RequestHead;
 
 /** A connection of a caller; its requests are handled in order, one at a time. */
-final class CallerConnection {
+final class CallerConnection implements InboundGate.Owner {
 
   private static final String DECODER = "requests";
   private static final String ENCODER = "answers";
@@ -49,34 +46,32 @@
   /** Time after the last response for the caller to read it and close the connection. */
   private static final long LINGER_MILLIS = 1_000;
 
-  private static final int BAD_REQUEST = 400;
-  private static final int REQUEST_TIMEOUT = 408;
-  private static final int TOO_LARGE = 413;
-  private static final int HEADER_TOO_LARGE = 431;
-
   private final NetSocketInternal socket;
   private final CallerServer server;
+  private final CallerIntake intake;
+  private final HeldMemory held;
   private final IdleTimeout idleTimeout;
+  private final InboundGate gate = new InboundGate(this);
   private final Deque<QueuedRequest> queuedRequests = new ArrayDeque<>();
-  private HttpRequest partialRequest;
-  private boolean partialKeepsAlive;
-  private Buffer partialBody;
-  private boolean continueExpected;
-  private Exchange current;
-  private OptionalInt refusalStatus = OptionalInt.empty();
+  private StrictRequestDecoder decoder;
+  private PartialRequest partialRequest;
+  private PendingExchange current;
+  private Optional<Refusal> refusal = Optional.empty();
   private boolean open = true;
   private boolean closesAfterResponse;
-  private boolean paused;
-  private boolean decoding;
+  private boolean lingers = true;
+  private boolean queueFull;
   private int unwrittenResponses;
+  private long queuedBytes;
+  private long unreadBytes;
   private long lastByteMillis;
   private long headStartedMillis = -1;
 
-  private record QueuedRequest(HttpRequest head, boolean keepAlive, Buffer body) {}
-
   private CallerConnection(NetSocketInternal socket, CallerServer server) {
     this.socket = socket;
     this.server = server;
+    this.intake = server.intake();
+    this.held = intake.open(this, String.valueOf(socket.remoteAddress()));
     this.lastByteMillis = server.nowMillis();
     this.idleTimeout = IdleTimeout.of(server.bounds().idleTimeoutMillis());
   }
@@ -89,15 +84,19 @@
 
   private void install() {
     ChannelPipeline pipeline = socket.channelHandlerContext().pipeline();
-    pipeline.addBefore(VERTX_HANDLER, "arrivals", new ArrivalMonitor());
-    int maxHeaderBytes = server.bounds().maxHeaderBytes();
-    pipeline.addBefore(VERTX_HANDLER, DECODER, new StrictRequestDecoder(maxHeaderBytes));
+    pipeline.addBefore(VERTX_HANDLER, "gate", gate);
+    decoder = new StrictRequestDecoder(intake.syntaxLimits());
+    pipeline.addBefore(VERTX_HANDLER, DECODER, decoder);
     pipeline.addBefore(VERTX_HANDLER, ENCODER, new ResponseEncoder());
     socket.messageHandler(this::onMessage);
     socket.exceptionHandler(failure -> socket.close());
     socket.closeHandler(ignored -> onDisconnected());
   }
 
+  HeldMemory held() {
+    return held;
+  }
+
   /** Closes the connection if it is idle; a busy one announces the close in its next response. */
   void closeWhenIdle() {
     if (!isBusy()) {
@@ -113,11 +112,17 @@
   /** Tells whether another request was received, at least in part. */
   private boolean hasNextRequest() {
     return open
-        && (paused
+        && (gate.isHeld()
+            || gate.pendingBytes() > 0
             || !queuedRequests.isEmpty()
             || partialRequest != null
             || headStartedMillis >= 0
-            || refusalStatus.isPresent());
+            || refusal.isPresent());
+  }
+
+  /** Tells whether the next response says that it is the last one. */
+  boolean announcesClose() {
+    return server.isClosing() && !hasNextRequest();
   }
 
   void close() {
@@ -125,18 +130,37 @@
     socket.close();
   }
 
+  /** Frees what the connection holds, with a refusal if that can be told. */
+  void closeNow(Eviction eviction) {
+    lingers = false;
+    if (eviction == Eviction.REFUSE && current == null && unwrittenResponses == 0) {
+      refuseForLoad();
+    } else {
+      close();
+    }
+  }
+
+  /** Refuses the request that is being received; it has not run. */
+  void refuseForLoad() {
+    if (refusal.isEmpty() && open) {
+      refuse(Refusal.busy(intake.retryAfterMillis(held)));
+    }
+  }
+
   /** Ends the connection if the caller exceeds the header or idle timeout. */
   void enforceTimeouts(RequestLimits bounds, long nowMillis) {
-    if (current != null || unwrittenResponses > 0 || !open) {
+    if (current != null || unwrittenResponses > 0 || !open || held.isStopped()) {
       return;
     }
     boolean headTimedOut =
         partialRequest == null
             && headStartedMillis >= 0
             && nowMillis - headStartedMillis > bounds.headerTimeoutMillis();
+    boolean bodyStopped =
+        partialRequest != null && partialRequest.hasStopped(bounds.idleTimeoutMillis(), nowMillis);
     boolean idle = idleTimeout.hasElapsed(bounds.idleTimeoutMillis(), lastByteMillis, nowMillis);
-    if (headTimedOut || (idle && partialRequest != null)) {
-      refuse(REQUEST_TIMEOUT, "the request was not received in time");
+    if (headTimedOut || bodyStopped || (idle && partialRequest != null)) {
+      refuse(Refusal.TIMED_OUT);
     } else if (idle) {
       close();
     }
@@ -144,17 +168,17 @@
 
   private void onMessage(Object message) {
     try {
-      if (refusalStatus.isPresent() || !open) {
+      if (refusal.isPresent() || !open) {
         return;
       }
       if (message instanceof HttpMessage head && head.decoderResult().isFailure()) {
-        onInvalid(head.decoderResult().cause());
+        refuse(Refusal.ofInvalid(head.decoderResult().cause(), "the request is not valid HTTP"));
         return;
       }
       if (message instanceof HttpRequest head) {
         onHead(head);
       }
-      if (message instanceof HttpContent content) {
+      if (message instanceof HttpContent content && partialRequest != null) {
         onContent(content);
       }
     } finally {
@@ -165,22 +189,26 @@
   private void onHead(HttpRequest head) {
     headStartedMillis = -1;
     if (StrictRequestDecoder.isAmbiguous(head)) {
-      refuse(BAD_REQUEST, "the framing or Host header of the request is ambiguous");
+      refuse(Refusal.AMBIGUOUS);
+      return;
+    }
+    long bodyBytes = HttpUtil.getContentLength(head, 0L);
+    if (bodyBytes > server.bounds().maxBodyBytes()) {
+      refuse(Refusal.TOO_LARGE);
       return;
     }
-    if (HttpUtil.getContentLength(head, 0L) > server.bounds().maxBodyBytes()) {
-      refuse(TOO_LARGE, "the request body exceeds the size limit");
+    if (!intake.admitsBody(held, bodyBytes)) {
+      refuseForLoad();
       return;
     }
-    partialRequest = head;
-    partialKeepsAlive = HttpUtil.isKeepAlive(head);
-    partialBody = Buffer.buffer();
-    continueExpected = HttpUtil.is100ContinueExpected(head);
+    BodyProgress progress = BodyProgress.begin(intake.limits().minBodyBytes(), server.nowMillis());
+    IdleTimeout timeout = IdleTimeout.of(server.bounds().idleTimeoutMillis());
+    partialRequest = new PartialRequest(head, decoder.headBytes(), progress, timeout);
     handleNext();
   }
 
   private void sendContinue() {
-    continueExpected = false;
+    partialRequest.continueSent(server.nowMillis());
     HttpResponse proceed =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER);
@@ -188,97 +216,137 @@
   }
 
   private void onContent(HttpContent content) {
-    if (partialRequest == null) {
-      return;
-    }
     if (content.decoderResult().isFailure()) {
-      refuse(BAD_REQUEST, "the chunked request body is malformed");
+      refuse(
+          Refusal.ofInvalid(
+              content.decoderResult().cause(), "the chunked request body is malformed"));
       return;
     }
     ByteBuf bytes = content.content();
-    if (partialBody.length() + bytes.readableBytes() > server.bounds().maxBodyBytes()) {
-      refuse(TOO_LARGE, "the request body exceeds the size limit");
+    if (partialRequest.length() + bytes.readableBytes() > server.bounds().maxBodyBytes()) {
+      refuse(Refusal.TOO_LARGE);
       return;
     }
-    if (bytes.isReadable()) {
-      byte[] copy = new byte[bytes.readableBytes()];
-      bytes.readBytes(copy);
-      partialBody.appendBytes(copy);
-    }
+    partialRequest.append(bytes, server.nowMillis());
     if (content instanceof LastHttpContent) {
-      queuedRequests.add(new QueuedRequest(partialRequest, partialKeepsAlive, partialBody));
+      QueuedRequest complete = partialRequest.complete();
       partialRequest = null;
-      partialBody = null;
-      continueExpected = false;
+      queuedRequests.add(complete);
+      queuedBytes += complete.heapBytes();
+      queueFull = queuedRequests.size() >= MAX_QUEUED_REQUESTS;
       handleNext();
-      pauseIfQueueFull();
     }
   }
 
-  private void onInvalid(Throwable cause) {
-    boolean tooLarge =
-        cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
-    refuse(tooLarge ? HEADER_TOO_LARGE : BAD_REQUEST, "the request is not valid HTTP");
-  }
-
   /**
-   * Rejects an unreadable request after the requests before it were answered, and closes the
-   * connection, since the end of the request is unknown.
+   * Rejects a request that is not read any further after the requests before it were answered, and
+   * closes the connection, since the end of the request is unknown.
    */
-  private void refuse(int status, String reason) {
-    refusalStatus = OptionalInt.of(status);
+  private void refuse(Refusal cause) {
+    refusal = Optional.of(cause);
     partialRequest = null;
     headStartedMillis = -1;
-    server.onRejected(status, reason);
+    gate.discard(intake.limits().maxDiscardedBytes());
+    ChannelPipeline pipeline = socket.channelHandlerContext().pipeline();
+    if (pipeline.context(decoder) != null) {
+      // Frees the part of a head that it holds.
+      pipeline.remove(decoder);
+    }
+    if (!cause.isForLoad()) {
+      server.onRejected(cause.status(), cause.reason());
+    }
+    reportHeld();
     handleNext();
   }
 
-  private void sendRefusal(int status) {
-    HttpResponse response = newResponse(status, List.of());
+  private void sendRefusal(Refusal cause) {
+    HttpResponse response = newResponse(cause.status(), cause.headers());
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    write(response, 0);
+    writeEnd();
+    closeAfterResponse();
+  }
+
+  /** Writes a part of a response. */
+  void write(Object message, int bytes) {
+    unreadBytes += bytes;
+    socket.writeMessage(message).onComplete(written -> onWritten(bytes));
+    if (bytes > 0) {
+      reportHeld();
+    }
+  }
+
+  private void onWritten(int bytes) {
+    if (bytes > 0) {
+      unreadBytes -= bytes;
+      intake.recordProgress(held);
+      reportHeld();
+      handleNext();
+    }
+  }
+
+  private void writeEnd() {
     unwrittenResponses++;
-    socket.writeMessage(response);
     socket
         .writeMessage(LastHttpContent.EMPTY_LAST_CONTENT)
         .onComplete(written -> onResponseWritten(written.succeeded()));
-    closeAfterResponse();
   }
 
-  private void pauseIfQueueFull() {
-    if (!paused && queuedRequests.size() >= MAX_QUEUED_REQUESTS) {
-      paused = true;
-      socket.pause();
-    }
+  boolean isWriteQueueFull() {
+    return socket.writeQueueFull();
+  }
+
+  void onWriteQueueDrained(Runnable resume) {
+    socket.drainHandler(ignored -> resume.run());
   }
 
-  private void resumeIfQueueEmpty() {
-    if (paused && queuedRequests.isEmpty()) {
-      paused = false;
-      socket.resume();
+  /** Continues to read after the budget has stopped it. */
+  void resumeReading() {
+    if (partialRequest != null) {
+      partialRequest.restartTimeout(server.nowMillis());
     }
+    restartTimeouts();
+    gate.resume();
   }
 
   private void handleNext() {
-    if (current != null || !open || decoding) {
+    if (current != null || !open || gate.isFeeding()) {
       return;
     }
     if (!queuedRequests.isEmpty()) {
-      current = new Exchange(queuedRequests.poll());
-      server.handle(current);
-      resumeIfQueueEmpty();
-    } else if (refusalStatus.isPresent()) {
-      sendRefusal(refusalStatus.getAsInt());
-    } else if (continueExpected) {
+      if (intake.admitsNextCall(held)) {
+        handle(queuedRequests.poll());
+      }
+    } else if (refusal.isPresent()) {
+      sendRefusal(refusal.get());
+    } else if (partialRequest != null && partialRequest.isContinueExpected()) {
       sendContinue();
     }
   }
 
+  private void handle(QueuedRequest request) {
+    queuedBytes -= request.heapBytes();
+    PendingExchange exchange = new PendingExchange(this, request);
+    current = exchange;
+    reportHeld();
+    if (intake.admitsCall(held)) {
+      server.handle(exchange);
+    } else {
+      Refusal busy = Refusal.busy(intake.retryAfterMillis(held));
+      exchange.respond(busy.status(), busy.headers(), Buffer.buffer());
+    }
+    if (queueFull && queuedRequests.isEmpty()) {
+      queueFull = false;
+      gate.resume();
+    }
+  }
+
   private void onDisconnected() {
     open = false;
     queuedRequests.clear();
     server.onConnectionClosed(this);
-    Exchange interrupted = current;
+    PendingExchange interrupted = current;
     current = null;
     if (interrupted != null) {
       interrupted.callerDisconnected();
@@ -298,25 +366,25 @@
   private void closeAfterResponse() {
     open = false;
     closesAfterResponse = true;
-    if (refusalStatus.isEmpty()) {
-      stopReading();
+    if (refusal.isEmpty()) {
+      // A request that crosses the close stays unread, so that its caller may repeat it.
+      gate.stop();
     }
     if (unwrittenResponses == 0) {
       linger();
     }
   }
 
-  /** Leaves a request that crosses the close unread, so that its caller may repeat it. */
-  private void stopReading() {
-    socket.channelHandlerContext().channel().config().setAutoRead(false);
-  }
-
   /**
    * Ends the sending side and gives the caller time to read the response, since closing a socket
    * with unread bytes resets the connection and may destroy the end of the response. What follows
    * an unreadable request is discarded meanwhile.
    */
   private void linger() {
+    if (!lingers) {
+      socket.close();
+      return;
+    }
     if (socket.channelHandlerContext().channel() instanceof DuplexChannel channel) {
       channel.shutdownOutput();
     }
@@ -324,7 +392,7 @@
   }
 
   /** Lets the caller see that a response without length and chunks is not complete. */
-  private void resetAtClose() {
+  void resetAtClose() {
     socket.channelHandlerContext().channel().config().setOption(ChannelOption.SO_LINGER, 0);
   }
 
@@ -335,8 +403,11 @@
     }
   }
 
-  private void onResponseEnd(boolean keepAlive) {
+  /** Completes the response of the current exchange. */
+  void endResponse(boolean keepAlive) {
+    writeEnd();
     current = null;
+    reportHeld();
     restartTimeouts();
     if (!keepAlive) {
       closeAfterResponse();
@@ -345,190 +416,81 @@
     handleNext();
   }
 
-  private static HttpResponse newResponse(int status, List<HeaderField> headers) {
+  static HttpResponse newResponse(int status, List<HeaderField> headers) {
     HttpResponse head =
         new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
     HttpHeaderMapper.addAll(head.headers(), headers);
     return head;
   }
 
-  /** Records when bytes arrive, before they are decoded. */
-  private final class ArrivalMonitor extends ChannelInboundHandlerAdapter {
-    @Override
-    public void channelRead(ChannelHandlerContext context, Object message) {
-      lastByteMillis = server.nowMillis();
-      boolean startsRequest =
-          partialRequest == null
-              && headStartedMillis < 0
-              && refusalStatus.isEmpty()
-              && open
-              && !isEmptyLines((ByteBuf) message);
-      if (startsRequest) {
-        headStartedMillis = lastByteMillis;
-      }
-      // A response may announce the close only if no request was read behind its own.
-      decoding = true;
-      try {
-        context.fireChannelRead(message);
-      } finally {
-        decoding = false;
-      }
-      handleNext();
-    }
-
-    /** Tells whether the bytes are empty lines, which the decoder skips before a request. */
-    private static boolean isEmptyLines(ByteBuf bytes) {
-      return bytes.forEachByte(ByteProcessor.FIND_NON_CRLF) < 0;
-    }
+  @Override
+  public boolean mayFeed() {
+    return open && refusal.isEmpty() && !queueFull && intake.mayRead(held);
   }
 
-  /** Encodes responses; those to HEAD requests have a length and no body. */
-  private final class ResponseEncoder extends HttpResponseEncoder {
-    @Override
-    protected boolean isContentAlwaysEmpty(HttpResponse response) {
-      return super.isContentAlwaysEmpty(response) || (current != null && current.isHeadOnly());
-    }
+  @Override
+  public void onArrival() {
+    lastByteMillis = server.nowMillis();
+    intake.recordProgress(held);
   }
 
-  private final class Exchange implements CallerExchange {
-    private final QueuedRequest request;
-    private final RequestHead head;
-    private boolean responseStarted;
-    private boolean closesConnection;
-    private boolean endsAtClose;
-    private boolean ended;
-    private Runnable onDisconnect = () -> {};
-
-    Exchange(QueuedRequest request) {
-      this.request = request;
-      this.head =
-          new RequestHead(
-              request.head().method().name(),
-              request.head().uri(),
-              HttpHeaderMapper.endToEnd(request.head().headers()));
-    }
-
-    boolean isHeadOnly() {
-      return "HEAD".equals(head.method());
-    }
-
-    void callerDisconnected() {
-      if (!ended) {
-        ended = true;
-        onDisconnect.run();
-      }
-    }
-
-    @Override
-    public RequestHead head() {
-      return head;
-    }
-
-    @Override
-    public Buffer body() {
-      return request.body();
-    }
-
-    @Override
-    public void respond(int status, List<HeaderField> headers, Buffer body) {
-      if (ended) {
-        return;
-      }
-      HttpResponse response = newFramedResponse(status, headers);
-      if (hasBody(status)) {
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length());
-      }
-      responseStarted = true;
-      socket.writeMessage(response);
-      if (body.length() > 0 && hasBody(status) && !isHeadOnly()) {
-        socket.writeMessage(content(body));
-      }
-      end();
+  @Override
+  public void beforeSlice(ByteBuf slice) {
+    SyntaxLimits limits = intake.syntaxLimits();
+    if (decoder.isOutdated(limits)) {
+      StrictRequestDecoder replacement = new StrictRequestDecoder(limits);
+      socket.channelHandlerContext().pipeline().replace(decoder, DECODER, replacement);
+      decoder = replacement;
     }
-
-    @Override
-    public void startResponse(int status, List<HeaderField> headers) {
-      if (ended || responseStarted) {
-        return;
-      }
-      responseStarted = true;
-      HttpResponse response = newFramedResponse(status, headers);
-      endsAtClose = !request.head().protocolVersion().equals(HttpVersion.HTTP_1_1);
-      if (!endsAtClose) {
-        HttpUtil.setTransferEncodingChunked(response, true);
-      }
-      socket.writeMessage(response);
-    }
-
-    @Override
-    public void write(Buffer bytes) {
-      if (!ended) {
-        socket.writeMessage(content(bytes));
-      }
-    }
-
-    @Override
-    public void end() {
-      if (ended) {
-        return;
-      }
-      ended = true;
-      unwrittenResponses++;
-      socket
-          .writeMessage(LastHttpContent.EMPTY_LAST_CONTENT)
-          .onComplete(written -> onResponseWritten(written.succeeded()));
-      onResponseEnd(!closesConnection);
+    // Empty lines before a request are skipped by the decoder.
+    boolean startsRequest =
+        partialRequest == null
+            && headStartedMillis < 0
+            && slice.forEachByte(ByteProcessor.FIND_NON_CRLF) >= 0;
+    if (startsRequest) {
+      headStartedMillis = lastByteMillis;
     }
+  }
 
-    @Override
-    public void abort() {
-      if (!ended) {
-        ended = true;
-        if (responseStarted && endsAtClose) {
-          resetAtClose();
-        }
-        close();
-      }
+  @Override
+  public void afterSlice() {
+    if (partialRequest == null && headStartedMillis < 0 && !decoder.isIdle() && open) {
+      headStartedMillis = lastByteMillis;
     }
+    reportHeld();
+  }
 
-    @Override
-    public boolean isResponseStarted() {
-      return responseStarted;
-    }
+  @Override
+  public void afterFeeding() {
+    handleNext();
+  }
 
-    @Override
-    public boolean isWriteQueueFull() {
-      return socket.writeQueueFull();
+  @Override
+  public void onDiscardLimit() {
+    if (closesAfterResponse && unwrittenResponses == 0) {
+      socket.close();
     }
+  }
 
-    @Override
-    public void onWriteQueueDrained(Runnable resume) {
-      socket.drainHandler(ignored -> resume.run());
-    }
+  private void reportHeld() {
+    boolean receives = open && refusal.isEmpty();
+    boolean isPartial =
+        receives && (partialRequest != null || gate.pendingBytes() > 0 || !decoder.isIdle());
+    long partialBytes =
+        isPartial
+            ? gate.pendingBytes()
+                + decoder.heapBytes()
+                + (partialRequest == null ? 0 : partialRequest.heapBytes())
+            : 0;
+    long completeBytes = queuedBytes + (current == null ? 0 : current.heapBytes());
+    intake.update(held, isPartial, partialBytes, completeBytes, unreadBytes);
+  }
 
+  /** Encodes responses; those to HEAD requests have a length and no body. */
+  private final class ResponseEncoder extends HttpResponseEncoder {
     @Override
-    public void onCallerDisconnected(Runnable handler) {
-      onDisconnect = handler;
-    }
-
-    private HttpResponse newFramedResponse(int status, List<HeaderField> headers) {
-      HttpResponse response = newResponse(status, headers);
-      boolean isReusable =
-          request.keepAlive() && request.head().protocolVersion().equals(HttpVersion.HTTP_1_1);
-      closesConnection = !isReusable || (server.isClosing() && !hasNextRequest());
-      if (closesConnection) {
-        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-      }
-      return response;
-    }
-
-    private boolean hasBody(int status) {
-      return status != HttpResponseStatus.NO_CONTENT.code()
-          && status != HttpResponseStatus.NOT_MODIFIED.code();
-    }
-
-    private DefaultHttpContent content(Buffer bytes) {
-      return new DefaultHttpContent(((BufferInternal) bytes).getByteBuf());
+    protected boolean isContentAlwaysEmpty(HttpResponse response) {
+      return super.isContentAlwaysEmpty(response) || (current != null && current.isHeadOnly());
     }
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerServer.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerServer.java
@@ -8,6 +8,7 @@
 import io.vertx.core.net.NetServerOptions;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -33,6 +34,8 @@
   private final CallerHandler handler;
   private final BiConsumer<Integer, String> onRejection;
   private final Consumer<RuntimeException> onFault;
+  private final CallerIntake intake;
+  private final AcceptPacer pacer = AcceptPacer.create();
   private final Set<CallerConnection> connections = new HashSet<>();
   private NetServer server;
   private boolean closing;
@@ -44,17 +47,19 @@
       Supplier<RequestLimits> bounds,
       CallerHandler handler,
       BiConsumer<Integer, String> onRejection,
-      Consumer<RuntimeException> onFault) {
+      Consumer<RuntimeException> onFault,
+      CallerIntake intake) {
     this.vertx = vertx;
     this.clock = clock;
     this.bounds = bounds;
     this.handler = handler;
     this.onRejection = onRejection;
     this.onFault = onFault;
+    this.intake = intake;
   }
 
   /**
-   * Returns a server that does not listen yet.
+   * Returns a server that does not listen yet and bounds neither memory nor connections.
    *
    * @param vertx runs it
    * @param clock supplies the time in milliseconds
@@ -71,7 +76,35 @@
       CallerHandler handler,
       BiConsumer<Integer, String> onRejection,
       Consumer<RuntimeException> onFault) {
-    return new CallerServer(vertx, clock, bounds, handler, onRejection, onFault);
+    CallerIntake intake =
+        CallerIntake.of(clock, CallerServerLimits.UNBOUNDED, bounds, Optional.empty());
+    return new CallerServer(vertx, clock, bounds, handler, onRejection, onFault, intake);
+  }
+
+  /**
+   * Returns a server that does not listen yet.
+   *
+   * @param vertx runs it
+   * @param clock supplies the time in milliseconds
+   * @param bounds supplies the current limits for requests
+   * @param handler handles requests
+   * @param onRejection receives status and reason of requests that could not be read
+   * @param onFault receives what the handler throws; the request is answered with status 500
+   * @param limits the limits of the process
+   * @param log receives the decisions that follow from them
+   * @return the server
+   */
+  public static CallerServer create(
+      Vertx vertx,
+      LongSupplier clock,
+      Supplier<RequestLimits> bounds,
+      CallerHandler handler,
+      BiConsumer<Integer, String> onRejection,
+      Consumer<RuntimeException> onFault,
+      CallerServerLimits limits,
+      CallerIntakeLog log) {
+    CallerIntake intake = CallerIntake.of(clock, limits, bounds, Optional.of(log));
+    return new CallerServer(vertx, clock, bounds, handler, onRejection, onFault, intake);
   }
 
   /**
@@ -84,13 +117,12 @@
     NetServerOptions options =
         new NetServerOptions().setTcpNoDelay(true).setAcceptBacklog(ACCEPT_BACKLOG);
     server =
-        vertx
-            .createNetServer(options)
-            .connectHandler(
-                socket ->
-                    connections.add(CallerConnection.accept((NetSocketInternal) socket, this)));
+        vertx.createNetServer(options).connectHandler(socket -> accept((NetSocketInternal) socket));
     timeoutTimer = vertx.setPeriodic(TIMEOUT_CHECK_MILLIS, timer -> enforceTimeouts());
-    return server.listen(address.port(), address.host()).map(NetServer::actualPort);
+    return server
+        .listen(address.port(), address.host())
+        .map(NetServer::actualPort)
+        .compose(port -> pacer.prepare(vertx, address, port).map(port));
   }
 
   /** From now on, each response announces that its connection closes. */
@@ -124,6 +156,17 @@
     return server == null ? Future.succeededFuture() : server.close();
   }
 
+  private void accept(NetSocketInternal socket) {
+    CallerConnection connection = CallerConnection.accept(socket, this);
+    connections.add(connection);
+    intake.admit(connection);
+    pacer.onTakenOver(socket);
+  }
+
+  CallerIntake intake() {
+    return intake;
+  }
+
   boolean isClosing() {
     return closing;
   }
@@ -159,6 +202,7 @@
 
   void onConnectionClosed(CallerConnection connection) {
     connections.remove(connection);
+    intake.close(connection.held());
   }
 
   private void enforceTimeouts() {
@@ -166,5 +210,7 @@
     long nowMillis = clock.getAsLong();
     Set.copyOf(connections)
         .forEach(connection -> connection.enforceTimeouts(currentBounds, nowMillis));
+    intake.relieve();
+    pacer.acceptNext();
   }
 }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -33,7 +33,9 @@
 import org.knapweedcleat.router.forward.call.ServiceRetryBudgets;
 import org.knapweedcleat.router.forward.codec.PlatformAdapter;
 import org.knapweedcleat.router.forward.fleet.FleetGossip;
+import org.knapweedcleat.router.forward.http.CallerIntakeLog;
 import org.knapweedcleat.router.forward.http.CallerServer;
+import org.knapweedcleat.router.forward.http.CallerServerLimits;
 import org.knapweedcleat.router.forward.http.EndpointConnectionPool;
 import org.knapweedcleat.router.forward.log.DecisionLog;
 import org.knapweedcleat.router.forward.quarantine.QuarantineExchange;
@@ -165,7 +167,10 @@
                 directory.config().map(RoutingConfig::requestLimits).orElse(RequestLimits.INITIAL),
             desk,
             this::onRejected,
-            this::onFault);
+            this::onFault,
+            CallerServerLimits.of(
+                settings.callers(), Runtime.getRuntime().maxMemory(), DescriptorLimit.read()),
+            CallerIntakeLog.of(ForwarderNode::nowMillis, log, metrics));
     this.reach = ReconnectProbe.of(context);
     this.stageCoordinator =
         StageCoordinator.of(
