--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
@@ -2,11 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
-import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -24,17 +21,15 @@
 import io.vertx.core.internal.net.NetSocketInternal;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.List;
 import java.util.Optional;
 import org.knapweedcleat.core.directory.RequestLimits;
 import org.knapweedcleat.core.intake.BodyProgress;
 import org.knapweedcleat.core.intake.CallerMemoryBudget.Eviction;
 import org.knapweedcleat.core.intake.HeldMemory;
 import org.knapweedcleat.core.intake.SyntaxLimits;
-import org.knapweedcleat.router.forward.codec.HeaderField;
 
 /** A connection of a caller; its requests are handled in order, one at a time. */
-final class CallerConnection implements InboundGate.Owner {
+final class CallerConnection implements InboundGate.Owner, CallerOutput.Listener {
 
   private static final String DECODER = "requests";
   private static final String ENCODER = "answers";
@@ -52,6 +47,7 @@
   private final HeldMemory held;
   private final IdleTimeout idleTimeout;
   private final InboundGate gate = new InboundGate(this);
+  private final CallerOutput output;
   private final Deque<QueuedRequest> queuedRequests = new ArrayDeque<>();
   private StrictRequestDecoder decoder;
   private PartialRequest partialRequest;
@@ -61,15 +57,14 @@
   private boolean closesAfterResponse;
   private boolean lingers = true;
   private boolean queueFull;
-  private int unwrittenResponses;
   private long queuedBytes;
-  private long unreadBytes;
   private long lastByteMillis;
   private long headStartedMillis = -1;
 
   private CallerConnection(NetSocketInternal socket, CallerServer server) {
     this.socket = socket;
     this.server = server;
+    this.output = new CallerOutput(socket, this);
     this.intake = server.intake();
     this.held = intake.open(this, String.valueOf(socket.remoteAddress()));
     this.lastByteMillis = server.nowMillis();
@@ -106,7 +101,7 @@
 
   /** Tells whether a request is being received or handled, or its response being written. */
   boolean isBusy() {
-    return current != null || unwrittenResponses > 0 || hasNextRequest();
+    return current != null || output.isWriting() || hasNextRequest();
   }
 
   /** Tells whether another request was received, at least in part. */
@@ -133,7 +128,7 @@
   /** Frees what the connection holds, with a refusal if that can be told. */
   void closeNow(Eviction eviction) {
     lingers = false;
-    if (eviction == Eviction.REFUSE && current == null && unwrittenResponses == 0) {
+    if (eviction == Eviction.REFUSE && current == null && !output.isWriting()) {
       refuseForLoad();
     } else {
       close();
@@ -149,7 +144,7 @@
 
   /** Ends the connection if the caller exceeds the header or idle timeout. */
   void enforceTimeouts(RequestLimits bounds, long nowMillis) {
-    if (current != null || unwrittenResponses > 0 || !open || held.isStopped()) {
+    if (current != null || output.isWriting() || !open || held.isStopped()) {
       return;
     }
     boolean headTimedOut =
@@ -260,47 +255,29 @@
   }
 
   private void sendRefusal(Refusal cause) {
-    HttpResponse response = newResponse(cause.status(), cause.headers());
+    HttpResponse response = CallerOutput.newResponse(cause.status(), cause.headers());
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    write(response, 0);
-    writeEnd();
+    output.write(response, 0);
+    output.writeEnd();
     closeAfterResponse();
   }
 
-  /** Writes a part of a response. */
-  void write(Object message, int bytes) {
-    unreadBytes += bytes;
-    socket.writeMessage(message).onComplete(written -> onWritten(bytes));
-    if (bytes > 0) {
-      reportHeld();
-    }
+  CallerOutput output() {
+    return output;
   }
 
-  private void onWritten(int bytes) {
-    if (bytes > 0) {
-      unreadBytes -= bytes;
+  @Override
+  public void onUnreadBytesChanged(boolean isWritten) {
+    if (isWritten) {
       intake.recordProgress(held);
-      reportHeld();
+    }
+    reportHeld();
+    if (isWritten) {
       handleNext();
     }
   }
 
-  private void writeEnd() {
-    unwrittenResponses++;
-    socket
-        .writeMessage(LastHttpContent.EMPTY_LAST_CONTENT)
-        .onComplete(written -> onResponseWritten(written.succeeded()));
-  }
-
-  boolean isWriteQueueFull() {
-    return socket.writeQueueFull();
-  }
-
-  void onWriteQueueDrained(Runnable resume) {
-    socket.drainHandler(ignored -> resume.run());
-  }
-
   /** Continues to read after the budget has stopped it. */
   void resumeReading() {
     if (partialRequest != null) {
@@ -353,12 +330,12 @@
     }
   }
 
-  private void onResponseWritten(boolean isComplete) {
-    unwrittenResponses--;
+  @Override
+  public void onResponseWritten(boolean isComplete) {
     restartTimeouts();
     if (!isComplete) {
       close();
-    } else if (closesAfterResponse && unwrittenResponses == 0) {
+    } else if (closesAfterResponse && !output.isWriting()) {
       linger();
     }
   }
@@ -370,7 +347,7 @@
       // A request that crosses the close stays unread, so that its caller may repeat it.
       gate.stop();
     }
-    if (unwrittenResponses == 0) {
+    if (!output.isWriting()) {
       linger();
     }
   }
@@ -385,17 +362,10 @@
       socket.close();
       return;
     }
-    if (socket.channelHandlerContext().channel() instanceof DuplexChannel channel) {
-      channel.shutdownOutput();
-    }
+    output.shutdown();
     server.schedule(LINGER_MILLIS, socket::close);
   }
 
-  /** Lets the caller see that a response without length and chunks is not complete. */
-  void resetAtClose() {
-    socket.channelHandlerContext().channel().config().setOption(ChannelOption.SO_LINGER, 0);
-  }
-
   private void restartTimeouts() {
     lastByteMillis = server.nowMillis();
     if (headStartedMillis >= 0) {
@@ -405,7 +375,7 @@
 
   /** Completes the response of the current exchange. */
   void endResponse(boolean keepAlive) {
-    writeEnd();
+    output.writeEnd();
     current = null;
     reportHeld();
     restartTimeouts();
@@ -416,13 +386,6 @@
     handleNext();
   }
 
-  static HttpResponse newResponse(int status, List<HeaderField> headers) {
-    HttpResponse head =
-        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
-    HttpHeaderMapper.addAll(head.headers(), headers);
-    return head;
-  }
-
   @Override
   public boolean mayFeed() {
     return open && refusal.isEmpty() && !queueFull && intake.mayRead(held);
@@ -467,7 +430,7 @@
 
   @Override
   public void onDiscardLimit() {
-    if (closesAfterResponse && unwrittenResponses == 0) {
+    if (closesAfterResponse && !output.isWriting()) {
       socket.close();
     }
   }
@@ -483,7 +446,7 @@
                 + (partialRequest == null ? 0 : partialRequest.heapBytes())
             : 0;
     long completeBytes = queuedBytes + (current == null ? 0 : current.heapBytes());
-    intake.update(held, isPartial, partialBytes, completeBytes, unreadBytes);
+    intake.update(held, isPartial, partialBytes, completeBytes, output.unreadBytes());
   }
 
   /** Encodes responses; those to HEAD requests have a length and no body. */
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/PendingExchange.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/PendingExchange.java
@@ -73,7 +73,7 @@
       response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length());
     }
     responseStarted = true;
-    connection.write(response, 0);
+    connection.output().write(response, 0);
     if (hasBody(status) && !isHeadOnly()) {
       for (int start = 0; start < body.length(); start += WRITE_BYTES) {
         writeContent(body.slice(start, Math.min(body.length(), start + WRITE_BYTES)));
@@ -93,7 +93,7 @@
     if (!endsAtClose) {
       HttpUtil.setTransferEncodingChunked(response, true);
     }
-    connection.write(response, 0);
+    connection.output().write(response, 0);
   }
 
   @Override
@@ -104,7 +104,9 @@
   }
 
   private void writeContent(Buffer bytes) {
-    connection.write(new DefaultHttpContent(((BufferInternal) bytes).getByteBuf()), bytes.length());
+    connection
+        .output()
+        .write(new DefaultHttpContent(((BufferInternal) bytes).getByteBuf()), bytes.length());
   }
 
   @Override
@@ -120,7 +122,7 @@
     if (!ended) {
       ended = true;
       if (responseStarted && endsAtClose) {
-        connection.resetAtClose();
+        connection.output().resetAtClose();
       }
       connection.close();
     }
@@ -133,12 +135,12 @@
 
   @Override
   public boolean isWriteQueueFull() {
-    return connection.isWriteQueueFull();
+    return connection.output().isWriteQueueFull();
   }
 
   @Override
   public void onWriteQueueDrained(Runnable resume) {
-    connection.onWriteQueueDrained(resume);
+    connection.output().onWriteQueueDrained(resume);
   }
 
   @Override
@@ -147,7 +149,7 @@
   }
 
   private HttpResponse newFramedResponse(int status, List<HeaderField> headers) {
-    HttpResponse response = CallerConnection.newResponse(status, headers);
+    HttpResponse response = CallerOutput.newResponse(status, headers);
     boolean isReusable =
         request.keepAlive() && request.head().protocolVersion().equals(HttpVersion.HTTP_1_1);
     closesConnection = !isReusable || connection.announcesClose();
