--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingKeys.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingKeys.java
@@ -170,28 +170,25 @@
 
   private static final List<SettingKey<?>> ALL =
       List.of(
-          ID,
-          DOMAIN,
-          CALLERS,
-          READINESS,
-          PEERS,
-          METRICS,
-          SEEDS,
-          STORE,
-          GOSSIP,
-          STOP,
-          REPEAT_RATIO,
-          REPEAT_WINDOW,
-          REPEAT_SLACK,
-          QUOTA_OVERAGE,
-          QUOTA_SLACK,
-          PREFILL_PART,
-          CONFIG_APPLY,
-          COLD_OVERAGE,
-          COLD_SLACK,
-          INTER_DOMAIN_COST,
-          INTER_REGION_RATE,
-          REGION);
+              ID,
+              DOMAIN,
+              CALLERS,
+              READINESS,
+              PEERS,
+              METRICS,
+              SEEDS,
+              STORE,
+              GOSSIP,
+              STOP,
+              REPEAT_RATIO,
+              REPEAT_WINDOW,
+              REPEAT_SLACK,
+              QUOTA_OVERAGE,
+              QUOTA_SLACK,
+              PREFILL_PART,
+              CONFIG_APPLY)
+          .appendAll(CallerSettingKeys.all())
+          .append(REGION);
 
   private ForwarderSettingKeys() {}
 
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettings.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettings.java
@@ -5,6 +5,7 @@
 import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.InstanceId;
 import org.knapweedcleat.core.id.RegionId;
+import org.knapweedcleat.core.intake.CallerLimits;
 
 /**
  * Startup settings of a forwarding instance.
@@ -19,6 +20,7 @@
  * @param discovery how it finds other instances and the configuration
  * @param bounds fleet-wide time limits and budgets
  * @param locality when calls may leave their failure domain
+ * @param callers limits on the connections of callers
  */
 public record ForwarderSettings(
     InstanceId id,
@@ -30,7 +32,8 @@
     Map<FailureDomainId, RegionId> regions,
     Discovery discovery,
     Bounds bounds,
-    Locality locality) {
+    Locality locality,
+    CallerLimits callers) {
 
   /**
    * How an instance finds other instances and the configuration.
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SectionKind.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SectionKind.java
@@ -42,6 +42,8 @@
   BOUNDS(SettingsFileType.FORWARDER, "bounds", 0, "times and budgets of the whole fleet"),
   /** When calls leave their failure domain. */
   LOCALITY(SettingsFileType.FORWARDER, "locality", 0, "when calls may leave their failure domain"),
+  /** Limits on the connections of callers of a forwarding instance. */
+  CALLERS(SettingsFileType.FORWARDER, "callers", 0, "limits on the connections of callers"),
   /** A failure domain and its region, as known to a forwarding instance. */
   FORWARDER_DOMAIN(SettingsFileType.FORWARDER, "domain", 1, "a failure domain");
 
