Exit on OutOfMemoryError instead of staying up without responding

Cause: event loops catch what their handlers throw. After an OutOfMemoryError an instance of either program stayed up, logged one error after another and answered nothing.

Change: OutOfMemoryExit ends the process with status 3 when an OutOfMemoryError reaches an uncaught exception handler, the handler of Vert.x, a connection of another instance or the log. Processes of the tests are started without it, so that they show the hooks.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/ForwarderMain.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/ForwarderMain.java
@@ -17,6 +17,7 @@
 import org.knapweedcleat.router.forward.node.ForwarderNode;
 import org.knapweedcleat.router.forward.node.HangupSignal;
 import org.knapweedcleat.router.forward.node.SettingsFollower;
+import org.knapweedcleat.router.lifecycle.OutOfMemoryExit;
 import org.knapweedcleat.router.operator.LogShutdown;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -46,6 +47,7 @@
                     .setFileCachingEnabled(false)
                     .setClassPathResolvingEnabled(false));
     Vertx vertx = Vertx.vertx(options);
+    OutOfMemoryExit.watch(vertx);
     Future<ForwarderNode> start = ForwarderNode.start(vertx, settings, adapter);
     long stopMillis = settings.bounds().stopMillis();
     Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(start, stopMillis), "drain"));
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/RouterMain.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/RouterMain.java
@@ -10,6 +10,7 @@
 import org.knapweedcleat.core.config.ConfigFault;
 import org.knapweedcleat.core.config.InstanceSettings;
 import org.knapweedcleat.core.config.InstanceSettingsParser;
+import org.knapweedcleat.router.lifecycle.OutOfMemoryExit;
 import org.knapweedcleat.router.node.NodeContext;
 import org.knapweedcleat.router.node.RouterNode;
 import org.knapweedcleat.router.operator.LogShutdown;
@@ -51,6 +52,7 @@
    * @param arguments the command line: {@code --settings FILE [--adapter NAME]} or {@code --help}
    */
   public static void main(String[] arguments) {
+    OutOfMemoryExit.install();
     RouterMain main = new RouterMain();
     CmdLineParser parser = new CmdLineParser(main);
     try {
@@ -75,6 +77,7 @@
   private void run() {
     InstanceSettings settings = readSettings();
     Vertx vertx = Vertx.vertx();
+    OutOfMemoryExit.watch(vertx);
     RingAuditTrail audit = RingAuditTrail.of(MAX_AUDIT_ENTRIES, System::currentTimeMillis);
     NodeContext context = NodeContext.of(settings, new MetricRegistry(), audit);
     RouterNode.start(vertx, context)
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerConnection.java
@@ -5,6 +5,7 @@
 import io.vertx.core.net.NetSocket;
 import java.util.function.Consumer;
 import org.knapweedcleat.core.message.PeerMessage;
+import org.knapweedcleat.router.lifecycle.OutOfMemoryExit;
 
 /** Reads and writes messages on one open socket; the first message read must be a hello. */
 final class PeerConnection {
@@ -36,7 +37,11 @@
   static PeerConnection of(NetSocket socket, PeerCodec codec, MetricRegistry metrics) {
     PeerConnection connection = new PeerConnection(socket, codec, metrics);
     socket.handler(connection::onBytes);
-    socket.exceptionHandler(failure -> socket.close());
+    socket.exceptionHandler(
+        failure -> {
+          OutOfMemoryExit.exitIfOutOfMemory(failure);
+          socket.close();
+        });
     socket.closeHandler(ignored -> connection.onSocketClosed());
     return connection;
   }
--- a/knapweedcleat-standins/src/test/java/org/knapweedcleat/standins/process/JavaProcess.java
+++ b/knapweedcleat-standins/src/test/java/org/knapweedcleat/standins/process/JavaProcess.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** A Java process of a deployment; signals go to its own process id only. */
 final class JavaProcess {
@@ -24,10 +25,23 @@
   }
 
   static JavaProcess startJar(Path folder, String name, String jar, List<String> arguments) {
+    List<String> command = new ArrayList<>(List.of("-Xmx128m", "-jar", jar));
+    command.addAll(arguments);
+    return start(folder, name, command);
+  }
+
+  /**
+   * Starts a JVM.
+   *
+   * @param folder where the log is written
+   * @param name the name of the process and its log
+   * @param arguments the rest of the command line
+   * @return the process
+   */
+  static JavaProcess start(Path folder, String name, List<String> arguments) {
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-    command.addAll(List.of("-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
-    command.addAll(List.of("-jar", jar));
+    command.addAll(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
     command.addAll(arguments);
     Path log = folder.resolve(name + ".log");
     try {
@@ -89,6 +103,26 @@
     }
   }
 
+  /** Returns the resident memory in kilobytes, 0 if the process has ended. */
+  long residentKilobytes() {
+    try (Stream<String> lines =
+        Files.lines(Path.of("/proc", Long.toString(process.pid()), "status"))) {
+      return lines
+          .filter(line -> line.startsWith("VmRSS:"))
+          .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")))
+          .findFirst()
+          .orElse(0);
+    } catch (IOException e) {
+      return 0;
+    }
+  }
+
+  /** Returns the number of open descriptors, 0 if the process has ended. */
+  int openDescriptors() {
+    String[] names = Path.of("/proc", Long.toString(process.pid()), "fd").toFile().list();
+    return names == null ? 0 : names.length;
+  }
+
   private void sendSignal(String signal) {
     String pid = Long.toString(process.pid());
     try {
--- a/scripts/collect-deployment.sh
+++ b/scripts/collect-deployment.sh
@@ -9,7 +9,7 @@
 cp knapweedcleat-router/target/knapweedcleatd.jar platform/target/knapweedcleat-platform.jar target/deploy/
 
 # The class path must be identical to that in deploy/system.toml, or the JVM ignores the archive.
-java -Xmx110m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:MaxMetaspaceSize=64m -XX:-UsePerfData \
+java -Xmx110m -Xss256k -XX:+ExitOnOutOfMemoryError -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:MaxMetaspaceSize=64m -XX:-UsePerfData \
   -XX:ArchiveClassesAtExit=target/deploy/instance.jsa \
   -Dlogback.configurationFile=logback-forward.xml \
   -cp 'target/deploy/*:target/deploy/lib/*' \
