Bound connections and memory of the other listeners

Cause: the listeners for callers of the own interface, operators, readiness, metrics and other instances accepted any number of connections and held whatever their clients sent.

Change: ListenerBudget (core) decides which connections of a listener are closed: by their number, by the heap that incomplete requests and unread responses hold, by time and by header lines. ListenerGuard and the meters of router.listener measure and close. Keys of [listeners] with defaults, counters listener.NAME.closed.REASON, one log line for what was closed in half a second. The operators' server no longer offers the upgrade to HTTP/2 without TLS, since Vert.x shows such a connection only after its first complete head. InstanceSettingsParserTest lists the new section in the error message that it checks.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingKeys.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingKeys.java
@@ -126,6 +126,47 @@
           "3000",
           "the time within which a published configuration has to be in force");
 
+  static final SettingKey<Integer> CHECK_CONNECTIONS =
+      SettingKey.optional(
+          SectionKind.FORWARDER_LISTENERS,
+          "checkConnections",
+          ValueRules.intRange(1, 100_000),
+          "connections",
+          "256",
+          "how many connections each listener for operators and checks accepts");
+  static final SettingKey<Integer> PEER_CONNECTIONS =
+      SettingKey.optional(
+          SectionKind.FORWARDER_LISTENERS,
+          "peerConnections",
+          ValueRules.intRange(1, 100_000),
+          "connections",
+          "1024",
+          "how many connections from other instances are accepted");
+  static final SettingKey<Integer> HEADER_LINES =
+      SettingKey.optional(
+          SectionKind.FORWARDER_LISTENERS,
+          "maxHeaderLines",
+          ValueRules.intRange(16, 100_000),
+          "lines",
+          "256",
+          "the most header lines, or trailer lines, of a request");
+  static final SettingKey<Integer> LISTENER_MEMORY =
+      SettingKey.optional(
+          SectionKind.FORWARDER_LISTENERS,
+          "memoryKilobytes",
+          ValueRules.intRange(0, 1_000_000_000),
+          "kilobytes",
+          "0",
+          "the heap that the clients of a listener may hold; 0 for an eighth of it");
+  static final SettingKey<Integer> REQUEST_TIME =
+      SettingKey.optional(
+          SectionKind.FORWARDER_LISTENERS,
+          "requestMillis",
+          ValueRules.intRange(100, 3_600_000),
+          MILLIS,
+          "30000",
+          "the time for a head, and for each further kilobyte of a body or response");
+
   static final SettingKey<RegionId> REGION =
       SettingKey.required(
           SectionKind.FORWARDER_DOMAIN,
@@ -153,6 +194,11 @@
           QUOTA_SLACK,
           PREFILL_PART,
           CONFIG_APPLY,
+          CHECK_CONNECTIONS,
+          PEER_CONNECTIONS,
+          HEADER_LINES,
+          LISTENER_MEMORY,
+          REQUEST_TIME,
           REGION);
 
   private ForwarderSettingKeys() {}
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettings.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettings.java
@@ -18,6 +18,7 @@
  * @param regions the region of each failure domain
  * @param discovery how it finds other instances and the configuration
  * @param bounds fleet-wide time limits and budgets
+ * @param listeners limits of the listeners other than that for callers
  */
 public record ForwarderSettings(
     InstanceId id,
@@ -28,7 +29,8 @@
     InetAddressPort metricsAddress,
     Map<FailureDomainId, RegionId> regions,
     Discovery discovery,
-    Bounds bounds) {
+    Bounds bounds,
+    ListenerSettings listeners) {
 
   /**
    * How an instance finds other instances and the configuration.
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingsParser.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingsParser.java
@@ -88,7 +88,8 @@
         instance.get(ForwarderSettingKeys.METRICS),
         regions(sections),
         discovery(only(sections, SectionKind.DISCOVERY)),
-        bounds(only(sections, SectionKind.BOUNDS)));
+        bounds(only(sections, SectionKind.BOUNDS)),
+        listeners(only(sections, SectionKind.FORWARDER_LISTENERS)));
   }
 
   private static ValidatedSection only(List<ValidatedSection> sections, SectionKind kind) {
@@ -113,4 +114,13 @@
         section.get(ForwarderSettingKeys.PREFILL_PART),
         section.get(ForwarderSettingKeys.CONFIG_APPLY));
   }
+
+  private static ListenerSettings listeners(ValidatedSection section) {
+    return new ListenerSettings(
+        section.get(ForwarderSettingKeys.CHECK_CONNECTIONS),
+        section.get(ForwarderSettingKeys.PEER_CONNECTIONS),
+        section.get(ForwarderSettingKeys.HEADER_LINES),
+        section.get(ForwarderSettingKeys.LISTENER_MEMORY),
+        section.get(ForwarderSettingKeys.REQUEST_TIME));
+  }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/InstanceSettingKeys.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/InstanceSettingKeys.java
@@ -156,12 +156,63 @@
           "5000",
           "how late the platform's list of instances can be");
 
+  static final SettingKey<Integer> CHECK_CONNECTIONS =
+      optional(
+          SectionKind.INSTANCE_LISTENERS,
+          "checkConnections",
+          ValueRules.intRange(1, 100_000),
+          "connections",
+          "256",
+          "how many connections each listener for operators and checks accepts");
+  static final SettingKey<Integer> PEER_CONNECTIONS =
+      optional(
+          SectionKind.INSTANCE_LISTENERS,
+          "peerConnections",
+          ValueRules.intRange(1, 100_000),
+          "connections",
+          "4096",
+          "how many connections from other instances are accepted");
+  static final SettingKey<Integer> HEADER_LINES =
+      optional(
+          SectionKind.INSTANCE_LISTENERS,
+          "maxHeaderLines",
+          ValueRules.intRange(16, 100_000),
+          "lines",
+          "256",
+          "the most header lines, or trailer lines, of a request");
+  static final SettingKey<Integer> LISTENER_MEMORY =
+      optional(
+          SectionKind.INSTANCE_LISTENERS,
+          "memoryKilobytes",
+          ValueRules.intRange(0, 1_000_000_000),
+          "kilobytes",
+          "0",
+          "the heap that the clients of a listener may hold; 0 for an eighth of it");
+  static final SettingKey<Integer> REQUEST_TIME =
+      optional(
+          SectionKind.INSTANCE_LISTENERS,
+          "requestMillis",
+          ValueRules.intRange(100, 3_600_000),
+          MILLIS,
+          "30000",
+          "the time for a head, and for each further kilobyte of a body or response");
+  static final SettingKey<Integer> CALLER_CONNECTIONS =
+      optional(
+          SectionKind.INSTANCE_LISTENERS,
+          "callerConnections",
+          ValueRules.intRange(1, 1_000_000),
+          "connections",
+          "20000",
+          "how many connections from callers are accepted");
+
   private static final List<SettingKey<?>> ALL =
       List.<SettingKey<?>>of(
               ID, DOMAIN, HOST, CALLER_PORT, OPERATOR_PORT, PEER_PORT, LISTED_PEER_PORT)
           .appendAll(List.of(PLATFORM_HOST, PLATFORM_PORT, PLATFORM_DOCUMENT, PLATFORM_WAIT))
           .appendAll(List.of(MAX_BODY, MAX_HEADER, MAX_IN_FLIGHT, DRAIN_TIMEOUT))
-          .appendAll(List.of(HEARTBEAT, HEARTBEAT_TIMEOUT, LEASE, LIST_LAG));
+          .appendAll(List.of(HEARTBEAT, HEARTBEAT_TIMEOUT, LEASE, LIST_LAG))
+          .appendAll(List.of(CALLER_CONNECTIONS, CHECK_CONNECTIONS, PEER_CONNECTIONS))
+          .appendAll(List.of(HEADER_LINES, LISTENER_MEMORY, REQUEST_TIME));
 
   private InstanceSettingKeys() {}
 
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/InstanceSettings.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/InstanceSettings.java
@@ -16,6 +16,8 @@
  * @param platform where to read the published document
  * @param limits limits on requests and shutdown
  * @param peers the timing between instances
+ * @param callerConnections the maximum number of callers' connections
+ * @param listeners limits of the listeners
  */
 public record InstanceSettings(
     InstanceId id,
@@ -27,7 +29,9 @@
     int listedPeerPort,
     Platform platform,
     Limits limits,
-    Peers peers) {
+    Peers peers,
+    int callerConnections,
+    ListenerSettings listeners) {
 
   /**
    * Where to read the published document.
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/InstanceSettingsParser.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/InstanceSettingsParser.java
@@ -94,7 +94,12 @@
         listedPeerPort(instance),
         platform(sections.get(SectionKind.PLATFORM).get()),
         limits(sections.get(SectionKind.LIMITS).get()),
-        peers(sections.get(SectionKind.PEERS).get()));
+        peers(sections.get(SectionKind.PEERS).get()),
+        sections
+            .get(SectionKind.INSTANCE_LISTENERS)
+            .get()
+            .get(InstanceSettingKeys.CALLER_CONNECTIONS),
+        listeners(sections.get(SectionKind.INSTANCE_LISTENERS).get()));
   }
 
   private static int listedPeerPort(ValidatedSection instance) {
@@ -125,4 +130,13 @@
         section.get(InstanceSettingKeys.LEASE),
         section.get(InstanceSettingKeys.LIST_LAG));
   }
+
+  private static ListenerSettings listeners(ValidatedSection section) {
+    return new ListenerSettings(
+        section.get(InstanceSettingKeys.CHECK_CONNECTIONS),
+        section.get(InstanceSettingKeys.PEER_CONNECTIONS),
+        section.get(InstanceSettingKeys.HEADER_LINES),
+        section.get(InstanceSettingKeys.LISTENER_MEMORY),
+        section.get(InstanceSettingKeys.REQUEST_TIME));
+  }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SectionKind.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SectionKind.java
@@ -33,6 +33,9 @@
   LIMITS(SettingsFileType.INSTANCE, "limits", 0, "how much the instance accepts"),
   /** Timing between instances. */
   PEERS(SettingsFileType.INSTANCE, "peers", 0, "timing between instances"),
+  /** Limits of an instance's listeners. */
+  INSTANCE_LISTENERS(
+      SettingsFileType.INSTANCE, "listeners", 0, "what clients of the listeners may hold"),
   /** The forwarding instance itself. */
   FORWARDER(SettingsFileType.FORWARDER, "instance", 0, "the instance's name and addresses"),
   /** How a forwarding instance finds other instances and the configuration. */
@@ -40,6 +43,12 @@
       SettingsFileType.FORWARDER, "discovery", 0, "where others and the configuration are found"),
   /** Fleet-wide time limits and budgets. */
   BOUNDS(SettingsFileType.FORWARDER, "bounds", 0, "times and budgets of the whole fleet"),
+  /** Limits of a forwarding instance's listeners other than that for callers. */
+  FORWARDER_LISTENERS(
+      SettingsFileType.FORWARDER,
+      "listeners",
+      0,
+      "what clients of the listeners for checks, metrics and other instances may hold"),
   /** A failure domain and its region, as known to a forwarding instance. */
   FORWARDER_DOMAIN(SettingsFileType.FORWARDER, "domain", 1, "a failure domain");
 
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/config/InstanceSettingsParserTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/config/InstanceSettingsParserTest.java
@@ -47,7 +47,8 @@
             "i.ini:10: [instance] found \"instance\" (repeated section);"
                 + " allowed: once; the first is on line 1",
             "i.ini:11: [limit] found \"limit\" (unknown section);"
-                + " allowed: did you mean limits? [instance], [platform], [limits], [peers]"));
+                + " allowed: did you mean limits? [instance], [platform], [limits], [peers],"
+                + " [listeners]"));
   }
 
   @Test
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/CallerServer.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/caller/CallerServer.java
@@ -24,6 +24,7 @@
 import org.knapweedcleat.core.id.RequestId;
 import org.knapweedcleat.core.message.PeerMessage;
 import org.knapweedcleat.core.once.ForwardedCall;
+import org.knapweedcleat.router.listener.ListenerGuard;
 import org.knapweedcleat.router.vertx.UniFutures;
 
 /** HTTP server for callers; all its state is confined to one event loop. */
@@ -42,6 +43,7 @@
   private final RequestDispatcher dispatcher;
   private final KeyWithdrawalHandler keyWithdrawals;
   private Optional<HttpServer> httpServer = Optional.empty();
+  private Optional<ListenerGuard> guard = Optional.empty();
 
   private CallerServer(Vertx vertx, CallerContext context, String host, int port) {
     this.vertx = vertx;
@@ -68,6 +70,15 @@
     return new CallerServer(vertx, Objects.requireNonNull(context, "context"), host, port);
   }
 
+  /**
+   * Limits what callers may hold before their requests are complete; must be called before start.
+   *
+   * @param listenerGuard applies the limits
+   */
+  public void guardWith(ListenerGuard listenerGuard) {
+    guard = Optional.of(listenerGuard);
+  }
+
   /**
    * Starts listening.
    *
@@ -156,6 +167,7 @@
         .handler(this::handle)
         .failureHandler(this::onBodyFailure);
     HttpServer server = vertx.createHttpServer(serverOptions());
+    guard.ifPresent(limits -> limits.protect(server, context.limits().maxBodyBytes()));
     return server
         .requestHandler(router)
         .invalidRequestHandler(this::onInvalidRequest)
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -44,6 +44,7 @@
 import org.knapweedcleat.router.forward.store.StoreWatcher;
 import org.knapweedcleat.router.forward.throttle.PermitExchange;
 import org.knapweedcleat.router.lifecycle.Closer;
+import org.knapweedcleat.router.listener.ListenerGuard;
 import org.knapweedcleat.router.operator.MetricsFormatter;
 import org.knapweedcleat.router.peer.Hello;
 import org.knapweedcleat.router.peer.PeerTransport;
@@ -180,6 +181,7 @@
     this.peers =
         PeerTransport.create(vertx, new Hello(incarnation, settings.domain()), metrics, gossip);
     gossip.messenger(peers);
+    peers.guardWith(guard("peers", settings.listeners().peerConnections()));
   }
 
   /**
@@ -230,13 +232,18 @@
     PublishedStore store = adapter.storeClient(vertx, settings.discovery().storeAddress());
     SinglePathServer readiness =
         SinglePathServer.create(
-            vertx, settings.readinessAddress(), adapter.readinessPath(), this::readiness);
+            vertx,
+            settings.readinessAddress(),
+            adapter.readinessPath(),
+            guard("readiness", settings.listeners().checkConnections()),
+            this::readiness);
     MetricsFormatter page = MetricsFormatter.of(metrics);
     SinglePathServer metricsServer =
         SinglePathServer.create(
             vertx,
             settings.metricsAddress(),
             "/metrics",
+            guard("metrics", settings.listeners().checkConnections()),
             () -> new SinglePathServer.Response(STATUS_OK, page.toPrometheusText()));
     closer.add(readiness::close);
     closer.add(metricsServer::close);
@@ -267,6 +274,25 @@
             });
   }
 
+  private ListenerGuard guard(String name, int maxConnections) {
+    return ListenerGuard.of(
+        name,
+        settings.listeners().limits(maxConnections, Runtime.getRuntime().maxMemory()),
+        ForwarderNode::nowMillis,
+        metrics,
+        (listener, counts, releasedBytes, open) ->
+            log.failure(
+                "listener.closed",
+                "listener",
+                listener,
+                "counts",
+                counts,
+                "releasedBytes",
+                releasedBytes,
+                "open",
+                open));
+  }
+
   private void runLater(long delayMillis, Runnable task) {
     vertx.setTimer(delayMillis, timer -> task.run());
   }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/SinglePathServer.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/SinglePathServer.java
@@ -6,11 +6,13 @@
 import io.vertx.core.http.HttpServerOptions;
 import java.util.function.Supplier;
 import org.knapweedcleat.core.config.InetAddressPort;
+import org.knapweedcleat.router.listener.ListenerGuard;
 
 /** HTTP server for a single path; responds with 404 to all others. */
 final class SinglePathServer {
 
   private static final int NOT_FOUND = 404;
+  private static final long MAX_DISCARD_BYTES = 65_536;
 
   private final HttpServer server;
   private final InetAddressPort address;
@@ -29,7 +31,11 @@
   }
 
   static SinglePathServer create(
-      Vertx vertx, InetAddressPort address, String path, Supplier<Response> responses) {
+      Vertx vertx,
+      InetAddressPort address,
+      String path,
+      ListenerGuard guard,
+      Supplier<Response> responses) {
     HttpServer server =
         vertx
             .createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(false))
@@ -39,6 +45,7 @@
                   Response response = found ? responses.get() : new Response(NOT_FOUND, "");
                   request.response().setStatusCode(response.status()).end(response.body());
                 });
+    guard.protect(server, MAX_DISCARD_BYTES);
     return new SinglePathServer(server, address);
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/node/RouterNode.java
@@ -141,6 +141,10 @@
     NodeOperatorBackend operatorBackend = NodeOperatorBackend.of(this, context);
     this.operatorServer =
         OperatorServer.create(vertx, operatorBackend, settings.host(), settings.operatorPort());
+    NodeListeners listeners = NodeListeners.of(context);
+    transport.guardWith(listeners.peers());
+    callerServer.guardWith(listeners.callers());
+    operatorServer.guardWith(listeners.operators());
   }
 
   /**
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/operator/OperatorServer.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/operator/OperatorServer.java
@@ -3,11 +3,13 @@
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import java.util.Objects;
 import java.util.Optional;
+import org.knapweedcleat.router.listener.ListenerGuard;
 import org.knapweedcleat.router.vertx.UniFutures;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -20,6 +22,7 @@
   private static final int HTTP_NOT_FOUND = 404;
   private static final int HTTP_METHOD_NOT_ALLOWED = 405;
   private static final int HTTP_SERVICE_UNAVAILABLE = 503;
+  private static final long MAX_DISCARD_BYTES = 1_048_576;
   private static final String JSON_CONTENT_TYPE = "application/json";
   private static final Logger LOG = LoggerFactory.getLogger(OperatorServer.class);
 
@@ -36,7 +39,7 @@
     this.metricsFormatter = MetricsFormatter.of(backend.metrics());
     this.host = host;
     this.port = port;
-    this.server = vertx.createHttpServer();
+    this.server = vertx.createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(false));
   }
 
   /**
@@ -55,6 +58,15 @@
     return new OperatorServer(vertx, backend, Objects.requireNonNull(host, "host"), port);
   }
 
+  /**
+   * Limits what clients may hold; must be called before the server listens.
+   *
+   * @param guard applies the limits
+   */
+  public void guardWith(ListenerGuard guard) {
+    guard.protect(server, MAX_DISCARD_BYTES);
+  }
+
   /**
    * Starts to listen.
    *
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/FrameDecoder.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/FrameDecoder.java
@@ -40,6 +40,11 @@
     parser.handle(bytes);
   }
 
+  /** Returns how many bytes of an incomplete frame are held. */
+  long pendingBytes() {
+    return closed ? 0 : pendingBytes;
+  }
+
   /** Reports a fault if the stream ended within a frame. */
   void endOfStream() {
     if (!closed && (pendingBytes > 0 || !expectsLength)) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerConnection.java
@@ -17,8 +17,17 @@
   private Consumer<Hello> helloHandler = hello -> {};
   private Consumer<PeerMessage> messageHandler = message -> {};
   private Runnable closeHandler = () -> {};
+  private ReadHandler readHandler = (bytes, pendingBytes) -> {};
   private Hello remote;
 
+  /** Receives the size of each read. */
+  @FunctionalInterface
+  interface ReadHandler {
+
+    /** Receives the bytes that were read, and those of a message that is not complete. */
+    void onRead(int bytes, long pendingBytes);
+  }
+
   private PeerConnection(NetSocket socket, PeerCodec codec, MetricRegistry metrics) {
     this.socket = socket;
     this.codec = codec;
@@ -54,6 +63,11 @@
     messageHandler = handler;
   }
 
+  /** Sets the handler of each read, which is called after messages have been handled. */
+  void onRead(ReadHandler handler) {
+    readHandler = handler;
+  }
+
   void onClose(Runnable handler) {
     closeHandler = handler;
   }
@@ -82,6 +96,7 @@
   private void onBytes(Buffer bytes) {
     metrics.counter("peer.bytes.received").inc(bytes.length());
     decoder.handle(bytes);
+    readHandler.onRead(bytes.length(), decoder.pendingBytes());
   }
 
   private void onSocketClosed() {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerTransport.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerTransport.java
@@ -11,10 +11,13 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.InstanceId;
 import org.knapweedcleat.core.message.PeerMessage;
+import org.knapweedcleat.router.listener.ListenerGuard;
+import org.knapweedcleat.router.listener.SocketMeter;
 
 /**
  * Sends messages to other instances and receives theirs; confined to one event loop.
@@ -35,6 +38,7 @@
   private final Map<InstanceId, PeerClient> clients = new HashMap<>();
   private final Set<PeerConnection> acceptedConnections = new HashSet<>();
   private NetServer server;
+  private Optional<ListenerGuard> guard = Optional.empty();
 
   private PeerTransport(
       Vertx vertx, Hello self, MetricRegistry metrics, PeerMessageHandler handler) {
@@ -62,6 +66,15 @@
     return new PeerTransport(vertx, self, metrics, handler);
   }
 
+  /**
+   * Limits what clients may hold; must be called before the transport listens.
+   *
+   * @param listenerGuard applies the limits
+   */
+  public void guardWith(ListenerGuard listenerGuard) {
+    guard = Optional.of(listenerGuard);
+  }
+
   /**
    * Starts to listen.
    *
@@ -117,8 +130,22 @@
 
   private void accept(NetSocket socket) {
     PeerConnection connection = PeerConnection.of(socket, codec, metrics);
+    Optional<SocketMeter> meter = guard.map(limits -> SocketMeter.open(limits, socket));
+    if (meter.map(SocketMeter::isRefused).orElse(false)) {
+      connection.close();
+      return;
+    }
     acceptedConnections.add(connection);
-    connection.onClose(() -> acceptedConnections.remove(connection));
+    connection.onClose(
+        () -> {
+          acceptedConnections.remove(connection);
+          meter.ifPresent(SocketMeter::closed);
+        });
+    connection.onRead(
+        (bytes, pendingBytes) -> {
+          boolean greeted = connection.remote() != null;
+          meter.ifPresent(usage -> usage.onRead(bytes, pendingBytes, greeted));
+        });
     connection.onHello(hello -> connection.send(self));
     connection.onMessage(message -> receive(connection, message));
   }
--- a/knapweedcleat-standins/src/test/java/org/knapweedcleat/standins/process/ClientLoad.java
+++ b/knapweedcleat-standins/src/test/java/org/knapweedcleat/standins/process/ClientLoad.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Connections to one listener that each send a payload and then stay open without reading, until
@@ -18,12 +19,14 @@
 final class ClientLoad implements AutoCloseable {
 
   private static final long SELECT_MILLIS = 50;
+  private static final long QUIET_SECONDS = 2;
   private static final int CLOSE_CHECK_BYTES = 256;
 
   private final Selector selector;
   private final List<Client> clients = new ArrayList<>();
   private final Thread thread = new Thread(this::run, "client-load");
   private volatile boolean stopped;
+  private volatile long written;
 
   private ClientLoad(Selector selector) {
     this.selector = selector;
@@ -55,6 +58,20 @@
     return (int) clients.stream().filter(client -> client.finished).count();
   }
 
+  /** Waits until all connections have finished or the listener reads nothing any more. */
+  void awaitQuiet() {
+    long quietSinceNanos = System.nanoTime();
+    long lastWritten = -1;
+    while (finished() < clients.size()
+        && System.nanoTime() - quietSinceNanos < TimeUnit.SECONDS.toNanos(QUIET_SECONDS)) {
+      Await.pause(SELECT_MILLIS);
+      if (written != lastWritten) {
+        lastWritten = written;
+        quietSinceNanos = System.nanoTime();
+      }
+    }
+  }
+
   /** Returns how many connections the listener has closed. */
   int closed() {
     return (int) clients.stream().filter(client -> client.closed).count();
@@ -101,8 +118,9 @@
     }
   }
 
-  private static void serve(SelectionKey key) {
+  private void serve(SelectionKey key) {
     Client client = (Client) key.attachment();
+    written += client.takeWritten();
     try {
       if (key.isConnectable()) {
         client.channel.finishConnect();
@@ -147,6 +165,7 @@
     private final Payload payload;
     private ByteBuffer pending;
     private int sentParts;
+    private long writtenBytes;
     private boolean sentTail;
     private volatile boolean finished;
     private volatile boolean closed;
@@ -161,9 +180,11 @@
     boolean write() throws IOException {
       while (true) {
         while (pending.hasRemaining()) {
-          if (channel.write(pending) == 0) {
+          int count = channel.write(pending);
+          if (count == 0) {
             return false;
           }
+          writtenBytes += count;
         }
         if (sentParts < payload.times()) {
           sentParts++;
@@ -178,6 +199,12 @@
       }
     }
 
+    long takeWritten() {
+      long bytes = writtenBytes;
+      writtenBytes = 0;
+      return bytes;
+    }
+
     /** Discards received bytes; returns whether the listener has closed the connection. */
     boolean read() throws IOException {
       return channel.read(ByteBuffer.allocate(CLOSE_CHECK_BYTES)) < 0;
