Open no more connections to an endpoint than the instance's share

Cause: max_connections of a service, the number of connections that an endpoint accepts from all instances together, was read and not enforced.

Change: ConnectionShare (core) divides it by the live instances, with at least 4. The pool counts open connections by endpoint; a request without a free one waits for up to 200 ms and then fails with NO_FREE_CONNECTION, which is no fault of the endpoint, and the call goes on elsewhere. Counters endpoint.connections.awaited and endpoint.connections.exhausted.

Result: ConnectionShareTest and ConnectionSlotsTest pass, as do the calls' tests of the platform module (*Calls*Test, *Forward*Test, *Connection*Test). No run with a fleet was made.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/directory/EndpointDirectory.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/directory/EndpointDirectory.java
@@ -189,6 +189,19 @@
     return Optional.ofNullable(entries.get(id)).map(VersionedEntry::entry);
   }
 
+  /**
+   * Finds an endpoint by its address; takes time proportional to the number of endpoints.
+   *
+   * @param address the address as {@code host:port}
+   * @return an endpoint with that address, or empty if there is none
+   */
+  public Optional<EndpointEntry> findByAddress(String address) {
+    return entries.values().stream()
+        .map(VersionedEntry::entry)
+        .filter(entry -> entry.address().equals(address))
+        .findFirst();
+  }
+
   /**
    * Returns the endpoints of a service that accept new work.
    *
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -429,6 +429,9 @@
 
   /** Records in an endpoint's health why a request got no complete response. */
   protected final void recordFailure(EndpointHealth health, TransportFailure cause) {
+    if (!cause.isEndpointFault()) {
+      return;
+    }
     if (cause.isUnreachable()) {
       health.markUnreachable();
       return;
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
@@ -385,7 +385,9 @@
     private void onNoResponse(TransportFailure cause, String reason) {
       endWork(engine.id());
       recordFailure(health, cause);
-      placer.reportFault(engine.id(), EngineFault.LOST);
+      if (cause.isEndpointFault()) {
+        placer.reportFault(engine.id(), EngineFault.LOST);
+      }
       if (!cause.mayHaveReachedEndpoint()) {
         ledger.recordPrefillNotSent();
       }
@@ -755,7 +757,9 @@
       cancelAttemptTimer();
       endWork(engine.id());
       recordFailure(health, cause);
-      placer.reportFault(engine.id(), EngineFault.LOST);
+      if (cause.isEndpointFault()) {
+        placer.reportFault(engine.id(), EngineFault.LOST);
+      }
       interruptedAtMillis = context.nowMillis();
       if (cause.mayHaveReachedEndpoint()) {
         releaseKvCache();
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnection.java
@@ -48,6 +48,7 @@
 
   private final NetSocketInternal socket;
   private final EndpointConnectionLog log;
+  private final Runnable onClosed;
   private final Set<String> carriedIds = new HashSet<>();
   private ResponseListener listener;
   private int carriedRequests;
@@ -65,9 +66,11 @@
   private boolean open = true;
   private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
 
-  private EndpointConnection(NetSocketInternal socket, EndpointConnectionLog log) {
+  private EndpointConnection(
+      NetSocketInternal socket, EndpointConnectionLog log, Runnable onClosed) {
     this.socket = socket;
     this.log = log;
+    this.onClosed = onClosed;
   }
 
   /**
@@ -75,9 +78,11 @@
    *
    * @param socket the socket
    * @param log records what is no response to the connection's request
+   * @param onClosed runs when the connection has been closed by either side
    */
-  static EndpointConnection of(NetSocketInternal socket, EndpointConnectionLog log) {
-    EndpointConnection connection = new EndpointConnection(socket, log);
+  static EndpointConnection of(
+      NetSocketInternal socket, EndpointConnectionLog log, Runnable onClosed) {
+    EndpointConnection connection = new EndpointConnection(socket, log, onClosed);
     ChannelPipeline pipeline = socket.channelHandlerContext().pipeline();
     pipeline.addBefore(
         "handler",
@@ -299,6 +304,7 @@
     if (!paused) {
       failPending();
     }
+    onClosed.run();
   }
 
   private void failPending() {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnectionPool.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnectionPool.java
@@ -25,19 +25,28 @@
 
   private static final long EVICTION_INTERVAL_MILLIS = 250;
 
+  /** Shorter than the timeouts of attempts, after which the endpoint would count as silent. */
+  private static final long MAX_WAIT_MILLIS = 200;
+
   private final Vertx vertx;
   private final NetClient client;
   private final LongSupplier clock;
   private final MetricRegistry metrics;
   private final DecisionLog log;
   private final Map<String, Deque<IdleConnection>> idleConnections = new HashMap<>();
+  private final ConnectionSlots slots;
   private final long evictionTimer;
   private long createdConnections;
 
   private record IdleConnection(EndpointConnection connection, long expiresAtMillis) {}
 
   private EndpointConnectionPool(
-      Vertx vertx, LongSupplier clock, MetricRegistry metrics, DecisionLog log) {
+      Vertx vertx,
+      LongSupplier clock,
+      MetricRegistry metrics,
+      DecisionLog log,
+      ConnectionLimits limits) {
+    this.slots = new ConnectionSlots(limits);
     this.vertx = vertx;
     this.clock = clock;
     this.metrics = metrics;
@@ -55,15 +64,22 @@
    * @param clock supplies the time in milliseconds
    * @param metrics counts connections
    * @param log records what connections receive that is no response to their request
+   * @param limits bounds the connections to each endpoint
    * @return the pool
    */
   public static EndpointConnectionPool create(
-      Vertx vertx, LongSupplier clock, MetricRegistry metrics, DecisionLog log) {
-    return new EndpointConnectionPool(vertx, clock, metrics, log);
+      Vertx vertx,
+      LongSupplier clock,
+      MetricRegistry metrics,
+      DecisionLog log,
+      ConnectionLimits limits) {
+    return new EndpointConnectionPool(vertx, clock, metrics, log, limits);
   }
 
   /**
-   * Sends a request.
+   * Sends a request. If all connections that this instance may open to the endpoint are in use, the
+   * request waits for one, and fails with {@link TransportFailure#NO_FREE_CONNECTION} if none
+   * becomes free soon.
    *
    * @param host the endpoint's IP address
    * @param port the endpoint's TCP port
@@ -80,34 +96,89 @@
       Buffer body,
       ResponseMatcher matcher,
       ResponseListener listener) {
-    String address = host + ":" + port;
     EndpointRequest request = new EndpointRequest(listener);
-    EndpointConnection pooled = takeIdle(address, matcher);
+    WaitingRequest wanted = new WaitingRequest(host, port, head, body, matcher, request);
+    EndpointConnection pooled = takeIdle(wanted.address(), matcher);
     if (pooled != null) {
-      request.attach(pooled);
-      pooled.send(head, body, matcher, request, () -> returnToPool(address, pooled));
-      return request;
+      sendOn(pooled, wanted);
+    } else if (slots.hasFree(wanted.address()) || closeIdle(wanted.address())) {
+      connect(wanted);
+    } else {
+      await(wanted);
     }
+    return request;
+  }
+
+  private void sendOn(EndpointConnection connection, WaitingRequest wanted) {
+    wanted.request().attach(connection);
+    connection.send(
+        wanted.head(),
+        wanted.body(),
+        wanted.matcher(),
+        wanted.request(),
+        () -> release(wanted.address(), connection));
+  }
+
+  private void connect(WaitingRequest wanted) {
     metrics.counter("endpoint.connections.opened").inc();
+    slots.recordOpened(wanted.address());
     client
-        .connect(port, host)
+        .connect(wanted.port(), wanted.host())
         .onSuccess(
             socket -> {
-              if (request.isFinished()) {
-                socket.close();
-                return;
+              EndpointConnection connection = newConnection(wanted.address(), socket);
+              if (wanted.request().isFinished()) {
+                connection.close();
+              } else {
+                sendOn(connection, wanted);
               }
-              EndpointConnection connection = newConnection(address, socket);
-              request.attach(connection);
-              connection.send(
-                  head, body, matcher, request, () -> returnToPool(address, connection));
             })
         .onFailure(
             failure -> {
               metrics.counter("endpoint.connections.failed").inc();
-              request.onFailure(TransportFailure.NOT_CONNECTED);
+              onClosed(wanted.address());
+              wanted.request().onFailure(TransportFailure.NOT_CONNECTED);
             });
-    return request;
+  }
+
+  private void await(WaitingRequest wanted) {
+    metrics.counter("endpoint.connections.awaited").inc();
+    slots.enqueue(wanted);
+    vertx.setTimer(
+        MAX_WAIT_MILLIS,
+        timer ->
+            slots
+                .poll(wanted.address(), one -> one == wanted)
+                .ifPresent(
+                    late -> {
+                      metrics.counter("endpoint.connections.exhausted").inc();
+                      late.request().onFailure(TransportFailure.NO_FREE_CONNECTION);
+                    }));
+  }
+
+  /** Gives a connection to the first request that waits for one, or keeps it idle. */
+  private void release(String address, EndpointConnection connection) {
+    slots
+        .poll(address, one -> connection.isOpen() && connection.canCarry(one.matcher()))
+        .ifPresentOrElse(
+            waiting -> sendOn(connection, waiting), () -> returnToPool(address, connection));
+  }
+
+  private void onClosed(String address) {
+    slots.recordClosed(address);
+    if (slots.hasFree(address)) {
+      slots.poll(address, one -> true).ifPresent(this::connect);
+    }
+  }
+
+  /** Makes room by closing an idle connection, which cannot carry the request that needs one. */
+  private boolean closeIdle(String address) {
+    Deque<IdleConnection> queue = idleConnections.get(address);
+    if (queue == null || queue.isEmpty()) {
+      return false;
+    }
+    queue.removeFirst().connection().close();
+    return true;
   }
 
   /**
@@ -124,12 +195,14 @@
     if (stale != null) {
       stale.forEach(entry -> entry.connection().close());
     }
+    slots.recordOpened(address);
     return client
         .connect(port, host)
+        .onFailure(failure -> onClosed(address))
         .map(
             socket -> {
               metrics.counter("endpoint.connections.opened").inc();
-              returnToPool(address, newConnection(address, socket));
+              release(address, newConnection(address, socket));
               return null;
             });
   }
@@ -162,7 +235,8 @@
     createdConnections++;
     return EndpointConnection.of(
         (NetSocketInternal) socket,
-        new EndpointConnectionLog(address, createdConnections, log, metrics));
+        new EndpointConnectionLog(address, createdConnections, log, metrics),
+        () -> onClosed(address));
   }
 
   private void returnToPool(String address, EndpointConnection connection) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/TransportFailure.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/TransportFailure.java
@@ -4,6 +4,11 @@
 public enum TransportFailure {
   /** The connection could not be established; no byte of the request was sent. */
   NOT_CONNECTED(false, true),
+  /**
+   * This instance has no free connection to the endpoint, which accepts a limited number; no byte
+   * of the request was sent.
+   */
+  NO_FREE_CONNECTION(false, false),
   /** The connection was reset or closed. */
   CONNECTION_LOST(true, false),
   /** The received bytes are not a valid response, or it exceeds the size limit. */
@@ -28,6 +33,15 @@
     return unreachable;
   }
 
+  /**
+   * Tells whether the failure says anything about the endpoint.
+   *
+   * @return false if it comes from a limit of this instance
+   */
+  public boolean isEndpointFault() {
+    return this != NO_FREE_CONNECTION;
+  }
+
   /**
    * Tells whether bytes of the request may have reached the endpoint.
    *
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -107,9 +107,6 @@
     ServiceRetryBudgets budgets = ServiceRetryBudgets.of(settings.bounds(), nowMillis());
     Random random = new Random(incarnation.hashCode());
     DomainTopology domains = DomainTopology.of(settings.domain(), settings.regions());
-    EndpointConnectionPool pool =
-        EndpointConnectionPool.create(vertx, ForwarderNode::nowMillis, metrics, log);
-    closer.add(pool::close);
     FleetMember self =
         new FleetMember(
             incarnation,
@@ -117,6 +114,14 @@
             settings.peerAddress().host(),
             settings.peerAddress().port());
     FleetMembership members = FleetMembership.of(self, settings.discovery().gossipMillis());
+    EndpointConnectionPool pool =
+        EndpointConnectionPool.create(
+            vertx,
+            ForwarderNode::nowMillis,
+            metrics,
+            log,
+            ConnectionShares.of(directory, members, ForwarderNode::nowMillis));
+    closer.add(pool::close);
     EndpointSelector chooser = EndpointSelector.of(domains, work, health, random::nextDouble);
     EndpointAvailability notices = EndpointAvailability.create();
     EndpointRateLimits rateLimits = EndpointRateLimits.create();
