--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointSelector.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointSelector.java
@@ -87,17 +87,6 @@
     return of(topology, workload, health, random, Optional.empty());
   }
 
-  /**
-   * Returns a selector with the same inputs that prefers warm endpoints.
-   *
-   * @param predicate tells which endpoints are cold
-   * @return the selector
-   */
-  public EndpointSelector preferringWarm(Predicate<EndpointEntry> predicate) {
-    return new EndpointSelector(
-        topology, workload, health, random, homeFilter, times.withCold(predicate));
-  }
-
   /**
    * Returns a selector that may keep calls in their home domain.
    *
@@ -123,6 +112,17 @@
         ExpectedTimes.of(topology, workload, health));
   }
 
+  /**
+   * Returns a selector with the same inputs that prefers warm endpoints.
+   *
+   * @param predicate tells which endpoints are cold
+   * @return the selector
+   */
+  public EndpointSelector preferringWarm(Predicate<EndpointEntry> predicate) {
+    return new EndpointSelector(
+        topology, workload, health, random, homeFilter, times.withCold(predicate));
+  }
+
   /**
    * Returns this selector for calls of an instance in another failure domain. Without a filter for
    * home domains, distances are always measured from the local one.
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettings.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettings.java
@@ -21,6 +21,7 @@
  * @param bounds fleet-wide time limits and budgets
  * @param locality when calls may leave their failure domain
  * @param callers limits on the connections of callers
+ * @param listeners limits of the listeners other than that for callers
  */
 public record ForwarderSettings(
     InstanceId id,
@@ -33,7 +34,8 @@
     Discovery discovery,
     Bounds bounds,
     Locality locality,
-    CallerLimits callers) {
+    CallerLimits callers,
+    ListenerSettings listeners) {
 
   /**
    * How an instance finds other instances and the configuration.
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingsParser.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/ForwarderSettingsParser.java
@@ -93,7 +93,8 @@
         discovery(only(sections, SectionKind.DISCOVERY)),
         bounds(only(sections, SectionKind.BOUNDS)),
         locality(only(sections, SectionKind.LOCALITY)),
-        callers(only(sections, SectionKind.CALLERS)));
+        callers(only(sections, SectionKind.CALLERS)),
+        listeners(only(sections, SectionKind.FORWARDER_LISTENERS)));
   }
 
   private static ValidatedSection only(List<ValidatedSection> sections, SectionKind kind) {
@@ -139,4 +140,13 @@
         section.get(CallerSettingKeys.MIN_BODY),
         section.get(CallerSettingKeys.DISCARDED));
   }
+
+  private static ListenerSettings listeners(ValidatedSection section) {
+    return new ListenerSettings(
+        section.get(ForwarderSettingKeys.CHECK_CONNECTIONS),
+        section.get(ForwarderSettingKeys.PEER_CONNECTIONS),
+        section.get(ForwarderSettingKeys.HEADER_LINES),
+        section.get(ForwarderSettingKeys.LISTENER_MEMORY),
+        section.get(ForwarderSettingKeys.REQUEST_TIME));
+  }
 }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SectionKind.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/config/SectionKind.java
@@ -33,6 +33,9 @@
   LIMITS(SettingsFileType.INSTANCE, "limits", 0, "how much the instance accepts"),
   /** Timing between instances. */
   PEERS(SettingsFileType.INSTANCE, "peers", 0, "timing between instances"),
+  /** Limits of an instance's listeners. */
+  INSTANCE_LISTENERS(
+      SettingsFileType.INSTANCE, "listeners", 0, "what clients of the listeners may hold"),
   /** The forwarding instance itself. */
   FORWARDER(SettingsFileType.FORWARDER, "instance", 0, "the instance's name and addresses"),
   /** How a forwarding instance finds other instances and the configuration. */
@@ -44,6 +47,12 @@
   LOCALITY(SettingsFileType.FORWARDER, "locality", 0, "when calls may leave their failure domain"),
   /** Limits on the connections of callers of a forwarding instance. */
   CALLERS(SettingsFileType.FORWARDER, "callers", 0, "limits on the connections of callers"),
+  /** Limits of a forwarding instance's listeners other than that for callers. */
+  FORWARDER_LISTENERS(
+      SettingsFileType.FORWARDER,
+      "listeners",
+      0,
+      "what clients of the listeners for checks, metrics and other instances may hold"),
   /** A failure domain and its region, as known to a forwarding instance. */
   FORWARDER_DOMAIN(SettingsFileType.FORWARDER, "domain", 1, "a failure domain");
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -53,6 +53,7 @@
 import org.knapweedcleat.router.forward.throttle.ColdSendRates;
 import org.knapweedcleat.router.forward.throttle.PermitExchange;
 import org.knapweedcleat.router.lifecycle.Closer;
+import org.knapweedcleat.router.listener.ListenerGuard;
 import org.knapweedcleat.router.operator.MetricsFormatter;
 import org.knapweedcleat.router.peer.Hello;
 import org.knapweedcleat.router.peer.PeerTransport;
@@ -115,9 +116,6 @@
     ServiceRetryBudgets budgets = ServiceRetryBudgets.of(settings.bounds(), nowMillis());
     Random random = new Random(incarnation.hashCode());
     DomainTopology domains = DomainTopology.of(settings.domain(), settings.regions());
-    EndpointConnectionPool pool =
-        EndpointConnectionPool.create(vertx, ForwarderNode::nowMillis, metrics, log);
-    closer.add(pool::close);
     FleetMember self =
         new FleetMember(
             incarnation,
@@ -125,6 +123,14 @@
             settings.peerAddress().host(),
             settings.peerAddress().port());
     FleetMembership members = FleetMembership.of(self, settings.discovery().gossipMillis());
+    EndpointConnectionPool pool =
+        EndpointConnectionPool.create(
+            vertx,
+            ForwarderNode::nowMillis,
+            metrics,
+            log,
+            ConnectionShares.of(directory, members, ForwarderNode::nowMillis));
+    closer.add(pool::close);
     ColdSendRates coldRates =
         ColdSendRates.of(
             directory,
@@ -208,6 +214,7 @@
     this.peers =
         PeerTransport.create(vertx, new Hello(incarnation, settings.domain()), metrics, gossip);
     gossip.messenger(peers);
+    peers.guardWith(guard("peers", settings.listeners().peerConnections()));
   }
 
   /**
@@ -284,13 +291,18 @@
     PublishedStore store = adapter.storeClient(vertx, settings.discovery().storeAddress());
     SinglePathServer readiness =
         SinglePathServer.create(
-            vertx, settings.readinessAddress(), adapter.readinessPath(), this::readiness);
+            vertx,
+            settings.readinessAddress(),
+            adapter.readinessPath(),
+            guard("readiness", settings.listeners().checkConnections()),
+            this::readiness);
     MetricsFormatter page = MetricsFormatter.of(metrics);
     SinglePathServer metricsServer =
         SinglePathServer.create(
             vertx,
             settings.metricsAddress(),
             "/metrics",
+            guard("metrics", settings.listeners().checkConnections()),
             () -> new SinglePathServer.Response(STATUS_OK, page.toPrometheusText()));
     closer.add(readiness::close);
     closer.add(metricsServer::close);
@@ -321,6 +333,25 @@
             });
   }
 
+  private ListenerGuard guard(String name, int maxConnections) {
+    return ListenerGuard.of(
+        name,
+        settings.listeners().limits(maxConnections, Runtime.getRuntime().maxMemory()),
+        ForwarderNode::nowMillis,
+        metrics,
+        (listener, counts, releasedBytes, open) ->
+            log.failure(
+                "listener.closed",
+                "listener",
+                listener,
+                "counts",
+                counts,
+                "releasedBytes",
+                releasedBytes,
+                "open",
+                open));
+  }
+
   private void runLater(long delayMillis, Runnable task) {
     vertx.setTimer(delayMillis, timer -> task.run());
   }
