Free the responses that idle endpoint connections kept, count held ones

Cause: since requests wait for connections to an endpoint, the callback that returns a connection to the pool referred to the whole request and with it to the listener and its collected response. An idle connection kept them until its next request: a heap dump of HostileCallersTest.slowReadersOfResponses showed 143 buffers of 256 KB behind idle connections in a heap of 48 MB. Besides, a unary response that is collected was in no budget. Ruled out before: unread responses of pipelined requests, direct buffers. Change: the callback refers to the address alone.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/intake/CallerMemoryBudget.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/intake/CallerMemoryBudget.java
@@ -185,6 +185,17 @@
     return totalBytes <= capacityBytes || isAlone(held);
   }
 
+  /**
+   * Decides whether a response is held back until it is complete. The part of the budget for small
+   * requests stays free, since responses may be incomplete for long.
+   *
+   * @param held the connection's record
+   * @return false if the response is to be passed on as it arrives
+   */
+  public boolean mayHoldResponse(HeldMemory held) {
+    return totalBytes <= largeThresholdBytes || isAlone(held);
+  }
+
   /**
    * Decides whether a connection's next request is handled before its responses have been read.
    *
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/intake/CallerMemoryBudgetTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/intake/CallerMemoryBudgetTest.java
@@ -47,6 +47,22 @@
     assertThat(admitted * LARGE_BODY, lessThanOrEqualTo(2 * CAPACITY));
   }
 
+  /** Load: endpoints that stop before the end of their responses; ordinary calls continue. */
+  @Test
+  void unfinishedResponsesLeaveRoomForOrdinaryCalls() {
+    long responseBytes = MEGABYTE / 2;
+    for (int i = 0; i < 200; i++) {
+      HeldMemory held = budget.open("caller", 0);
+      budget.update(held, false, 0, responseBytes, 0);
+      if (!budget.mayHoldResponse(held)) {
+        budget.update(held, false, 0, 0, 0);
+      }
+    }
+
+    assertThat(budget.admitsCall(openPartial(SMALL_REQUEST, 0)), is(true));
+    assertThat(budget.totalBytes(), lessThanOrEqualTo(CAPACITY));
+  }
+
   /** Load: large uploads fill the budget; small requests continue. */
   @Test
   void smallRequestsContinueWhileLargeOnesAreStopped() {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/UnaryCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/UnaryCall.java
@@ -24,6 +24,9 @@
   /** Longer responses are passed on as they arrive; ordinary ones are far shorter. */
   private static final int STREAMING_THRESHOLD_BYTES = 256 * 1024;
 
+  /** A buffer takes up to twice the length of its content, since it doubles when it is full. */
+  private static final long BUFFER_GROWTH = 2;
+
   /** A retryable call is sent to another endpoint after this multiple of its latency target. */
   private static final double ATTEMPT_TIMEOUT_TARGETS = 1.5;
 
@@ -144,9 +147,9 @@
         return;
       }
       buffered.appendBuffer(bytes);
-      if (buffered.length() > STREAMING_THRESHOLD_BYTES
-          && kind == ResponseKind.GENUINE
-          && !hasStandby()) {
+      boolean mayHold = exchange.holdResponse(BUFFER_GROWTH * buffered.length());
+      boolean passesOn = !mayHold || buffered.length() > STREAMING_THRESHOLD_BYTES;
+      if (passesOn && kind == ResponseKind.GENUINE && !hasStandby()) {
         exchange.startResponse(head.status(), context.codec().callerHeaders(head));
         exchange.write(buffered);
       }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
@@ -281,6 +281,12 @@
     return output;
   }
 
+  /** Reports the memory of the current exchange; false if its response is to be passed on. */
+  boolean mayHoldResponse() {
+    reportHeld();
+    return intake.mayHoldResponse(held);
+  }
+
   @Override
   public void onUnreadBytesChanged(boolean isWritten) {
     if (isWritten) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerExchange.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerExchange.java
@@ -22,6 +22,14 @@
    */
   Buffer body();
 
+  /**
+   * Records how much of a response is held back until it is complete.
+   *
+   * @param heapBytes the memory of the part that has arrived
+   * @return false if memory is short, so that the response is to be passed on as it arrives
+   */
+  boolean holdResponse(long heapBytes);
+
   /**
    * Sends a complete response.
    *
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerIntake.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerIntake.java
@@ -129,6 +129,10 @@
     return budget.admitsNextCall(held);
   }
 
+  boolean mayHoldResponse(HeldMemory held) {
+    return budget.mayHoldResponse(held);
+  }
+
   boolean mayRead(HeldMemory held) {
     boolean wasStopped = held.isStopped();
     boolean reads = budget.mayRead(held, clock.getAsLong());
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnectionPool.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/EndpointConnectionPool.java
@@ -110,13 +110,15 @@
   }
 
   private void sendOn(EndpointConnection connection, WaitingRequest wanted) {
+    // Not the whole request, whose response an idle connection would keep in memory.
+    String address = wanted.address();
     wanted.request().attach(connection);
     connection.send(
         wanted.head(),
         wanted.body(),
         wanted.matcher(),
         wanted.request(),
-        () -> release(wanted.address(), connection));
+        () -> release(address, connection));
   }
 
   private void connect(WaitingRequest wanted) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/PendingExchange.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/PendingExchange.java
@@ -22,6 +22,7 @@
   private final CallerConnection connection;
   private final QueuedRequest request;
   private final RequestHead head;
+  private long responseBytes;
   private boolean responseStarted;
   private boolean closesConnection;
   private boolean endsAtClose;
@@ -43,7 +44,7 @@
   }
 
   long heapBytes() {
-    return request.heapBytes();
+    return request.heapBytes() + responseBytes;
   }
 
   void callerDisconnected() {
@@ -63,6 +64,12 @@
     return request.body();
   }
 
+  @Override
+  public boolean holdResponse(long heapBytes) {
+    responseBytes = heapBytes;
+    return ended || connection.mayHoldResponse();
+  }
+
   @Override
   public void respond(int status, List<HeaderField> headers, Buffer body) {
     if (ended) {
@@ -73,6 +80,7 @@
       response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length());
     }
     responseStarted = true;
+    responseBytes = 0;
     connection.output().write(response, 0);
     if (hasBody(status) && !isHeadOnly()) {
       for (int start = 0; start < body.length(); start += WRITE_BYTES) {
@@ -88,6 +96,7 @@
       return;
     }
     responseStarted = true;
+    responseBytes = 0;
     HttpResponse response = newFramedResponse(status, headers);
     endsAtClose = !request.head().protocolVersion().equals(HttpVersion.HTTP_1_1);
     if (!endsAtClose) {
