Leave out optional settings in the review's stand-in of an instance

Cause: the template of the settings gained two sections that a deployment may lack; the stand-in did not know sections, and the instance did not start. Change: sections of bounds without a value are dropped.

--- a/review/standins/Front.java
+++ b/review/standins/Front.java
@@ -57,6 +57,8 @@
     for (Map.Entry<String, String> field : fields.entrySet()) {
       settings = settings.replace("{{" + field.getKey() + "}}", field.getValue());
     }
+    // Sections of settings that a site may lack.
+    settings = settings.replaceAll("(?s)\\{\\{#(bounds\\.\\w+)}}.*?\\{\\{/\\1}}\n?", "");
     Path file = folder.resolve(name + ".ini");
     Files.writeString(file, settings);
     List<String> command =
