--- a/knapweedcleat-standins/src/test/java/org/knapweedcleat/standins/process/ClientLoadProcessTest.java
+++ b/knapweedcleat-standins/src/test/java/org/knapweedcleat/standins/process/ClientLoadProcessTest.java
@@ -71,6 +71,11 @@
             "callers, far too large, only sent", Listener.CALLERS, 40, Payloads.largeChunks(300)),
         LoadCase.of("callers, trailers", Listener.CALLERS, 600, Payloads.endlessTrailers()),
         LoadCase.of("callers, nothing", Listener.CALLERS, 1_500, Payloads.nothing()),
+        LoadCase.of(
+            "callers, unread responses",
+            Listener.CALLERS,
+            200,
+            Payloads.unreadResponses("/nowhere", 20_000)),
         LoadCase.of(
             "operators, short header lines", Listener.OPERATORS, 600, Payloads.shortHeaderLines()),
         LoadCase.of(
