--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/codec/InboundCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/codec/InboundCall.java
@@ -9,7 +9,7 @@
  * The parts of a caller's request that concern the router.
  *
  * @param requestId the id of the request; each attempt of the caller has its own
- * @param host the requested host without the port
+ * @param host the requested host in lower case, without the port
  * @param key the API key
  * @param deadlineMillis how long the caller waits for the response
  * @param usage the tokens that the request needs
