--- a/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/CheckCommand.java
+++ b/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/CheckCommand.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Optional;
 import org.knapweedcleat.core.config.ConfigFault;
 import org.knapweedcleat.core.config.ConfigFaultKind;
 import org.knapweedcleat.core.config.FleetDocument;
@@ -41,6 +42,27 @@
       usage = "print all setting keys with their allowed values and defaults instead")
   private boolean keys;
 
+  @Option(
+      name = "--adapter",
+      metaVar = "NAME",
+      forbids = {"--instance", "--forwarder", "--keys"},
+      usage = "the files are configurations published on the platform of this adapter")
+  private String adapter;
+
+  @Option(
+      name = "--against",
+      metaVar = "FILE",
+      depends = "--adapter",
+      usage = "with --adapter: the configuration in force, to show the differences")
+  private Path against;
+
+  @Option(
+      name = "--settings",
+      metaVar = "FILE",
+      depends = "--adapter",
+      usage = "with --adapter: settings of an instance, to check regions by its failure domains")
+  private Path settings;
+
   @Option(name = "--json", usage = "print JSON")
   private boolean json;
 
@@ -53,6 +75,10 @@
     if (files.isEmpty()) {
       throw CliException.of(CliFault.NO_FILE, "there is nothing");
     }
+    if (adapter != null) {
+      return AdapterCheck.of(adapter)
+          .run(console, files, Optional.ofNullable(settings), Optional.ofNullable(against), json);
+    }
     List<FileResult> results = List.empty();
     for (Path file : files) {
       results = results.append(check(file));
--- a/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/CliFault.java
+++ b/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/CliFault.java
@@ -12,6 +12,10 @@
   NO_LOG("to read; give the logs of instances, or - for standard input"),
   /** A document is invalid and cannot be processed. */
   FAULTY_DOCUMENT("has faults and cannot be processed:"),
+  /** No adapter has the name. */
+  NO_ADAPTER("is no adapter on the class path; start the tool by ./knapweedcleat, or add its jar"),
+  /** The configuration to compare with has errors. */
+  FAULTY_IN_FORCE("has errors and cannot be compared with; check it without --against"),
   /** An address is malformed. */
   ADDRESS("is not an address; give an IP address and the operator port, such as 127.0.0.1:8081"),
   /** Nothing listens at an address. */
--- a/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/CommandKind.java
+++ b/knapweedcleat-cli/src/main/java/org/knapweedcleat/cli/CommandKind.java
@@ -10,9 +10,10 @@
   /** Validates documents and settings files. */
   CHECK(
       "FILE...",
-      "checks documents or instance settings and prints every fault with its location",
+      "checks documents, instance settings or, with --adapter, configurations of a platform, and"
+          + " prints every fault with its location",
       "knapweedcleat check examples/kayseri/fleet.ini",
-      "faults were found",
+      "faults were found; with --adapter errors, but not warnings",
       CheckCommand::new),
   /** Compares documents. */
   DIFF(
