--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/WorkloadTracker.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/WorkloadTracker.java
@@ -113,17 +113,6 @@
     return Map.copyOf(local);
   }
 
-  /**
-   * Returns the number of other instances whose workload is known.
-   *
-   * @param nowMillis the current time
-   * @return the number of reports that have not expired
-   */
-  public int reportCount(long nowMillis) {
-    expireReports(nowMillis);
-    return reports.size();
-  }
-
   /**
    * Returns the total known workload of an endpoint.
    *
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardContext.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardContext.java
@@ -18,7 +18,6 @@
 import org.knapweedcleat.router.forward.log.DecisionLog;
 import org.knapweedcleat.router.forward.quarantine.QuarantineExchange;
 import org.knapweedcleat.router.forward.room.PlacementExchange;
-import org.knapweedcleat.router.forward.startup.StartupAdmission;
 import org.knapweedcleat.router.forward.store.DirectoryCache;
 import org.knapweedcleat.router.forward.throttle.PermitExchange;
 
@@ -39,7 +38,6 @@
  * @param permits asks whether a request may be sent to an endpoint with a rate limit
  * @param quarantine under which parts of prompts engines crash
  * @param placements asks the regions' coordinators to place streams
- * @param startup admits calls gradually after the start of the instance
  * @param quota the client accounts' quotas
  * @param retryBudgets the retry budget of each service
  * @param latenessDetector recognizes calls that can no longer meet their latency target
@@ -62,7 +60,6 @@
     PermitExchange permits,
     QuarantineExchange quarantine,
     PlacementExchange placements,
-    StartupAdmission startup,
     FleetQuotaLimiter quota,
     ServiceRetryBudgets retryBudgets,
     LateCallDetector latenessDetector,
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardedCall.java
@@ -40,7 +40,6 @@
 import org.knapweedcleat.router.forward.http.ResponseListener;
 import org.knapweedcleat.router.forward.http.ResponseMatcher;
 import org.knapweedcleat.router.forward.http.TransportFailure;
-import org.knapweedcleat.router.forward.startup.StartupAdmission;
 
 /** One admitted call, from its first attempt at an endpoint to the final response. */
 abstract class ForwardedCall {
@@ -64,7 +63,6 @@
   protected final AttemptLedger ledger;
   protected final SendPermits permits;
   protected final long startedMillis;
-  private final StartupTurn startupTurn;
   private final Optional<AccountQuota> account;
   private final RegionRestriction restriction;
   private final EndpointEligibility eligibility;
@@ -100,7 +98,6 @@
     this.ledger = AttemptLedger.of(route, retryBudget);
     this.permits = SendPermits.of(context, this);
     this.startedMillis = context.nowMillis();
-    this.startupTurn = StartupTurn.of(context, this);
     this.expiresAtMillis = startedMillis + route.effectiveTimeoutMillis(call.deadlineMillis());
   }
 
@@ -115,17 +112,12 @@
     exchange.onCallerDisconnected(this::onCallerDisconnected);
     long millis = Math.max(1, remainingMillis());
     deadlineTimer = context.vertx().setTimer(millis, timer -> onDeadline());
-    startupTurn.whenAdmitted(this::place);
+    place();
   }
 
   /** Chooses an endpoint and sends the call there. */
   protected abstract void place();
 
-  /** Returns the terms on which the call is admitted after a start; empty if always at once. */
-  protected Optional<StartupAdmission.Terms> startupTerms() {
-    return Optional.empty();
-  }
-
   /** Returns when the steps of the call happened, as alternating log keys and values. */
   protected List<Object> timings() {
     return List.of();
@@ -743,7 +735,6 @@
       dropStandby();
     }
     onFinished();
-    startupTurn.end();
     ledger.refundUnused();
     List.copyOf(activeWork.keySet()).forEach(this::endWork);
     endHandler.run();
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
@@ -31,7 +31,6 @@
 import org.knapweedcleat.router.forward.http.ResponseListener;
 import org.knapweedcleat.router.forward.http.ResponseMatcher;
 import org.knapweedcleat.router.forward.http.TransportFailure;
-import org.knapweedcleat.router.forward.startup.StartupAdmission;
 
 /**
  * A call whose response is a stream of events.
@@ -178,29 +177,15 @@
     }
   }
 
-  @Override
-  protected Optional<StartupAdmission.Terms> startupTerms() {
-    return Optional.of(
-        new StartupAdmission.Terms(
-            rank(),
-            usage.initialMemoryTokens(),
-            startedMillis,
-            targetMillis(),
-            capacityPolicy.waitMillis(route.targetMillis())));
-  }
-
-  private long targetMillis() {
-    return capacityPolicy == CapacityWaitPolicy.LATE ? 0 : route.targetMillis();
-  }
-
   private StreamAdmission.Terms admissionTerms() {
     boolean started = exchange.isResponseStarted() || kvHandle.isPresent();
+    long targetMillis = capacityPolicy == CapacityWaitPolicy.LATE ? 0 : route.targetMillis();
     long waitedMillis = context.nowMillis() - startedMillis;
     return new StreamAdmission.Terms(
         started,
         rank(),
         accountName(),
-        targetMillis(),
+        targetMillis,
         started
             ? waitedMillis + remainingMillis()
             : capacityPolicy.queueMillis(route.targetMillis()),
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -46,8 +46,6 @@
 import org.knapweedcleat.router.forward.log.LocalityLog;
 import org.knapweedcleat.router.forward.quarantine.QuarantineExchange;
 import org.knapweedcleat.router.forward.room.PlacementExchange;
-import org.knapweedcleat.router.forward.startup.StartupAdmission;
-import org.knapweedcleat.router.forward.startup.StartupInputs;
 import org.knapweedcleat.router.forward.store.DirectoryCache;
 import org.knapweedcleat.router.forward.store.PublishedKind;
 import org.knapweedcleat.router.forward.store.PublishedStore;
@@ -97,7 +95,6 @@
   private final PeerTransport peers;
   private final List<StoreWatcher> watchers = new ArrayList<>();
   private final StageCoordinator stageCoordinator;
-  private final StartupAdmission startup;
   private final ReconnectProbe reach;
   private final AdmissionHandler desk;
   private final CallerServer callers;
@@ -156,17 +153,6 @@
             ForwarderNode::nowMillis,
             log,
             metrics);
-    StartupInputs inputs =
-        new StartupInputs(
-            members, budgets::fleetSize, work, rooms, directory, ForwarderNode::nowMillis);
-    this.startup =
-        StartupAdmission.of(
-            ForwarderNode::nowMillis,
-            directory::isLoaded,
-            inputs::fleet,
-            inputs::capacity,
-            log,
-            metrics);
     ForwardContext context =
         new ForwardContext(
             vertx,
@@ -190,7 +176,6 @@
                 log),
             QuarantineExchange.of(self, ForwarderNode::nowMillis, log, metrics),
             rooms,
-            startup,
             quota,
             budgets,
             LateCallDetector.create(),
@@ -374,7 +359,6 @@
   private void tick() {
     directory.tick();
     gossip.tick();
-    startup.tick();
     boolean pause = !gossip.readsStore();
     watchers.forEach(watcher -> watcher.setPaused(pause));
     stageCoordinator.tick();
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
@@ -35,8 +35,6 @@
 import org.knapweedcleat.router.forward.log.DecisionLog;
 import org.knapweedcleat.router.forward.quarantine.QuarantineExchange;
 import org.knapweedcleat.router.forward.room.PlacementExchange;
-import org.knapweedcleat.router.forward.startup.StartupAdmission;
-import org.knapweedcleat.router.forward.startup.StartupInputs;
 import org.knapweedcleat.router.forward.store.DirectoryCache;
 import org.knapweedcleat.router.forward.store.PublishedItem;
 import org.knapweedcleat.router.forward.store.PublishedKind;
@@ -88,27 +86,25 @@
     final FleetMembership members;
     final DirectoryCache directory;
     final WorkloadTracker work = WorkloadTracker.of(2_500);
-    final EndpointHealthRegistry health = EndpointHealthRegistry.create();
     final FleetQuotaLimiter quota = FleetQuotaLimiter.of(QuotaTolerance.NONE);
     final ServiceRetryBudgets budgets;
     final EndpointRateLimits rateLimits = EndpointRateLimits.create();
     final PermitExchange permits;
     final QuarantineExchange quarantine;
     final PlacementExchange rooms;
-    final EndpointSelector chooser;
-    final StartupAdmission startup;
-    final MetricRegistry metrics = new MetricRegistry();
     final FleetGossip gossip;
 
     Node(SimulatedFleet fleet, FleetMember self, List<InetAddressPort> seeds) {
       this.self = self;
       this.members = FleetMembership.of(self, 200);
+      MetricRegistry metrics = new MetricRegistry();
       DecisionLog log = DecisionLog.of(() -> fleet.nowMillis, metrics);
       this.directory = DirectoryCache.of(() -> fleet.nowMillis, log);
       this.budgets = ServiceRetryBudgets.of(BOUNDS, fleet.nowMillis);
       EndpointAvailability notices = EndpointAvailability.create();
+      EndpointHealthRegistry health = EndpointHealthRegistry.create();
       DomainTopology domains = DomainTopology.of(self.domain(), fleet.regions);
-      this.chooser = EndpointSelector.of(domains, work, health, () -> 0.5);
+      EndpointSelector chooser = EndpointSelector.of(domains, work, health, () -> 0.5);
       this.rooms =
           PlacementExchange.of(
               self,
@@ -130,17 +126,6 @@
               () -> fleet.nowMillis,
               log);
       this.quarantine = QuarantineExchange.of(self, () -> fleet.nowMillis, log, metrics);
-      StartupInputs inputs =
-          new StartupInputs(
-              members, budgets::fleetSize, work, rooms, directory, () -> fleet.nowMillis);
-      this.startup =
-          StartupAdmission.of(
-              () -> fleet.nowMillis,
-              directory::isLoaded,
-              inputs::fleet,
-              inputs::capacity,
-              log,
-              metrics);
       ForwardContext context =
           new ForwardContext(
               null,
@@ -157,7 +142,6 @@
               permits,
               quarantine,
               rooms,
-              startup,
               quota,
               budgets,
               null,
@@ -387,7 +371,6 @@
     }
     node.directory.tick();
     node.gossip.tick();
-    node.startup.tick();
   }
 
   /** Passes the store's items on, as a watcher does that lists again in a new era. */
