Read responses in HttpClientsTest as soon as they arrive

Cause: the test chained the reading of the body from its own thread, after the request was sent. A response that arrived before that ended without a handler, and the future of its body never completed. The product chains its handlers on the event loop. Change: the reading is chained in the handler that sends the request, on the event loop. The checks are the same.

--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/http/HttpClientsTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/http/HttpClientsTest.java
@@ -7,6 +7,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.PoolOptions;
@@ -74,10 +75,11 @@
           await(
               client
                   .request(method, port, HOST, methodAndPath[1])
-                  .compose(sent -> method == HttpMethod.POST ? sent.send("sent") : sent.send())
                   .compose(
-                      response ->
-                          response.body().map(body -> response.statusCode() + " " + body))));
+                      sent ->
+                          method == HttpMethod.POST
+                              ? read(sent.send("sent"))
+                              : read(sent.send()))));
       pause();
     }
 
@@ -85,6 +87,15 @@
     assertThat(connections.get(), is(1));
   }
 
+  /**
+   * Reads a response; called on the event loop, before the response arrives. Vert.x keeps no part
+   * of it for a handler that is added later, and the future of its body then never completes.
+   */
+  private static Future<String> read(Future<HttpClientResponse> arriving) {
+    return arriving.compose(
+        response -> response.body().map(body -> response.statusCode() + " " + body));
+  }
+
   /** Sends requests one after another, and then as many at a time. */
   private static <T> void sendAll(Supplier<Future<T>> request) {
     for (int sent = 0; sent < REQUESTS; sent++) {
