Open a connection for each request to the store

Cause: responses of the store do not name their request. A complete response that was repeated after the next request had been sent on the same connection was taken for the response to that request: a stale page, or a false 410. Change: StoreClient uses one connection per request, closed after the response; the strict codec stays, since a response may be broken off and repeated on its own connection.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/http/HttpClients.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/http/HttpClients.java
@@ -49,19 +49,20 @@
   }
 
   /**
-   * Creates a client that keeps connections and reads responses by {@link StrictHttpClientCodec}.
-   * Their bodies have to be JSON, in which no line of HTTP can occur, and callers have to reject
-   * bytes behind it.
+   * Creates a client that opens a connection for each request and reads responses by {@link
+   * StrictHttpClientCodec}, since a server may break a response off and repeat it on the same
+   * connection. Bodies have to be JSON, in which no line of HTTP can occur, and callers have to
+   * reject bytes behind it.
    *
    * @param vertx the Vert.x instance to run on
    * @param options the options; whether connections are kept is overridden
    * @return the client
    */
-  public static HttpClient createForJson(Vertx vertx, HttpClientOptions options) {
+  public static HttpClient createForJsonWithoutReuse(Vertx vertx, HttpClientOptions options) {
     int maxHeadBytes = options.getMaxHeaderSize();
     return vertx
         .httpClientBuilder()
-        .with(options.setKeepAlive(true).setPipelining(false))
+        .with(options.setKeepAlive(false).setPipelining(false))
         .withConnectHandler(connection -> useStrictCodec(connection, maxHeadBytes))
         .build();
   }
@@ -70,12 +71,12 @@
   private static void useStrictCodec(HttpConnection connection, int maxHeadBytes) {
     ChannelHandlerContext context = ((ConnectionBase) connection).channelHandlerContext();
     StrictHttpClientCodec codec =
-        StrictHttpClientCodec.create(maxHeadBytes, new PooledConnection(context.channel()));
+        StrictHttpClientCodec.create(maxHeadBytes, new SingleUseConnection(context.channel()));
     context.pipeline().replace(HttpClientCodec.class, "codec", codec);
   }
 
-  /** Takes each response that arrives while one is due; the pool gives up a closed connection. */
-  private record PooledConnection(Channel channel) implements ResponseRecipient {
+  /** Takes each response that arrives while one is due. */
+  private record SingleUseConnection(Channel channel) implements ResponseRecipient {
     @Override
     public boolean isAwaited(HttpResponse response) {
       return true;
