Distribute streams by the speed of each engine

Engines of one service differ in speed, for seconds or for good; placement knew one prefill time per service and took all decode engines as equal.

EngineSpeeds keeps the ratio of each engine to the median of its service, from this instance's observations and the reports of others, by a median polish, so that what an instance sees of all engines alike cancels out. Expected times, sampling weights, local prefills and the expected wait of the admission queue use it. A slow engine that would get no stream gets one now and then.

--- a/knapweedcleat-bench/src/test/java/org/knapweedcleat/bench/pattern/SimulatedEngine.java
+++ b/knapweedcleat-bench/src/test/java/org/knapweedcleat/bench/pattern/SimulatedEngine.java
@@ -15,6 +15,7 @@
   private final long memoryTokens;
   private long usedTokens;
   private double busyUntilMillis;
+  private double slowFactor = 1;
   private boolean failed;
 
   SimulatedEngine(String id, EndpointStage stage, long memoryTokens) {
@@ -48,7 +49,8 @@
   double prefill(double nowMillis, long tokens) {
     double factor = entry.stage() == EndpointStage.PREFILL ? 1 : 2;
     busyUntilMillis =
-        Math.max(busyUntilMillis, nowMillis) + tokens * PREFILL_MILLIS_PER_TOKEN * factor;
+        Math.max(busyUntilMillis, nowMillis)
+            + tokens * PREFILL_MILLIS_PER_TOKEN * factor * slowFactor;
     return busyUntilMillis;
   }
 
@@ -65,6 +67,15 @@
     usedTokens -= tokens;
   }
 
+  /** Sets how many times as long as others the engine takes for a prompt and for each step. */
+  void slowDown(double factor) {
+    slowFactor = factor;
+  }
+
+  double slowFactor() {
+    return slowFactor;
+  }
+
   void fail() {
     failed = true;
   }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointSelector.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointSelector.java
@@ -54,6 +54,7 @@
   private final DoubleSupplier random;
   private final Optional<HomeDomainFilter> homeFilter;
   private final ExpectedTimes times;
+  private final SlowEngineProbes probes;
 
   private EndpointSelector(
       DomainTopology topology,
@@ -61,13 +62,15 @@
       EndpointHealthRegistry health,
       DoubleSupplier random,
       Optional<HomeDomainFilter> homeFilter,
-      ExpectedTimes times) {
+      ExpectedTimes times,
+      SlowEngineProbes probes) {
     this.topology = topology;
     this.workload = workload;
     this.health = health;
     this.random = random;
     this.homeFilter = homeFilter;
     this.times = times;
+    this.probes = probes;
   }
 
   /**
@@ -109,7 +112,8 @@
         health,
         random,
         homeFilter,
-        ExpectedTimes.of(topology, workload, health));
+        ExpectedTimes.of(topology, workload, health),
+        new SlowEngineProbes(EngineSpeeds.create(EngineSpeedListener.NONE)));
   }
 
   /**
@@ -120,7 +124,24 @@
    */
   public EndpointSelector preferringWarm(Predicate<EndpointEntry> predicate) {
     return new EndpointSelector(
-        topology, workload, health, random, homeFilter, times.withCold(predicate));
+        topology, workload, health, random, homeFilter, times.withCold(predicate), probes);
+  }
+
+  /**
+   * Returns a selector with the same inputs that distributes streams by the speed of engines.
+   *
+   * @param speeds the speed of each engine
+   * @return the selector
+   */
+  public EndpointSelector withSpeeds(EngineSpeeds speeds) {
+    return new EndpointSelector(
+        topology,
+        workload,
+        health,
+        random,
+        homeFilter,
+        times.withSpeeds(speeds),
+        new SlowEngineProbes(speeds));
   }
 
   /**
@@ -142,7 +163,8 @@
         health,
         random,
         home.isPresent() ? homeFilter : Optional.empty(),
-        times.seenFrom(seenFromHome));
+        times.seenFrom(seenFromHome),
+        probes);
   }
 
   /**
@@ -320,9 +342,11 @@
                 Comparator.comparingDouble(
                     one -> one.expectedFirstEventMillis() + transferPriceMillis(one)));
     placement.ifPresent(
-        one ->
-            recordSelection(
-                nowMillis, one.decode(), requirements.memoryTokens() * STREAM_BYTES_PER_TOKEN));
+        one -> {
+          recordSelection(
+              nowMillis, one.decode(), requirements.memoryTokens() * STREAM_BYTES_PER_TOKEN);
+          probes.recordPlacement(nowMillis, one);
+        });
     return placement;
   }
 
@@ -354,8 +378,7 @@
     double millis =
         times.decodeMillis(nowMillis, decode, profile)
             + LOCAL_PREFILL_PENALTY_MILLIS * ExpectedTimes.memoryFraction(current, profile)
-            + prefillTimeEstimator(decode.service())
-                .onDecodeEngineMillis(current.promptTokens() + promptTokens);
+            + times.localPrefillMillis(nowMillis, decode, promptTokens);
     return new StreamPlacement(Optional.empty(), decode, millis);
   }
 
@@ -414,7 +437,7 @@
 
   /**
    * Sorts by expected time. Endpoints that failed this call or accept no calls are used only if
-   * there are no others.
+   * there are no others. A slow engine that is due for a call is returned alone.
    */
   private List<EndpointEntry> rank(
       long nowMillis,
@@ -437,6 +460,11 @@
     if (weight.isPresent()) {
       usable = sampleIfMany(usable, weight.get(), isReducedFromMany);
     }
+    Optional<EndpointEntry> probed =
+        tried.isEmpty() ? probes.due(nowMillis, usable) : Optional.empty();
+    if (probed.isPresent()) {
+      return List.of(probed.get());
+    }
     Map<EndpointEntry, Double> jitteredMillis = new HashMap<>();
     usable.forEach(
         entry ->
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/ExpectedTimes.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/ExpectedTimes.java
@@ -40,6 +40,7 @@
   private final WorkloadTracker workload;
   private final EndpointHealthRegistry health;
   private final Predicate<EndpointEntry> isCold;
+  private final EngineSpeeds speeds;
   private final Map<ServiceId, PrefillTimeEstimator> estimators;
 
   private ExpectedTimes(
@@ -47,11 +48,13 @@
       WorkloadTracker workload,
       EndpointHealthRegistry health,
       Predicate<EndpointEntry> isCold,
+      EngineSpeeds speeds,
       Map<ServiceId, PrefillTimeEstimator> estimators) {
     this.topology = topology;
     this.workload = workload;
     this.health = health;
     this.isCold = isCold;
+    this.speeds = speeds;
     this.estimators = estimators;
   }
 
@@ -64,17 +67,28 @@
    */
   static ExpectedTimes of(
       DomainTopology topology, WorkloadTracker workload, EndpointHealthRegistry health) {
-    return new ExpectedTimes(topology, workload, health, endpoint -> false, new HashMap<>());
+    return new ExpectedTimes(
+        topology,
+        workload,
+        health,
+        endpoint -> false,
+        EngineSpeeds.create(EngineSpeedListener.NONE),
+        new HashMap<>());
   }
 
   /** Returns the estimates for calls of another failure domain, which share the observations. */
   ExpectedTimes seenFrom(DomainTopology other) {
-    return new ExpectedTimes(other, workload, health, isCold, estimators);
+    return new ExpectedTimes(other, workload, health, isCold, speeds, estimators);
   }
 
   /** Returns estimates with the same inputs in which cold endpoints take longer. */
   ExpectedTimes withCold(Predicate<EndpointEntry> predicate) {
-    return new ExpectedTimes(topology, workload, health, predicate, estimators);
+    return new ExpectedTimes(topology, workload, health, predicate, speeds, estimators);
+  }
+
+  /** Returns estimates with the same inputs and the speed of each engine. */
+  ExpectedTimes withSpeeds(EngineSpeeds engineSpeeds) {
+    return new ExpectedTimes(topology, workload, health, isCold, engineSpeeds, estimators);
   }
 
   boolean isCold(EndpointEntry endpoint) {
@@ -104,15 +118,30 @@
   double prefillMillis(long nowMillis, EndpointEntry entry, long promptTokens) {
     long queuedTokens = workload.total(entry.id(), nowMillis).promptTokens();
     return prefillTimeEstimator(entry.service()).onPrefillEngineMillis(queuedTokens + promptTokens)
+            * speeds.prefillFactor(nowMillis, entry)
         + penaltyMillis(nowMillis, entry);
   }
 
   double decodeMillis(long nowMillis, EndpointEntry entry, EngineProfile profile) {
     EndpointWorkload current = workload.total(entry.id(), nowMillis);
-    return FULL_ENGINE_PENALTY_MILLIS * memoryFraction(current, profile)
+    double stepFactor = speeds.stepFactor(nowMillis, entry);
+    return FULL_ENGINE_PENALTY_MILLIS * memoryFraction(current, profile) * stepFactor
+        + slowStepMillis(stepFactor)
         + penaltyMillis(nowMillis, entry);
   }
 
+  /** Returns how much later the first event of a stream comes from an engine with slow steps. */
+  private static double slowStepMillis(double stepFactor) {
+    return EVENT_INTERVAL_MILLIS * (Math.max(1, stepFactor) - 1);
+  }
+
+  /** Returns the time in which a decode engine prefills prompts, the queued ones included. */
+  double localPrefillMillis(long nowMillis, EndpointEntry decode, long promptTokens) {
+    long queuedTokens = workload.total(decode.id(), nowMillis).promptTokens();
+    return prefillTimeEstimator(decode.service()).onDecodeEngineMillis(queuedTokens + promptTokens)
+        * speeds.prefillFactor(nowMillis, decode);
+  }
+
   /** Returns the time that an endpoint's distance, failures and coldness add to any call. */
   double penaltyMillis(long nowMillis, EndpointEntry entry) {
     return (isCold(entry) ? COLD_PENALTY_MILLIS : 0)
@@ -129,13 +158,16 @@
     return (double) work.memoryTokens() / Math.max(1, profile.memoryTokens());
   }
 
-  /** Returns the sampling weight of a decode engine, from its free memory and its penalties. */
+  /** Returns the sampling weight of a decode engine, from its free memory, speed and penalties. */
   double decodeWeight(long nowMillis, EndpointEntry entry, EngineProfile profile) {
     double freeFraction =
         Math.max(
             MIN_FREE_FRACTION, 1 - memoryFraction(workload.total(entry.id(), nowMillis), profile));
+    double stepFactor = speeds.stepFactor(nowMillis, entry);
     return Math.pow(freeFraction, FREE_MEMORY_EXPONENT)
-        / (FULL_ENGINE_PENALTY_MILLIS + penaltyMillis(nowMillis, entry));
+        / (FULL_ENGINE_PENALTY_MILLIS * stepFactor
+            + slowStepMillis(stepFactor)
+            + penaltyMillis(nowMillis, entry));
   }
 
   /**
@@ -147,11 +179,9 @@
     if (requirements.maxGapMillis() == 0) {
       return true;
     }
-    long queuedTokens = workload.total(decode.id(), nowMillis).promptTokens();
-    double prefillMillis =
-        prefillTimeEstimator(decode.service())
-            .onDecodeEngineMillis(queuedTokens + requirements.promptTokens());
-    return EVENT_INTERVAL_MILLIS + prefillMillis <= requirements.maxGapMillis();
+    double stepMillis = EVENT_INTERVAL_MILLIS * speeds.stepFactor(nowMillis, decode);
+    return stepMillis + localPrefillMillis(nowMillis, decode, requirements.promptTokens())
+        <= requirements.maxGapMillis();
   }
 
   /** Returns the engines that can run a request. */
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/room/AdmissionQueue.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/room/AdmissionQueue.java
@@ -80,6 +80,7 @@
   private double startMillis = INITIAL_START_MILLIS;
   private int engineCount;
   private long capacityTokens;
+  private double meanSpeed = 1;
 
   private static final class Entry {
     private QueuedCall call;
@@ -110,8 +111,21 @@
    * @param tokensPerEngine the tokens that each holds
    */
   public void updateCapacity(int engines, long tokensPerEngine) {
+    updateCapacity(engines, tokensPerEngine, 1);
+  }
+
+  /**
+   * Sets the memory and the speed of the usable decode engines.
+   *
+   * @param engines their number
+   * @param tokensPerEngine the tokens that each holds
+   * @param meanEngineSpeed their mean speed in multiples of the median engine; streams end sooner
+   *     where it is higher
+   */
+  public void updateCapacity(int engines, long tokensPerEngine, double meanEngineSpeed) {
     engineCount = engines;
     capacityTokens = engines * tokensPerEngine;
+    meanSpeed = meanEngineSpeed;
   }
 
   /**
@@ -307,7 +321,7 @@
   }
 
   private long waitMillis(long nowMillis, long tokens) {
-    double nominal = capacityTokens * USABLE_FRACTION / HOLD_MILLIS;
+    double nominal = capacityTokens * USABLE_FRACTION / HOLD_MILLIS * meanSpeed;
     double tokensPerMillis = Math.max(nominal, grantedTokens.perMillis(nowMillis));
     return tokensPerMillis <= 0 ? 0 : (long) (tokens / tokensPerMillis);
   }
