--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointSelector.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EndpointSelector.java
@@ -177,6 +177,11 @@
     return times.prefillTimeEstimator(service);
   }
 
+  /** Returns the mean speed of engines in multiples of the median engine. */
+  double meanSpeed(long nowMillis, List<EndpointEntry> engines) {
+    return times.meanSpeed(nowMillis, engines);
+  }
+
   /**
    * Selects an endpoint for a plain call without a body.
    *
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/ExpectedTimes.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/ExpectedTimes.java
@@ -91,6 +91,10 @@
     return new ExpectedTimes(topology, workload, health, isCold, engineSpeeds, estimators);
   }
 
+  double meanSpeed(long nowMillis, List<EndpointEntry> engines) {
+    return speeds.meanStepSpeed(nowMillis, engines);
+  }
+
   boolean isCold(EndpointEntry endpoint) {
     return isCold.test(endpoint);
   }
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/StreamCapacityAllocator.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/StreamCapacityAllocator.java
@@ -163,6 +163,17 @@
         .min(Comparator.comparingLong(engine -> workload.total(engine, nowMillis).memoryTokens()));
   }
 
+  /**
+   * Returns the mean speed of engines, by which the wait for their capacity is expected.
+   *
+   * @param nowMillis the current time
+   * @param engines the engines that run requests
+   * @return the mean in multiples of the median engine; 1 if they are equal or nothing is known
+   */
+  public double meanSpeed(long nowMillis, List<EndpointEntry> engines) {
+    return selector.meanSpeed(nowMillis, engines);
+  }
+
   private void reservePrefill(
       long nowMillis,
       ReservationKey key,
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardContext.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/ForwardContext.java
@@ -18,6 +18,7 @@
 import org.knapweedcleat.router.forward.log.DecisionLog;
 import org.knapweedcleat.router.forward.quarantine.QuarantineExchange;
 import org.knapweedcleat.router.forward.room.PlacementExchange;
+import org.knapweedcleat.router.forward.speed.EngineSpeedExchange;
 import org.knapweedcleat.router.forward.store.DirectoryCache;
 import org.knapweedcleat.router.forward.throttle.PermitExchange;
 
@@ -38,6 +39,7 @@
  * @param permits asks whether a request may be sent to an endpoint with a rate limit
  * @param quarantine under which parts of prompts engines crash
  * @param placements asks the regions' coordinators to place streams
+ * @param speeds how fast engines are
  * @param quota the client accounts' quotas
  * @param retryBudgets the retry budget of each service
  * @param latenessDetector recognizes calls that can no longer meet their latency target
@@ -60,6 +62,7 @@
     PermitExchange permits,
     QuarantineExchange quarantine,
     PlacementExchange placements,
+    EngineSpeedExchange speeds,
     FleetQuotaLimiter quota,
     ServiceRetryBudgets retryBudgets,
     LateCallDetector latenessDetector,
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/call/StreamingCall.java
@@ -396,16 +396,16 @@
   private final class PrefillAttempt implements ResponseListener {
     private final EndpointEntry engine;
     private final EndpointEntry decodeEngine;
-    private final boolean wasIdle;
     private final EndpointHealth health;
     private final long sentMillis = context.nowMillis();
     private final Buffer body = Buffer.buffer();
+    private final EngineSpeedObserver speed;
     private ResponseHead head;
 
     PrefillAttempt(EndpointEntry engine, EndpointEntry decodeEngine) {
       this.engine = engine;
       this.decodeEngine = decodeEngine;
-      this.wasIdle = context.work().total(engine.id(), sentMillis).promptTokens() == 0;
+      this.speed = EngineSpeedObserver.ofPrefill(context, engine, usage.promptTokens());
       this.health = context.health().get(engine.id());
     }
 
@@ -467,16 +467,10 @@
     }
 
     private void onPrefilled(String handle) {
-      long tookMillis = context.nowMillis() - sentMillis;
-      prefillMillis = tookMillis;
+      prefillMillis = context.nowMillis() - sentMillis;
       ledger.recordPrefillAccepted();
       timeline.recordPrefill(context.nowMillis());
-      if (wasIdle) {
-        context
-            .chooser()
-            .prefillTimeEstimator(service)
-            .record(Math.max(1, usage.promptTokens()), tookMillis);
-      }
+      speed.onPrefilled();
       KvHandle receivedHandle = new KvHandle(engine.address(), handle);
       kvHandle = Optional.of(receivedHandle);
       lastPrefillEngine = Optional.of(engine.id());
@@ -514,6 +508,7 @@
     private final boolean fetchesKvCache;
     private final double estimatedFill;
     private final EndpointHealth health;
+    private final EngineSpeedObserver speed;
     private final long sentMillis = context.nowMillis();
     private ResponseHead head;
     private ResponseKind kind;
@@ -530,6 +525,8 @@
       long usedTokens = context.work().total(engine.id(), sentMillis).memoryTokens();
       this.estimatedFill = (double) usedTokens / Math.max(1, profile.memoryTokens());
       this.health = context.health().get(engine.id());
+      this.speed =
+          EngineSpeedObserver.ofDecode(context, engine, fetchesKvCache ? 0 : usage.promptTokens());
     }
 
     @Override
@@ -627,6 +624,7 @@
       timeline.recordEvent(context.nowMillis());
       exchange.startResponse(head.status(), context.codec().callerHeaders(head));
       exchange.write(Buffer.buffer(event));
+      speed.onEvent(exchange.isWriteQueueFull());
       applyBackpressure();
     }
 
@@ -639,6 +637,7 @@
       if (!receivedEvent) {
         receivedEvent = true;
         firstEventAtMillis = context.nowMillis();
+        speed.onFirstEvent();
         endWork(engine.id());
         beginWork(engine.id(), new EndpointWorkload(1, 0, usage.initialMemoryTokens()));
       }
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
@@ -39,6 +39,8 @@
 import org.knapweedcleat.router.forward.room.StreamAdmissionQuery;
 import org.knapweedcleat.router.forward.room.StreamEndedNotice;
 import org.knapweedcleat.router.forward.room.StreamPlacementQuery;
+import org.knapweedcleat.router.forward.speed.EngineSpeedExchange;
+import org.knapweedcleat.router.forward.speed.EngineSpeedNotice;
 import org.knapweedcleat.router.forward.store.DirectoryCache;
 import org.knapweedcleat.router.forward.throttle.LimitNotice;
 import org.knapweedcleat.router.forward.throttle.LimitReport;
@@ -88,6 +90,7 @@
   private final FleetQuotaLimiter quota;
   private final ServiceRetryBudgets budgets;
   private final PlacementExchange rooms;
+  private final EngineSpeedExchange speeds;
   private final EndpointRateLimits rateLimits;
   private final PermitExchange permits;
   private final QuarantineExchange quarantine;
@@ -127,6 +130,7 @@
     this.quota = context.quota();
     this.budgets = context.retryBudgets();
     this.rooms = context.placements();
+    this.speeds = context.speeds();
     this.rateLimits = context.rateLimits();
     this.permits = context.permits();
     this.quarantine = context.quarantine();
@@ -216,6 +220,7 @@
     long nowMillis = clock.getAsLong();
     sendQuarantine(nowMillis);
     rooms.tick();
+    speeds.tick();
     long elapsedMillis = nowMillis - sentAtMillis;
     boolean sendEarly =
         elapsedMillis >= MIN_SEND_INTERVAL_MILLIS && !members.isSmall() && hasUnsentStoreChanges();
@@ -252,6 +257,8 @@
       rooms.release(from, ended.requestId());
     } else if (message instanceof EngineFaultNotice fault) {
       rooms.onFault(fault);
+    } else if (message instanceof EngineSpeedNotice notice) {
+      speeds.onNotice(from, notice);
     } else if (message instanceof StreamAdmissionNotice notice) {
       rooms.onNotice(from, notice);
     } else if (message instanceof LimitNotice limits) {
@@ -489,6 +496,7 @@
     quota.forget(incarnation.toString());
     work.forget(incarnation.toString());
     rooms.release(incarnation);
+    speeds.forget(incarnation);
     permits.forget(incarnation);
   }
 
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ForwarderNode.java
@@ -13,6 +13,7 @@
 import org.knapweedcleat.core.balance.EndpointAvailability;
 import org.knapweedcleat.core.balance.EndpointHealthRegistry;
 import org.knapweedcleat.core.balance.EndpointSelector;
+import org.knapweedcleat.core.balance.EngineSpeeds;
 import org.knapweedcleat.core.balance.HomeDomainFilter;
 import org.knapweedcleat.core.balance.StreamCapacityAllocator;
 import org.knapweedcleat.core.balance.WorkloadTracker;
@@ -43,9 +44,11 @@
 import org.knapweedcleat.router.forward.http.CallerServerLimits;
 import org.knapweedcleat.router.forward.http.EndpointConnectionPool;
 import org.knapweedcleat.router.forward.log.DecisionLog;
+import org.knapweedcleat.router.forward.log.EngineSpeedLog;
 import org.knapweedcleat.router.forward.log.LocalityLog;
 import org.knapweedcleat.router.forward.quarantine.QuarantineExchange;
 import org.knapweedcleat.router.forward.room.PlacementExchange;
+import org.knapweedcleat.router.forward.speed.EngineSpeedExchange;
 import org.knapweedcleat.router.forward.store.DirectoryCache;
 import org.knapweedcleat.router.forward.store.PublishedKind;
 import org.knapweedcleat.router.forward.store.PublishedStore;
@@ -136,10 +139,12 @@
             directory,
             ColdRatePolicy.of(settings.bounds().coldOverage(), settings.bounds().coldSlack()),
             ForwarderNode::nowMillis);
+    EngineSpeeds speeds = EngineSpeeds.create(EngineSpeedLog.of(log, metrics));
     EndpointSelector chooser =
         EndpointSelector.of(
                 domains, work, health, random::nextDouble, homeFilter(domains, members, random))
-            .preferringWarm(coldRates::isLimited);
+            .preferringWarm(coldRates::isLimited)
+            .withSpeeds(speeds);
     EndpointAvailability notices = EndpointAvailability.create();
     EndpointRateLimits rateLimits = EndpointRateLimits.create();
     PlacementExchange rooms =
@@ -176,6 +181,7 @@
                 log),
             QuarantineExchange.of(self, ForwarderNode::nowMillis, log, metrics),
             rooms,
+            EngineSpeedExchange.of(speeds, rooms, directory, domains, ForwarderNode::nowMillis),
             quota,
             budgets,
             LateCallDetector.create(),
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/room/PlacementExchange.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/room/PlacementExchange.java
@@ -29,6 +29,7 @@
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.RegionId;
 import org.knapweedcleat.core.id.ServiceId;
+import org.knapweedcleat.core.message.PeerMessage;
 import org.knapweedcleat.core.room.AdmissionQueue;
 import org.knapweedcleat.core.room.ServiceRanks;
 import org.knapweedcleat.router.forward.coordinator.CoordinatorClient;
@@ -292,6 +293,19 @@
     }
   }
 
+  /**
+   * Tells a coordinator what this instance has observed of the speed of engines; as coordinator, it
+   * uses its observations itself.
+   *
+   * @param member the coordinator
+   * @param notice the observations
+   */
+  public void notifySpeeds(FleetMember member, PeerMessage notice) {
+    if (!coordinators.isSelf(member)) {
+      coordinators.send(member, notice);
+    }
+  }
+
   /**
    * Handles, as coordinator, a notice that an engine failed a stream.
    *
@@ -417,12 +431,15 @@
 
     @Override
     public void updateCapacity(ServiceId service, AdmissionQueue queue) {
-      int engines =
-          (int)
-              regionalEngines(clock.getAsLong(), service, "")
-                  .filter(entry -> entry.stage().runsRequests())
-                  .count();
-      queue.updateCapacity(engines, profile(service).memoryTokens());
+      long nowMillis = clock.getAsLong();
+      List<EndpointEntry> engines =
+          regionalEngines(nowMillis, service, "")
+              .filter(entry -> entry.stage().runsRequests())
+              .toList();
+      queue.updateCapacity(
+          engines.size(),
+          profile(service).memoryTokens(),
+          localCoordinator.meanSpeed(nowMillis, engines));
     }
 
     @Override
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerMessageType.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerMessageType.java
@@ -24,6 +24,7 @@
 import org.knapweedcleat.router.forward.room.StreamEndedNotice;
 import org.knapweedcleat.router.forward.room.StreamPlacementQuery;
 import org.knapweedcleat.router.forward.room.StreamPlacementReply;
+import org.knapweedcleat.router.forward.speed.EngineSpeedNotice;
 import org.knapweedcleat.router.forward.throttle.LimitNotice;
 import org.knapweedcleat.router.forward.throttle.SendPermitQuery;
 import org.knapweedcleat.router.forward.throttle.SendPermitReply;
@@ -113,7 +114,9 @@
   /** Notifies the holder of a queued stream of its engine or its refusal. */
   ADMISSION_NOTICE(113, StreamAdmissionNotice.class),
   /** Reports evacuated failure domains and cold endpoints. */
-  ELIGIBILITY_NEWS(120, EligibilityNotice.class);
+  ELIGIBILITY_NEWS(120, EligibilityNotice.class),
+  /** Reports how fast engines are, as observed by the sender. */
+  ENGINE_SPEED_NEWS(121, EngineSpeedNotice.class);
 
   private static final Map<Short, PeerMessageType> BY_CODE = new HashMap<>();
   private static final Map<Class<?>, PeerMessageType> BY_CLASS = new HashMap<>();
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/forward/fleet/SimulatedFleet.java
@@ -14,6 +14,8 @@
 import org.knapweedcleat.core.balance.EndpointAvailability;
 import org.knapweedcleat.core.balance.EndpointHealthRegistry;
 import org.knapweedcleat.core.balance.EndpointSelector;
+import org.knapweedcleat.core.balance.EngineSpeedListener;
+import org.knapweedcleat.core.balance.EngineSpeeds;
 import org.knapweedcleat.core.balance.StreamCapacityAllocator;
 import org.knapweedcleat.core.balance.WorkloadTracker;
 import org.knapweedcleat.core.config.ForwarderSettings;
@@ -35,6 +37,7 @@
 import org.knapweedcleat.router.forward.log.DecisionLog;
 import org.knapweedcleat.router.forward.quarantine.QuarantineExchange;
 import org.knapweedcleat.router.forward.room.PlacementExchange;
+import org.knapweedcleat.router.forward.speed.EngineSpeedExchange;
 import org.knapweedcleat.router.forward.store.DirectoryCache;
 import org.knapweedcleat.router.forward.store.PublishedItem;
 import org.knapweedcleat.router.forward.store.PublishedKind;
@@ -89,6 +92,7 @@
     final FleetQuotaLimiter quota = FleetQuotaLimiter.of(QuotaTolerance.NONE);
     final ServiceRetryBudgets budgets;
     final EndpointRateLimits rateLimits = EndpointRateLimits.create();
+    final EngineSpeeds speeds = EngineSpeeds.create(EngineSpeedListener.NONE);
     final PermitExchange permits;
     final QuarantineExchange quarantine;
     final PlacementExchange rooms;
@@ -104,7 +108,8 @@
       EndpointAvailability notices = EndpointAvailability.create();
       EndpointHealthRegistry health = EndpointHealthRegistry.create();
       DomainTopology domains = DomainTopology.of(self.domain(), fleet.regions);
-      EndpointSelector chooser = EndpointSelector.of(domains, work, health, () -> 0.5);
+      EndpointSelector chooser =
+          EndpointSelector.of(domains, work, health, () -> 0.5).withSpeeds(speeds);
       this.rooms =
           PlacementExchange.of(
               self,
@@ -142,6 +147,7 @@
               permits,
               quarantine,
               rooms,
+              EngineSpeedExchange.of(speeds, rooms, directory, domains, () -> fleet.nowMillis),
               quota,
               budgets,
               null,
