--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EngineSpeeds.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/EngineSpeeds.java
@@ -367,7 +367,7 @@
       SpeedComparison.Relative relative) {
     Estimate previous = group.estimates.get(engine);
     double previousFactor = previous == null ? 1 : previous.factor();
-    Estimate next = previous;
+    Estimate next;
     if (relative == null) {
       group.estimates.remove(engine);
       next = new Estimate(1, 0, previous.latestMillis());
@@ -377,7 +377,9 @@
               .mapToLong(Series::latestMillis)
               .max()
               .orElse(nowMillis);
-      next = new Estimate(factor(previousFactor, relative), relative.observations(), latestMillis);
+      next =
+          new Estimate(
+              countedFactor(previousFactor, relative), relative.observations(), latestMillis);
       group.estimates.put(engine, next);
     }
     if (previousFactor != 1 && next.factor() == 1) {
@@ -402,7 +404,7 @@
    * that chance is ruled out, also where many prompts wait for others of which this instance does
    * not know. It remains so while half of the observations say so.
    */
-  private static double factor(double previousFactor, SpeedComparison.Relative relative) {
+  private static double countedFactor(double previousFactor, SpeedComparison.Relative relative) {
     double equal = Math.log(EQUAL_FACTOR);
     double chance = relative.median() > 0 ? relative.slowChance() : relative.fastChance();
     boolean isConfirmed =
--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/StepTimer.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/StepTimer.java
@@ -43,7 +43,7 @@
     if (events <= INTERVALS) {
       return OptionalDouble.empty();
     }
-    double meanMillis = (double) (nowMillis - startedAtMillis) / INTERVALS;
+    final double meanMillis = (double) (nowMillis - startedAtMillis) / INTERVALS;
     startedAtMillis = nowMillis;
     events = 1;
     observations++;
