--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/room/AdmissionQueueTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/room/AdmissionQueueTest.java
@@ -1,6 +1,7 @@
 package org.knapweedcleat.core.room;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
@@ -263,6 +264,23 @@
     assertThat(granted, is(40));
   }
 
+  /** Guards against calls that are held for engines which release their capacity more slowly. */
+  @Test
+  void slowerEnginesLengthenTheExpectedWait() {
+    AdmissionQueue queue = AdmissionQueue.create();
+    queue.offer(0, QueueSimulation.call("first", 1, "a", MEMORY_TOKENS, 0, 800));
+    QueuedCall second = QueueSimulation.call("second", 1, "a", CALL_TOKENS, 1, 800);
+    queue.offer(1, second);
+    queue.updateCapacity(1, MEMORY_TOKENS);
+    final long expectedMillis = queue.position(1, second.key()).expectedWaitMillis();
+
+    queue.updateCapacity(1, MEMORY_TOKENS, 0.5);
+
+    assertThat(
+        (double) queue.position(1, second.key()).expectedWaitMillis(),
+        is(closeTo(expectedMillis * 2.0, 1)));
+  }
+
   /** Guards against log lines and metrics that name ranks without waiting calls. */
   @Test
   void depthCountsOnlyWaitingCalls() {
