Compare engine speeds with less processor time

An allocator of a large fleet compares what all holders observed every 500 ms. Medians of one holder at one engine are computed once, and the iteration ends when factors settle. UnevenEnginesTest passes as before.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/SpeedComparison.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/balance/SpeedComparison.java
@@ -25,6 +25,9 @@
    */
   private static final double MIN_CHANCE = 0.05;
 
+  /** An iteration that changes no factor by more than one in a hundred is the last. */
+  private static final double MAX_LAST_CHANGE = 0.01;
+
   private final double equalLog;
   private final Map<String, Map<EndpointId, List<Vote>>> votesBySource = new HashMap<>();
 
@@ -41,6 +44,14 @@
     }
   }
 
+  /** What one instance observed at one engine. */
+  private record Cell(EndpointId engine, double median, List<Vote> recent) {
+    static Cell of(EndpointId engine, List<Vote> votes) {
+      return new Cell(
+          engine, weightedMedian(votes), votes.stream().filter(Vote::isRecent).toList());
+    }
+  }
+
   /**
    * The speed of an engine relative to the median engine, as logarithms.
    *
@@ -78,15 +89,13 @@
 
   /** Returns the engines that were compared; instances that saw only one engine do not count. */
   Map<EndpointId, Relative> compare() {
-    votesBySource.values().removeIf(engines -> engines.size() < 2);
+    List<List<Cell>> sources = comparableSources();
     Map<EndpointId, Double> factors = new HashMap<>();
     Map<EndpointId, List<Vote>> votes = Map.of();
-    for (int i = 0; i < ITERATIONS; i++) {
-      votes = votesWithoutSourceFactors(factors);
-      votes.forEach((engine, list) -> factors.put(engine, weightedMedian(list)));
-      double middle = median(factors.values().stream().toList());
-      factors.replaceAll((engine, factor) -> factor - middle);
-      votes.values().forEach(list -> list.replaceAll(vote -> vote.minus(middle)));
+    double change = Double.POSITIVE_INFINITY;
+    for (int i = 0; i < ITERATIONS && change > MAX_LAST_CHANGE; i++) {
+      votes = votesWithoutSourceFactors(sources, factors);
+      change = updateFactors(votes, factors);
     }
     double slowShare = usualShare(votes, equalLog, 1);
     double fastShare = usualShare(votes, equalLog, -1);
@@ -134,27 +143,56 @@
     return probability >= 1 ? 1 : sum;
   }
 
-  private Map<EndpointId, List<Vote>> votesWithoutSourceFactors(Map<EndpointId, Double> factors) {
-    Map<EndpointId, List<Vote>> votes = new HashMap<>();
+  /** Returns the instances that saw several engines, and one of them lately. */
+  private List<List<Cell>> comparableSources() {
+    List<List<Cell>> sources = new ArrayList<>();
     for (Map<EndpointId, List<Vote>> engines : votesBySource.values()) {
+      if (engines.size() > 1) {
+        List<Cell> cells = new ArrayList<>();
+        engines.forEach((engine, votes) -> cells.add(Cell.of(engine, votes)));
+        if (cells.stream().anyMatch(cell -> !cell.recent().isEmpty())) {
+          sources.add(cells);
+        }
+      }
+    }
+    return sources;
+  }
+
+  private static Map<EndpointId, List<Vote>> votesWithoutSourceFactors(
+      List<List<Cell>> sources, Map<EndpointId, Double> factors) {
+    Map<EndpointId, List<Vote>> votes = new HashMap<>();
+    for (List<Cell> cells : sources) {
       List<Double> deviations = new ArrayList<>();
-      engines.forEach(
-          (engine, list) ->
-              deviations.add(weightedMedian(list) - factors.getOrDefault(engine, 0.0)));
+      for (Cell cell : cells) {
+        deviations.add(cell.median() - factors.getOrDefault(cell.engine(), 0.0));
+      }
       double sourceFactor = median(deviations);
-      engines.forEach(
-          (engine, list) ->
-              list.stream()
-                  .filter(Vote::isRecent)
-                  .forEach(
-                      vote ->
-                          votes
-                              .computeIfAbsent(engine, key -> new ArrayList<>())
-                              .add(vote.minus(sourceFactor))));
+      for (Cell cell : cells) {
+        for (Vote vote : cell.recent()) {
+          votes
+              .computeIfAbsent(cell.engine(), key -> new ArrayList<>())
+              .add(vote.minus(sourceFactor));
+        }
+      }
     }
     return votes;
   }
 
+  /** Updates the factors and shifts the votes so that the median engine has none. */
+  private static double updateFactors(
+      Map<EndpointId, List<Vote>> votes, Map<EndpointId, Double> factors) {
+    final Map<EndpointId, Double> previous = Map.copyOf(factors);
+    votes.forEach((engine, list) -> factors.put(engine, weightedMedian(list)));
+    double middle = median(List.copyOf(factors.values()));
+    factors.replaceAll((engine, factor) -> factor - middle);
+    votes.values().forEach(list -> list.replaceAll(vote -> vote.minus(middle)));
+    return factors.entrySet().stream()
+        .mapToDouble(
+            entry -> Math.abs(entry.getValue() - previous.getOrDefault(entry.getKey(), 0.0)))
+        .max()
+        .orElse(0);
+  }
+
   /**
    * Returns the median; the mean of the middle two of an even number, so that neither is normal.
    */
@@ -171,7 +209,11 @@
 
   /** Returns the lower one of the middle two of an even number, since delays only add time. */
   private static double weightedMedian(List<Vote> votes) {
-    List<Vote> sorted = votes.stream().sorted(Comparator.comparingDouble(Vote::value)).toList();
+    if (votes.size() == 1) {
+      return votes.get(0).value();
+    }
+    List<Vote> sorted = new ArrayList<>(votes);
+    sorted.sort(Comparator.comparingDouble(Vote::value));
     int half = (weight(votes) + 1) / 2;
     int counted = 0;
     for (Vote vote : sorted) {
