Hold short responses until they are complete also when memory is short

Cause: since responses are passed on as they arrive above seven eighths of the budget, an ordinary response of 4 bytes went out in chunks while partial requests of a hostile crowd filled the part for large ones. HostileCallersTest.shortHeaderLines and endlessTrailers then failed beside other work: the log had 200 after 4 ms, the test waits for a body with length.

--- a/knapweedcleat-core/src/main/java/org/knapweedcleat/core/intake/CallerMemoryBudget.java
+++ b/knapweedcleat-core/src/main/java/org/knapweedcleat/core/intake/CallerMemoryBudget.java
@@ -187,13 +187,15 @@
 
   /**
    * Decides whether a response is held back until it is complete. The part of the budget for small
-   * requests stays free, since responses may be incomplete for long.
+   * requests stays free of large responses, since responses may be incomplete for long.
    *
    * @param held the connection's record
+   * @param responseBytes the memory of what has arrived of the response
    * @return false if the response is to be passed on as it arrives
    */
-  public boolean mayHoldResponse(HeldMemory held) {
-    return totalBytes <= largeThresholdBytes || isAlone(held);
+  public boolean mayHoldResponse(HeldMemory held, long responseBytes) {
+    long limitBytes = responseBytes > SMALL_REQUEST_BYTES ? largeThresholdBytes : capacityBytes;
+    return totalBytes <= limitBytes || isAlone(held);
   }
 
   /**
--- a/knapweedcleat-core/src/test/java/org/knapweedcleat/core/intake/CallerMemoryBudgetTest.java
+++ b/knapweedcleat-core/src/test/java/org/knapweedcleat/core/intake/CallerMemoryBudgetTest.java
@@ -54,7 +54,7 @@
     for (int i = 0; i < 200; i++) {
       HeldMemory held = budget.open("caller", 0);
       budget.update(held, false, 0, responseBytes, 0);
-      if (!budget.mayHoldResponse(held)) {
+      if (!budget.mayHoldResponse(held, responseBytes)) {
         budget.update(held, false, 0, 0, 0);
       }
     }
@@ -63,6 +63,20 @@
     assertThat(budget.totalBytes(), lessThanOrEqualTo(CAPACITY));
   }
 
+  /**
+   * Load: partial requests hold the part for large ones. Guards against short responses that are
+   * passed on in chunks although they are complete at once.
+   */
+  @Test
+  void shortResponsesAreHeldWhileLargeRequestsFillTheirPart() {
+    openPartial(36 * MEGABYTE, 0);
+    HeldMemory held = budget.open("caller", 0);
+    budget.update(held, false, 0, SMALL_REQUEST, 0);
+
+    assertThat(budget.mayHoldResponse(held, SMALL_REQUEST), is(true));
+    assertThat(budget.mayHoldResponse(held, MEGABYTE / 2), is(false));
+  }
+
   /** Load: large uploads fill the budget; small requests continue. */
   @Test
   void smallRequestsContinueWhileLargeOnesAreStopped() {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerConnection.java
@@ -282,9 +282,9 @@
   }
 
   /** Reports the memory of the current exchange; false if its response is to be passed on. */
-  boolean mayHoldResponse() {
+  boolean mayHoldResponse(long responseBytes) {
     reportHeld();
-    return intake.mayHoldResponse(held);
+    return intake.mayHoldResponse(held, responseBytes);
   }
 
   @Override
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerIntake.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/CallerIntake.java
@@ -129,8 +129,8 @@
     return budget.admitsNextCall(held);
   }
 
-  boolean mayHoldResponse(HeldMemory held) {
-    return budget.mayHoldResponse(held);
+  boolean mayHoldResponse(HeldMemory held, long responseBytes) {
+    return budget.mayHoldResponse(held, responseBytes);
   }
 
   boolean mayRead(HeldMemory held) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/PendingExchange.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/http/PendingExchange.java
@@ -67,7 +67,7 @@
   @Override
   public boolean holdResponse(long heapBytes) {
     responseBytes = heapBytes;
-    return ended || connection.mayHoldResponse();
+    return ended || connection.mayHoldResponse(heapBytes);
   }
 
   @Override
