Train the class archive on reads of the store and a forwarded call

ArchiveRun had no store, so the archive lacked what every instance loads when it reads the store, answers readiness checks and forwards a call: 176 classes were read from jars and about 80 lambdas were generated at run time. ArchiveTraining of the platform module now runs it with a stand-in of the store and of an endpoint; the platform's formats stay in that module.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ArchiveRun.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/node/ArchiveRun.java
@@ -1,9 +1,7 @@
 package org.knapweedcleat.router.forward.node;
 
-import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.net.NetSocket;
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.nio.file.Files;
@@ -19,13 +17,17 @@
 
 /**
  * Starts two instances on the loopback address through {@link RouterMain} for a few seconds, so
- * that the build can record the classes loaded by startup and gossip for a class data sharing
- * archive.
+ * that the build can record the classes loaded by startup, gossip, reads of the store and calls for
+ * a class data sharing archive.
  */
 public final class ArchiveRun {
 
   private static final String HOST = "127.0.0.1";
-  private static final long RUN_MILLIS = 2_500;
+  private static final long RUN_MILLIS = 4_000;
+
+  /** Interval between the requests; the first ones arrive before the instance is ready. */
+  private static final long REQUEST_INTERVAL_MILLIS = 1_000;
+
   private static final int PORTS_PER_INSTANCE = 4;
 
   /** File name prefix of the project's jars. */
@@ -46,23 +48,30 @@
   /**
    * Runs the instances and exits.
    *
-   * @param arguments ignored
+   * @param store the address of a stand-in of the platform's store
+   * @param call a complete HTTP request of a caller, which the instances can forward
    * @throws Exception if an instance cannot be started
    */
-  public static void main(String[] arguments) throws Exception {
-    String adapter = ServiceLoader.load(PlatformAdapter.class).iterator().next().name();
+  public static void run(InetAddressPort store, String call) throws Exception {
+    PlatformAdapter adapter = ServiceLoader.load(PlatformAdapter.class).iterator().next();
     List<InetAddressPort> first = freePorts();
     List<InetAddressPort> second = freePorts();
-    InetAddressPort store = freePorts().get(0);
     for (List<InetAddressPort> addresses : List.of(first, second)) {
       Path settings =
           Files.writeString(
               Files.createTempFile("archive", ".ini"), settings(addresses, first.get(2), store));
-      RouterMain.main(new String[] {"--settings", settings.toString(), "--adapter", adapter});
+      RouterMain.main(
+          new String[] {"--settings", settings.toString(), "--adapter", adapter.name()});
     }
-    Vertx vertx = Vertx.vertx();
-    sendRequest(vertx, first.get(0)).onFailure(Throwable::printStackTrace);
     loadForwardingClasses();
+    Vertx vertx = Vertx.vertx();
+    vertx.setPeriodic(
+        REQUEST_INTERVAL_MILLIS,
+        timer -> {
+          sendRequest(vertx, first.get(0), call);
+          sendRequest(vertx, first.get(1), get(adapter.readinessPath()));
+          sendRequest(vertx, first.get(3), get("/metrics"));
+        });
     Thread.sleep(RUN_MILLIS);
     vertx.close().toCompletionStage().toCompletableFuture().get(1, TimeUnit.MINUTES);
     System.exit(0);
@@ -95,14 +104,19 @@
         "");
   }
 
-  private static Future<NetSocket> sendRequest(Vertx vertx, InetAddressPort callers) {
-    return vertx
+  private static String get(String path) {
+    return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n";
+  }
+
+  private static void sendRequest(Vertx vertx, InetAddressPort address, String request) {
+    vertx
         .createNetClient()
-        .connect(callers.port(), callers.host())
-        .onSuccess(socket -> socket.write(Buffer.buffer("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+        .connect(address.port(), address.host())
+        .onSuccess(socket -> socket.write(Buffer.buffer(request)))
+        .onFailure(Throwable::printStackTrace);
   }
 
-  /** Loads the classes that only forwarded calls use; this run forwards none. */
+  /** Loads the classes that only other forwarded calls use; this run forwards one kind. */
   private static void loadForwardingClasses() throws IOException, ClassNotFoundException {
     for (String element : System.getProperty("java.class.path").split(":")) {
       if (!Path.of(element).getFileName().toString().startsWith(JAR_PREFIX)) {
--- a/scripts/collect-deployment.sh
+++ b/scripts/collect-deployment.sh
@@ -11,7 +11,8 @@
 # The class path must be identical to that in deploy/system.toml, or the JVM ignores the archive.
 java -Xmx110m -Xss256k -XX:+ExitOnOutOfMemoryError -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:MaxMetaspaceSize=64m -XX:-UsePerfData \
   -XX:ArchiveClassesAtExit=target/deploy/instance.jsa \
+  -Dio.netty.jfr.enabled=false \
   -Dlogback.configurationFile=logback-forward.xml \
   -cp 'target/deploy/*:target/deploy/lib/*' \
-  org.knapweedcleat.router.forward.node.ArchiveRun >target/deploy/archive.log 2>&1 ||
+  org.knapweedcleat.platform.ArchiveTraining >target/deploy/archive.log 2>&1 ||
   echo "failed to write the class archive; see target/deploy/archive.log" >&2
