Encode a message to several instances once

FleetGossip sent one message object to each recipient, and each connection encoded it anew. PeerMessenger.sendToAll names all recipients; PeerTransport encodes the message when it is first written and writes the same bytes to each of them. What is sent and when is unchanged.

--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/forward/fleet/FleetGossip.java
@@ -231,7 +231,7 @@
     updateFleetSize(nowMillis, unknownSeeds.size());
     GossipMessage gossip =
         message(false, List.of(ownReport()), members.nextGossipMembers(nowMillis));
-    members.directPeers().forEach(member -> send(member, gossip));
+    messenger.sendToAll(members.directPeers(), gossip);
     sendLimits(nowMillis, members.directPeers(), EnumSet.of(ObservationSource.LOCAL));
     sendEligibility(nowMillis, members.directPeers(), EnumSet.of(ObservationSource.LOCAL));
     unknownSeeds.forEach(seed -> messenger.send(seedAddress(seed), gossip));
@@ -241,7 +241,7 @@
   /** Notifies the other instances that this one is leaving the fleet. */
   public void leave() {
     GossipMessage gossip = message(true, List.of(), List.of());
-    members.knownMembers().forEach(member -> send(member, gossip));
+    messenger.sendToAll(members.knownMembers(), gossip);
   }
 
   @Override
@@ -315,7 +315,7 @@
     memberReports.addAll(
         reports.latestOf(nowMillis, members.liveMembers(nowMillis, self.domain())));
     GossipMessage gossip = message(false, memberReports, List.of());
-    members.crossDomainPeers().forEach(member -> send(member, gossip));
+    messenger.sendToAll(members.crossDomainPeers(), gossip);
     sendLimits(
         nowMillis,
         members.crossDomainPeers(),
@@ -331,11 +331,7 @@
       long nowMillis, List<FleetMember> recipients, Set<ObservationSource> sources) {
     eligibility
         .notice(nowMillis, sources)
-        .ifPresent(
-            notice ->
-                recipients.forEach(
-                    member ->
-                        messenger.send(PeerAddress.of(member), member.incarnation(), notice)));
+        .ifPresent(notice -> messenger.sendToAll(recipients, notice));
   }
 
   /**
@@ -349,8 +345,7 @@
             .toList();
     if (!limits.isEmpty()) {
       LimitNotice notice = new LimitNotice(self, limits);
-      recipients.forEach(
-          member -> messenger.send(PeerAddress.of(member), member.incarnation(), notice));
+      messenger.sendToAll(recipients, notice);
     }
   }
 
@@ -385,10 +380,7 @@
   }
 
   private void sendQuarantine(Optional<QuarantineNotice> notice, List<FleetMember> recipients) {
-    notice.ifPresent(
-        message ->
-            recipients.forEach(
-                member -> messenger.send(PeerAddress.of(member), member.incarnation(), message)));
+    notice.ifPresent(message -> messenger.sendToAll(recipients, message));
   }
 
   private void onLimits(LimitNotice notice) {
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerClient.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerClient.java
@@ -72,10 +72,10 @@
    * Sends a message.
    *
    * @param target the only incarnation that may receive it, null for whichever listens there
-   * @param message the message
+   * @param frame the message
    */
-  void send(IncarnationId target, PeerMessage message) {
-    submit(new Outgoing(target, message, null));
+  void send(IncarnationId target, PeerFrame frame) {
+    submit(new Outgoing(target, frame, null));
   }
 
   /**
@@ -108,7 +108,7 @@
     PendingRequest pending = new PendingRequest(target, emitter);
     pendingRequests.put(requestNumber, pending);
     vertx.setTimer(timeoutMillis, timer -> failRequest(requestNumber));
-    submit(new Outgoing(target, envelope, requestNumber));
+    submit(new Outgoing(target, PeerFrame.of(codec, envelope), requestNumber));
   }
 
   private void submit(Outgoing outgoing) {
@@ -139,7 +139,7 @@
       pendingRequests.computeIfPresent(
           outgoing.requestNumber(), (number, pending) -> pending.written());
     }
-    connection.send(outgoing.message());
+    connection.send(outgoing.frame());
   }
 
   private void drop(Outgoing outgoing) {
@@ -215,7 +215,7 @@
     }
   }
 
-  private record Outgoing(IncarnationId target, PeerMessage message, Long requestNumber) {}
+  private record Outgoing(IncarnationId target, PeerFrame frame, Long requestNumber) {}
 
   private static final class PendingRequest {
     private final IncarnationId target;
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerConnection.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerConnection.java
@@ -78,10 +78,14 @@
   }
 
   void send(PeerMessage message) {
-    Buffer frame = codec.encodeFrame(message);
-    metrics.counter("peer.bytes.sent").inc(frame.length());
+    send(PeerFrame.of(codec, message));
+  }
+
+  void send(PeerFrame frame) {
+    Buffer bytes = frame.bytes();
+    metrics.counter("peer.bytes.sent").inc(bytes.length());
     metrics.counter("peer.messages.sent").inc();
-    socket.write(frame);
+    socket.write(bytes);
   }
 
   /** Returns whether the write queue is full and new messages should be dropped. */
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerMessenger.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerMessenger.java
@@ -1,6 +1,8 @@
 package org.knapweedcleat.router.peer;
 
 import io.smallrye.mutiny.Uni;
+import java.util.Collection;
+import org.knapweedcleat.core.fleet.FleetMember;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.message.PeerMessage;
 
@@ -24,6 +26,16 @@
    */
   void send(PeerAddress address, IncarnationId target, PeerMessage message);
 
+  /**
+   * Sends the same message to several instances, each in its known incarnation.
+   *
+   * @param recipients the recipients
+   * @param message the message
+   */
+  default void sendToAll(Collection<FleetMember> recipients, PeerMessage message) {
+    recipients.forEach(member -> send(PeerAddress.of(member), member.incarnation(), message));
+  }
+
   /**
    * Sends a request to one incarnation.
    *
--- a/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerTransport.java
+++ b/knapweedcleat-router/src/main/java/org/knapweedcleat/router/peer/PeerTransport.java
@@ -8,11 +8,13 @@
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.knapweedcleat.core.fleet.FleetMember;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.InstanceId;
 import org.knapweedcleat.core.message.PeerMessage;
@@ -89,12 +91,19 @@
 
   @Override
   public void send(PeerAddress address, PeerMessage message) {
-    clientFor(address).send(null, message);
+    clientFor(address).send(null, PeerFrame.of(codec, message));
   }
 
   @Override
   public void send(PeerAddress address, IncarnationId target, PeerMessage message) {
-    clientFor(address).send(target, message);
+    clientFor(address).send(target, PeerFrame.of(codec, message));
+  }
+
+  @Override
+  public void sendToAll(Collection<FleetMember> recipients, PeerMessage message) {
+    PeerFrame frame = PeerFrame.of(codec, message);
+    recipients.forEach(
+        member -> clientFor(PeerAddress.of(member)).send(member.incarnation(), frame));
   }
 
   @Override
--- a/knapweedcleat-router/src/test/java/org/knapweedcleat/router/peer/PeerTransportTest.java
+++ b/knapweedcleat-router/src/test/java/org/knapweedcleat/router/peer/PeerTransportTest.java
@@ -10,9 +10,15 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.knapweedcleat.core.fleet.FleetMember;
 import org.knapweedcleat.core.id.FailureDomainId;
 import org.knapweedcleat.core.id.IncarnationId;
 import org.knapweedcleat.core.id.InstanceId;
@@ -45,6 +51,32 @@
     assertThat(await(request(sender, address, target)), is(request));
   }
 
+  /** Guards against a shared frame that is consumed or altered by the first of its recipients. */
+  @Test
+  void deliversOneMessageToAllRecipients() throws Exception {
+    List<BlockingQueue<PeerMessage>> queues = new ArrayList<>();
+    List<FleetMember> recipients = new ArrayList<>();
+    for (String instance : List.of("b", "c", "d")) {
+      BlockingQueue<PeerMessage> queue = new LinkedBlockingQueue<>();
+      IncarnationId incarnation = incarnation(instance, 2);
+      int port = await(transport(incarnation, new EchoHandler(queue::add)).listen(HOST, 0));
+      queues.add(queue);
+      recipients.add(new FleetMember(incarnation, FailureDomainId.of("a"), HOST, port));
+    }
+    PeerTransport sender = transport(incarnation("a", 1));
+    PeerMessage first = new DocumentRequest(Revision.of(3), 0);
+    PeerMessage second = new DocumentRequest(Revision.of(4), 1);
+    vertx.runOnContext(
+        ignored -> {
+          sender.sendToAll(recipients, first);
+          sender.sendToAll(recipients, second);
+        });
+    for (BlockingQueue<PeerMessage> queue : queues) {
+      assertThat(queue.poll(1, TimeUnit.MINUTES), is(first));
+      assertThat(queue.poll(1, TimeUnit.MINUTES), is(second));
+    }
+  }
+
   @Test
   void neverDeliversToAnotherIncarnation() throws Exception {
     PeerAddress address = listen(incarnation("b", 3));
@@ -88,8 +120,12 @@
   }
 
   private PeerTransport transport(IncarnationId self) {
+    return transport(self, new EchoHandler(received::tryComplete));
+  }
+
+  private PeerTransport transport(IncarnationId self, PeerMessageHandler handler) {
     Hello hello = new Hello(self, FailureDomainId.of("a"));
-    return PeerTransport.create(vertx, hello, metrics, new EchoHandler());
+    return PeerTransport.create(vertx, hello, metrics, handler);
   }
 
   private static IncarnationId incarnation(String instance, long startNumber) {
@@ -104,10 +140,11 @@
     return future.toCompletionStage().toCompletableFuture().get(1, TimeUnit.MINUTES);
   }
 
-  private final class EchoHandler implements PeerMessageHandler {
+  /** Passes messages on and answers each request with itself. */
+  private record EchoHandler(Consumer<PeerMessage> messages) implements PeerMessageHandler {
     @Override
     public void onMessage(IncarnationId from, PeerMessage message) {
-      received.tryComplete(message);
+      messages.accept(message);
     }
 
     @Override
