Start all machines together in case 6, a seed in each zone

The first form started the zones one after the other, with all seeds in one zone; neither is needed, and this is how the deployments are.

--- a/review/standins-2/Silence.java
+++ b/review/standins-2/Silence.java
@@ -15,7 +15,6 @@
 
   private static final int MACHINES = 9;
   private static final int ZONE_SIZE = 3;
-  private static final int SEEDS = 3;
   private static final long LEASE_MILLIS = 3000;
 
   private static final String CONFIG =
@@ -93,7 +92,7 @@
     final PeerPaths paths = new PeerPaths(MACHINES, port + 2);
     for (int i = 1; i <= MACHINES; i++) {
       List<String> seeds = new ArrayList<>();
-      for (int seed = 1; seed <= SEEDS; seed++) {
+      for (int seed = 1; seed <= MACHINES; seed += ZONE_SIZE) {
         seeds.add(PeerPaths.seenAt(i, seed) + ":" + (port + 2));
       }
       Machine machine =
@@ -102,10 +101,8 @@
               store.address(), folder);
       machines.add(machine);
     }
-    start(machines.subList(0, ZONE_SIZE));
-    record.add("the machines of " + zones[0] + " are ready");
-    start(machines.subList(ZONE_SIZE, MACHINES));
-    record.add("the machines of the other zones are ready");
+    start(machines);
+    record.add("all machines are ready");
     boolean[] stop = {false};
     Thread load = load(machines, stop, record);
     Thread.sleep(5000);
