--- a/review/standins-2/FilledUp.java
+++ b/review/standins-2/FilledUp.java
@@ -49,7 +49,10 @@
        "tenants": [{"name": "t1", "api_keys": ["review-key-1"]}]}
       """;
 
-  private static volatile boolean garbles;
+  private static volatile int garbling = -1;
+  private static final AtomicInteger[] SERVED = {
+    new AtomicInteger(), new AtomicInteger(), new AtomicInteger()
+  };
   private static final AtomicInteger ANSWERS = new AtomicInteger();
   private static final AtomicInteger GARBLED = new AtomicInteger();
 
@@ -89,8 +92,8 @@
     for (int i = 0; i < 3; i++) {
       String id = "desk-" + (i + 1);
       ServerSocket server = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
-      boolean mayGarble = i == 0;
-      run(() -> accept(server, mayGarble, record));
+      int number = i;
+      run(() -> accept(server, number, record));
       store.put(
           "servers/" + id,
           "{\"service\":\"school-desk\",\"address\":\"127.0.0.1:" + server.getLocalPort()
@@ -132,12 +135,16 @@
               }
             });
     load.start();
+    int busiest = 0;
     for (int window = 0; window < WINDOWS; window++) {
       sleep(GAP_MILLIS);
-      garbles = trouble;
-      record.add(trouble ? "one server garbles from now on" : "nothing is garbled");
+      if (window == 0) {
+        busiest = busiest();
+      }
+      garbling = trouble ? busiest : -1;
+      record.add(trouble ? "server " + busiest + " garbles from now on" : "nothing is garbled");
       sleep(WINDOW_MILLIS);
-      garbles = false;
+      garbling = -1;
       record.add("no server garbles from now on");
     }
     sleep(2000);
@@ -149,8 +156,8 @@
     record.result(
         "answers of that server while it may garble: " + ANSWERS + ", garbled: " + GARBLED);
     record.result("successes with another body than the server's: " + wrong);
-    if (whole.get() < sent.get() / 2) {
-      record.result("the case could not run: too few requests were served");
+    if (whole.get() < sent.get() / 2 || (trouble && GARBLED.get() == 0)) {
+      record.result("the case could not run: too few requests were served, or nothing was garbled");
       return 2;
     }
     record.result(wrong.get() > 0 ? "MIXED is broken" : "MIXED held");
@@ -179,7 +186,16 @@
     }
   }
 
-  private static void accept(ServerSocket server, boolean mayGarble, Record record)
+  /** Returns the server that has got most requests; servers that are idle garble nothing. */
+  private static int busiest() {
+    int most = 0;
+    for (int i = 1; i < SERVED.length; i++) {
+      most = SERVED[i].get() > SERVED[most].get() ? i : most;
+    }
+    return most;
+  }
+
+  private static void accept(ServerSocket server, int number, Record record)
       throws IOException {
     while (true) {
       Socket socket = server.accept();
@@ -188,20 +204,21 @@
           () -> {
             Http.Message request;
             while ((request = Http.read(socket.getInputStream(), false)) != null) {
-              answer(socket.getOutputStream(), request, mayGarble, record);
+              answer(socket.getOutputStream(), request, number, record);
             }
           });
     }
   }
 
   private static void answer(
-      OutputStream out, Http.Message request, boolean mayGarble, Record record)
+      OutputStream out, Http.Message request, int number, Record record)
       throws IOException {
     String id = request.header("Knapweedcleat-Request-Id");
     if (id == null) {
       write(out, STATUS_LINE + "Content-Length: 0\r\n\r\n");
       return;
     }
+    SERVED[number].incrementAndGet();
     sleep(WORK_MILLIS);
     String[] headers = {
       "Content-Type: text/plain\r\n",
@@ -213,7 +230,7 @@
     };
     String body = body(id);
     boolean garbled =
-        mayGarble && garbles && ANSWERS.incrementAndGet() % GARBLED_EACH == GARBLED_EACH / 2;
+        garbling == number && ANSWERS.incrementAndGet() % GARBLED_EACH == 0;
     if (!garbled) {
       write(out, STATUS_LINE + String.join("", headers) + body);
       return;
